Thin whole path: daemons, operators' command and stand-ins as processes

Cause: the project starts with this commit. A request goes end to end through separate processes: caller, one of three daemons, encoder, retriever, reranker, engine; an order goes through a claim in the key-value service.

What was ruled out: a holder with an epoch for each order log (any daemon may append by compare-and-swap; a preferred writer only groups writes), and keys without an age (only version 7 UUIDs are accepted, so that retention is bounded).

--- /dev/null
+++ b/packages/callers/src/cowsliphitch/callers/const.py
@@ -0,0 +1,12 @@
+"""Headers and limits of the callers' interface, with their units."""
+
+from typing import Final
+
+KEY_HEADER: Final = "idempotency-key"
+TIMEOUT_HEADER: Final = "x-request-timeout-ms"
+REQUEST_HEADER: Final = "x-request-id"
+STREAM_TYPE: Final = "application/x-ndjson"
+PROBLEM_TYPE: Final = "application/problem+json"
+PROBLEM_URN: Final = "urn:cowsliphitch:reason:"
+BODY_TIMEOUT_MS: Final = 5_000
+MAX_KEY_CHARS: Final = 128
--- /dev/null
+++ b/packages/callers/src/cowsliphitch/callers/problems.py
@@ -0,0 +1,34 @@
+"""Refusals as problem details (RFC 9457)."""
+
+import json
+from typing import Any
+
+from starlette.responses import Response
+
+from cowsliphitch.core.verdict import Refusal
+
+from . import const
+
+
+def problem(refusal: Refusal, request: str) -> dict[str, Any]:
+    """Return the problem details of a refusal."""
+    details = {
+        "type": const.PROBLEM_URN + refusal.reason.value,
+        "title": refusal.reason.value.replace("-", " "),
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "instance": f"urn:uuid:{request}",
+        "verdict": refusal.verdict.value,
+    }
+    return details | ({"stage": refusal.stage} if refusal.stage else {})
+
+
+def problem_response(refusal: Refusal, request: str) -> Response:
+    """Return the HTTP response of a refusal."""
+    headers = {const.REQUEST_HEADER: request}
+    if refusal.retry_after_ms is not None:
+        headers["retry-after"] = str(max(1, -(-refusal.retry_after_ms // 1_000)))
+    if refusal.status == 401:
+        headers["www-authenticate"] = "Bearer"
+    content = json.dumps(problem(refusal, request))
+    return Response(content, refusal.status, headers, const.PROBLEM_TYPE)
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/membership/ranking.py
@@ -0,0 +1,13 @@
+"""Spread duties over members by key: rendezvous hashing (Thaler, Ravishankar 1996)."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Return the members in order of preference for a duty."""
+    return sorted(names, key=lambda name: _weight(key, name))
+
+
+def _weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/scheduling/models.py
@@ -0,0 +1,19 @@
+"""Requests that wait for a slot of a pool."""
+
+import attrs
+
+
+@attrs.frozen
+class Ticket:
+    """One waiting request.
+
+    :param team: whose turn it uses
+    :param work: estimated work, in tokens
+    :param deadline_ms: monotonic time when the answer is worthless
+    :param number: unique, grows with arrival
+    """
+
+    team: str
+    work: int
+    deadline_ms: int
+    number: int
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -0,0 +1,120 @@
+"""Verdicts: what is known about whether a request ran."""
+
+import enum
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+
+class Verdict(enum.Enum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    RAN = "ran"
+
+
+class Reason(enum.Enum):
+    """Why a request was refused or failed."""
+
+    INVALID_REQUEST = "invalid-request"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_ROUTE = "unknown-route"
+    BODY_TOO_LARGE = "body-too-large"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    QUEUE_FULL = "queue-full"
+    NO_UPSTREAM = "no-upstream"
+    CONNECT_FAILED = "connect-failed"
+    CONNECTION_LOST = "connection-lost"
+    UPSTREAM_REFUSED = "upstream-refused"
+    UPSTREAM_FAILED = "upstream-failed"
+    INVALID_ANSWER = "invalid-answer"
+    STREAM_CUT = "stream-cut"
+    KEY_REQUIRED = "idempotency-key-required"
+    KEY_INVALID = "idempotency-key-invalid"
+    KEY_EXPIRED = "idempotency-key-expired"
+    KEY_REUSED = "idempotency-key-reused"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    PEER_UNAVAILABLE = "peer-unavailable"
+    QUARANTINED = "quarantined"
+    SHUTTING_DOWN = "shutting-down"
+    NOT_CONFIGURED = "not-configured"
+
+
+HTTP_STATUS: Final[dict[Reason, int]] = {
+    Reason.INVALID_REQUEST: 400,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.DEADLINE_UNREACHABLE: 503,
+    Reason.DEADLINE_EXCEEDED: 504,
+    Reason.QUEUE_FULL: 429,
+    Reason.NO_UPSTREAM: 503,
+    Reason.CONNECT_FAILED: 502,
+    Reason.CONNECTION_LOST: 502,
+    Reason.UPSTREAM_REFUSED: 503,
+    Reason.UPSTREAM_FAILED: 502,
+    Reason.INVALID_ANSWER: 502,
+    Reason.STREAM_CUT: 502,
+    Reason.KEY_REQUIRED: 400,
+    Reason.KEY_INVALID: 400,
+    Reason.KEY_EXPIRED: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.OUTCOME_UNKNOWN: 409,
+    Reason.PLATFORM_UNAVAILABLE: 503,
+    Reason.PEER_UNAVAILABLE: 503,
+    Reason.QUARANTINED: 422,
+    Reason.SHUTTING_DOWN: 503,
+    Reason.NOT_CONFIGURED: 503,
+}
+
+
+@attrs.frozen
+class Refusal:
+    """A request that got no whole answer, and what is known about its execution.
+
+    :param verdict: whether the request may have run
+    :param reason: the cause, from a closed list
+    :param detail: one sentence for a person
+    :param stage: the pipeline stage where it happened
+    :param retry_after_ms: when a repeat makes sense, in ms
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    stage: str | None = None
+    retry_after_ms: int | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status for this refusal."""
+        return HTTP_STATUS[self.reason]
+
+
+def not_run(reason: Reason, detail: str, retry_after_ms: int | None = None) -> Refusal:
+    """Return a refusal of a request that certainly did not run."""
+    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_ms=retry_after_ms)
+
+
+def may_have_run(
+    reason: Reason, detail: str, retry_after_ms: int | None = None
+) -> Refusal:
+    """Return a refusal of a request whose execution is unknown."""
+    return Refusal(Verdict.MAY_HAVE_RUN, reason, detail, retry_after_ms=retry_after_ms)
+
+
+def combine(verdicts: Iterable[Verdict]) -> Verdict:
+    """Combine the verdicts of all attempts and stages of one request.
+
+    Only if every part certainly did not run, the whole did not run.
+    """
+    seen = set(verdicts)
+    if Verdict.RAN in seen:
+        return Verdict.RAN
+    if Verdict.MAY_HAVE_RUN in seen:
+        return Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN
--- /dev/null
+++ b/packages/daemon/src/cowsliphitch/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon: ``python -m cowsliphitch.daemon``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/packages/operators/src/cowsliphitch/operators/__main__.py
@@ -0,0 +1,5 @@
+"""Run the operators command: ``python -m cowsliphitch.operators``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/packages/operators/src/cowsliphitch/operators/cli/__init__.py
@@ -0,0 +1,42 @@
+"""The ``cowsliphitch`` command for operators."""
+
+import sys
+
+from cleo.application import Application
+
+from .config import (
+    ConfigCheckCommand,
+    ConfigDiffCommand,
+    ConfigReadCommand,
+    ConfigStoreCommand,
+)
+from .requests import RequestCommand, TokenCommand
+from .status import (
+    AuditCommand,
+    DaemonsCommand,
+    DiagnosticsCommand,
+    TeamsCommand,
+    UpstreamsCommand,
+)
+
+COMMANDS = (
+    ConfigCheckCommand,
+    ConfigDiffCommand,
+    ConfigReadCommand,
+    ConfigStoreCommand,
+    DaemonsCommand,
+    UpstreamsCommand,
+    TeamsCommand,
+    AuditCommand,
+    DiagnosticsCommand,
+    RequestCommand,
+    TokenCommand,
+)
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    application = Application("cowsliphitch", "0.1.0")
+    for command in COMMANDS:
+        application.add(command())
+    sys.exit(application.run())
--- /dev/null
+++ b/packages/peers/src/cowsliphitch/peers/membership/const.py
@@ -0,0 +1,10 @@
+"""Timings of the exchange between daemons, with their units."""
+
+from typing import Final
+
+EXCHANGE_INTERVAL_MS: Final = 500
+CALL_TIMEOUT_MS: Final = 400
+APPEND_TIMEOUT_MS: Final = 500
+APPEND_MARGIN_MS: Final = 100
+SPREAD_FANOUT: Final = 3
+MAX_DIGEST_BYTES: Final = 256 * 1024
--- /dev/null
+++ b/packages/peers/src/cowsliphitch/peers/wire/convert.py
@@ -0,0 +1,165 @@
+"""Convert between wire messages and the types of the core."""
+
+from result import Err, Ok, Result
+
+from cowsliphitch.core.config.models import Manifest, Snapshot
+from cowsliphitch.core.membership.models import MemberRecord, PoolDemand, Summary
+from cowsliphitch.core.orders.log import Done, Owned, Position
+from cowsliphitch.core.orders.models import Answer, Record, State
+from cowsliphitch.core.verdict import Reason, Refusal, Verdict
+from cowsliphitch.core.vms.models import Vm, VmListing, VmState
+
+from . import peers_pb2 as pb
+
+
+def summary_of(digest: pb.Digest) -> Summary:
+    """Read the summary of a digest."""
+    return Summary(
+        dict(zip(digest.ids, digest.heartbeats, strict=True)),
+        dict(zip(digest.ids, digest.versions, strict=True)),
+    )
+
+
+def member_to_wire(record: MemberRecord) -> pb.MemberRecord:
+    """Write a member's record."""
+    return pb.MemberRecord(
+        name=record.name,
+        failure_domain=record.failure_domain,
+        address=record.address,
+        operators_address=record.operators_address,
+        version=record.version,
+        leaving=record.leaving,
+        config_revision=record.config_revision,
+        demands=[
+            pb.Demand(pool=d.pool, team=d.team, slots=d.slots) for d in record.demands
+        ],
+    )
+
+
+def member_from_wire(record: pb.MemberRecord) -> MemberRecord:
+    """Read a member's record."""
+    return MemberRecord(
+        name=record.name,
+        failure_domain=record.failure_domain,
+        address=record.address,
+        operators_address=record.operators_address,
+        version=record.version,
+        leaving=record.leaving,
+        config_revision=record.config_revision,
+        demands=tuple(PoolDemand(d.pool, d.team, d.slots) for d in record.demands),
+    )
+
+
+def order_to_wire(record: Record) -> pb.OrderRecord:
+    """Write a record of an order log."""
+    answer = record.answer
+    body = answer.body if answer is not None else None
+    return pb.OrderRecord(
+        key=record.key,
+        created_ms=record.created_ms,
+        attempt=record.attempt,
+        fingerprint=record.fingerprint,
+        state=record.state.value,
+        has_answer=answer is not None,
+        answer_status=answer.status if answer is not None else 0,
+        has_body=body is not None,
+        answer_body=body or "",
+    )
+
+
+def order_from_wire(record: pb.OrderRecord) -> Record:
+    """Read a record of an order log.
+
+    :raises ValueError: if the state is unknown
+    """
+    body = record.answer_body if record.has_body else None
+    answer = Answer(record.answer_status, body) if record.has_answer else None
+    return Record(
+        key=record.key,
+        created_ms=record.created_ms,
+        attempt=record.attempt,
+        fingerprint=record.fingerprint,
+        state=State(record.state),
+        answer=answer,
+    )
+
+
+def outcome_to_wire(outcome: Result[Position, Refusal]) -> pb.AppendReply:
+    """Write what an order log says about a record."""
+    match outcome:
+        case Ok(Owned(record)):
+            return pb.AppendReply(owned=order_to_wire(record))
+        case Ok(Done(record)):
+            return pb.AppendReply(done=order_to_wire(record))
+        case Err(refusal):
+            wire = pb.Refusal(
+                verdict=refusal.verdict.value,
+                reason=refusal.reason.value,
+                detail=refusal.detail,
+            )
+            return pb.AppendReply(refused=wire)
+        case _:
+            raise AssertionError("a submitted record is never free")
+
+
+def outcome_from_wire(reply: pb.AppendReply) -> Result[Position, Refusal]:
+    """Read what an order log says about a record.
+
+    :raises ValueError: if the reply is not valid
+    """
+    match reply.WhichOneof("outcome"):
+        case "owned":
+            return Ok(Owned(order_from_wire(reply.owned)))
+        case "done":
+            return Ok(Done(order_from_wire(reply.done)))
+        case "refused":
+            refused = reply.refused
+            verdict, reason = Verdict(refused.verdict), Reason(refused.reason)
+            return Err(Refusal(verdict, reason, refused.detail))
+        case _:
+            raise ValueError("the reply has no outcome")
+
+
+def state_to_wire(snapshot: Snapshot, listing: VmListing) -> pb.ConfigReply:
+    """Write a whole configuration and the VMs that are known."""
+    manifest = snapshot.manifest
+    return pb.ConfigReply(
+        revision=manifest.revision,
+        change=manifest.change,
+        branches=manifest.branches,
+        values=snapshot.values,
+        vms=[vm_to_wire(vm) for vm in listing.vms],
+    )
+
+
+def snapshot_from_wire(reply: pb.ConfigReply) -> Snapshot:
+    """Read a whole configuration."""
+    manifest = Manifest(reply.revision, reply.change, dict(reply.branches))
+    return Snapshot(manifest, dict(reply.values))
+
+
+def vm_to_wire(vm: Vm) -> pb.Vm:
+    """Write a VM."""
+    return pb.Vm(
+        name=vm.name,
+        pool=vm.pool,
+        address=vm.address,
+        failure_domain=vm.failure_domain,
+        leaving=vm.state is VmState.LEAVING,
+    )
+
+
+def listing_from_wire(reply: pb.ConfigReply) -> VmListing:
+    """Read the VMs that a peer knows."""
+    return VmListing(
+        tuple(
+            Vm(
+                name=vm.name,
+                pool=vm.pool,
+                address=vm.address,
+                failure_domain=vm.failure_domain,
+                state=VmState.LEAVING if vm.leaving else VmState.LIVE,
+            )
+            for vm in reply.vms
+        )
+    )
--- /dev/null
+++ b/packages/standins/src/cowsliphitch/standins/__main__.py
@@ -0,0 +1,56 @@
+"""Start one stand-in: ``python -m cowsliphitch.standins KIND --port N``."""
+
+import argparse
+
+from starlette.applications import Starlette
+
+from cowsliphitch.core.clock import Clock
+
+from .const import TOKEN_INTERVAL_MS
+from .engine import Engine
+from .kv import KeyValueService
+from .server import run
+from .stage import service_app, stage_app
+from .upstream import Upstream
+from .vm_list import VmList
+
+KINDS = ("kv", "vm-list", "engine", "stage", "service")
+
+
+def parse_args() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("kind", choices=KINDS)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--work-ms", type=int, default=10)
+    parser.add_argument("--token-ms", type=float, default=TOKEN_INTERVAL_MS)
+    parser.add_argument("--honours-keys", action="store_true")
+    parser.add_argument("--checks-fencing", action="store_true")
+    return parser.parse_args()
+
+
+def build(args: argparse.Namespace) -> Starlette:
+    """Build the application of the wanted kind."""
+    clock = Clock()
+    upstream = Upstream(args.name, clock, args.slots, args.work_ms)
+    match args.kind:
+        case "kv":
+            return KeyValueService(clock).app()
+        case "vm-list":
+            return VmList(clock).app()
+        case "engine":
+            engine = Engine(
+                upstream, checks_fencing=args.checks_fencing, token_ms=args.token_ms
+            )
+            return engine.app()
+        case "service":
+            return service_app(upstream, honours_keys=args.honours_keys)
+        case _:
+            return stage_app(upstream)
+
+
+if __name__ == "__main__":
+    arguments = parse_args()
+    run(build(arguments), arguments.port)
--- /dev/null
+++ b/packages/standins/src/cowsliphitch/standins/fleet.py
@@ -0,0 +1,327 @@
+"""Start a small fleet as separate processes on the loopback address.
+
+The demo, the measurements and the tests use it.  Daemons start nothing themselves.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import attrs
+import httpx
+import trustme
+import yaml
+
+from cowsliphitch.core import tokens
+from cowsliphitch.core.clock import Clock, seconds
+
+from .const import LOOPBACK
+
+START_TIMEOUT_MS = 20_000
+STOP_TIMEOUT_MS = 15_000
+POLL_MS = 30
+OPERATOR = "alice"
+
+
+@attrs.define
+class Process:
+    """A process of the fleet.
+
+    :param url: base URL of its HTTP interface
+    """
+
+    name: str
+    url: str
+    popen: "subprocess.Popen[bytes]"
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self) -> int:
+        """Let the process finish and return its exit code."""
+        self.popen.terminate()
+        try:
+            return self.popen.wait(seconds(STOP_TIMEOUT_MS))
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process runs."""
+        return self.popen.poll() is None
+
+
+@attrs.frozen
+class UpstreamSpec:
+    """How an upstream stand-in is started.
+
+    :param options: command line options of the stand-in
+    """
+
+    name: str
+    kind: str
+    pool: str
+    failure_domain: str
+    options: tuple[str, ...] = ()
+
+
+@attrs.define
+class DaemonProcess(Process):
+    """A daemon and its interfaces."""
+
+    operators: str
+    peers: str
+    failure_domain: str
+    settings: Path
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class Fleet:
+    """Stand-ins and daemons, all separate processes."""
+
+    def __init__(self, secure: bool = True) -> None:
+        """Make a folder for settings and logs; nothing is started yet."""
+        self._folder = tempfile.TemporaryDirectory(prefix="cowsliphitch-")
+        self.folder = Path(self._folder.name)
+        self._vms: list[dict[str, str]] = []
+        self.operator_token = tokens.new_token(OPERATOR)
+        self.operator_tokens = {OPERATOR: tokens.digest(self.operator_token)}
+        self.team_tokens: dict[str, str] = {}
+        self.processes: dict[str, Process] = {}
+        self.daemons: dict[str, DaemonProcess] = {}
+        self.authority = trustme.CA() if secure else None
+        if self.authority is not None:
+            self.authority.cert_pem.write_to_path(str(self.folder / "authority.pem"))
+
+    def __enter__(self) -> "Fleet":
+        """Use the fleet as a context that ends its processes."""
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """End all processes that were started here."""
+        for process in (*self.daemons.values(), *self.processes.values()):
+            if process.alive:
+                process.kill()
+        self._folder.cleanup()
+
+    def token(self, team: str) -> str:
+        """Return the token of a team; it is made when first asked for."""
+        if team not in self.team_tokens:
+            self.team_tokens[team] = tokens.new_token(team)
+        return self.team_tokens[team]
+
+    def start_platform(self) -> None:
+        """Start the key-value service and the VM list."""
+        self._start_standin("kv", "kv", ())
+        self._start_standin("vm-list", "vm-list", ())
+
+    def _start_standin(self, name: str, kind: str, options: tuple[str, ...]) -> Process:
+        port = free_port()
+        module = [sys.executable, "-m", "cowsliphitch.standins", kind]
+        command = [*module, "--port", str(port), "--name", name, *options]
+        process = Process(name, f"http://{LOOPBACK}:{port}", self._popen(name, command))
+        self.processes[name] = process
+        return process
+
+    def _popen(self, name: str, command: list[str]) -> "subprocess.Popen[bytes]":
+        with open(self.folder / f"{name}.log", "ab") as log:
+            return subprocess.Popen(command, stdout=log, stderr=log)
+
+    def start_upstream(self, spec: UpstreamSpec) -> Process:
+        """Start an upstream and list its VM."""
+        process = self._start_standin(spec.name, spec.kind, spec.options)
+        self._vms.append(
+            {
+                "name": spec.name,
+                "pool": spec.pool,
+                "address": process.url,
+                "failure_domain": spec.failure_domain,
+                "state": "live",
+            }
+        )
+        return process
+
+    def set_vm_state(self, name: str, state: str) -> None:
+        """Let the platform show a VM as live or leaving."""
+        self._vms = [
+            vm | {"state": state} if vm["name"] == name else vm for vm in self._vms
+        ]
+        self.publish_vms()
+
+    def drop_vm(self, name: str) -> None:
+        """Take a VM off the platform's list."""
+        self._vms = [vm for vm in self._vms if vm["name"] != name]
+        self.publish_vms()
+
+    def publish_vms(self, lag_ms: int = 200) -> None:
+        """Tell the VM list who is there."""
+        url = self.processes["vm-list"].url
+        httpx.put(f"{url}/v1/vms", json={"vms": self._vms, "lag_ms": lag_ms})
+
+    def start_daemon(
+        self, name: str, failure_domain: str, **extra: Any
+    ) -> DaemonProcess:
+        """Start a daemon; the ones before it are its seeds."""
+        callers, operators, peers = (f"{LOOPBACK}:{free_port()}" for _ in range(3))
+        cfg = {
+            "name": name,
+            "failure_domain": failure_domain,
+            "callers": callers,
+            "operators": operators,
+            "peers": peers,
+            "seeds": [daemon.peers for daemon in self.daemons.values()],
+            "platform": {
+                "kv": self.processes["kv"].url,
+                "vm_list": self.processes["vm-list"].url,
+            },
+            "operator_tokens": self.operator_tokens,
+            "drain_delay": "300ms",
+        }
+        if self.authority is not None:
+            cfg["tls"] = self._certificate(name)
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(cfg | extra))
+        command = [sys.executable, "-m", "cowsliphitch.daemon", "--settings", str(path)]
+        daemon = DaemonProcess(
+            name=name,
+            url=f"http://{callers}",
+            popen=self._popen(name, command),
+            operators=f"http://{operators}",
+            peers=peers,
+            failure_domain=failure_domain,
+            settings=path,
+        )
+        self.daemons[name] = daemon
+        return daemon
+
+    def restart_daemon(self, name: str) -> DaemonProcess:
+        """Start a daemon again with the same settings."""
+        old = self.daemons[name]
+        command = [sys.executable, "-m", "cowsliphitch.daemon"]
+        popen = self._popen(name, [*command, "--settings", str(old.settings)])
+        self.daemons[name] = attrs.evolve(old, popen=popen)
+        return self.daemons[name]
+
+    def _certificate(self, name: str) -> dict[str, str]:
+        assert self.authority is not None
+        issued = self.authority.issue_cert(LOOPBACK, common_name=name)
+        certificate = self.folder / f"{name}.crt"
+        key = self.folder / f"{name}.key"
+        issued.private_key_pem.write_to_path(str(key))
+        issued.cert_chain_pems[0].write_to_path(str(certificate))
+        return {
+            "certificate": str(certificate),
+            "key": str(key),
+            "authority": str(self.folder / "authority.pem"),
+        }
+
+    def wait_until_up(self) -> None:
+        """Wait until every process answers."""
+        for process in self.processes.values():
+            wait_for(f"{process.name} answers", lambda p=process: _answers(p.url))
+        for daemon in self.daemons.values():
+            url = f"{daemon.url}/healthz"
+            wait_for(f"{daemon.name} answers", lambda u=url: _status(u) == 200)
+
+    def wait_until_ready(self) -> None:
+        """Wait until every daemon has a configuration and all upstreams."""
+        pools = sum(1 for vm in self._vms if vm["pool"])
+        for daemon in self.daemons.values():
+            if not daemon.alive:
+                continue
+            url = f"{daemon.url}/readyz"
+            wait_for(f"{daemon.name} is ready", lambda u=url: _status(u) == 200)
+            wait_for(
+                f"{daemon.name} knows the upstreams",
+                lambda d=daemon: len(self.ask(d.name, "/v1/upstreams")) == pools,
+            )
+
+    def ask(self, daemon: str, path: str) -> Any:
+        """Read from a daemon's operators' interface."""
+        headers = {"authorization": f"Bearer {self.operator_token}"}
+        resp = httpx.get(self.daemons[daemon].operators + path, headers=headers)
+        return resp.json() if resp.is_success else None
+
+    def faults(self, name: str, **switches: Any) -> None:
+        """Set the fault switches of a stand-in."""
+        url = f"{self.processes[name].url}/faults"
+        httpx.post(url, json=switches).raise_for_status()
+
+    def record(self, name: str) -> list[dict[str, Any]]:
+        """Return what an upstream ran, by its own record."""
+        runs: list[dict[str, Any]] = httpx.get(
+            f"{self.processes[name].url}/record"
+        ).json()["runs"]
+        return runs
+
+    def cli(self, daemon: str, *args: str) -> "subprocess.CompletedProcess[str]":
+        """Run the operators' command against a daemon."""
+        environment = os.environ | {
+            "COWSLIPHITCH_DAEMON": self.daemons[daemon].operators,
+            "COWSLIPHITCH_OPERATOR_TOKEN": self.operator_token,
+        }
+        command = [sys.executable, "-m", "cowsliphitch.operators", *args]
+        return subprocess.run(
+            command, env=environment, capture_output=True, text=True, check=False
+        )
+
+    def stop(self) -> dict[str, int]:
+        """Stop daemons, then stand-ins, gracefully; return the exit codes."""
+        codes: dict[str, int] = {}
+        for group in (self.daemons.values(), self.processes.values()):
+            living = [process for process in group if process.alive]
+            for process in living:
+                process.signal(signal.SIGCONT)
+                process.popen.terminate()
+            codes |= {process.name: process.stop() for process in living}
+        return codes
+
+
+def _answers(url: str) -> bool:
+    return _status(f"{url}/faults") == 200
+
+
+def _status(url: str) -> int:
+    try:
+        return httpx.get(url, timeout=1).status_code
+    except httpx.HTTPError:
+        return 0
+
+
+def wait_for(what: str, condition: Any, timeout_ms: int = START_TIMEOUT_MS) -> None:
+    """Wait until a condition holds.
+
+    :raises TimeoutError: if it does not hold within ``timeout_ms``
+    """
+    for _ in _until(Clock(), timeout_ms):
+        if condition():
+            return
+    raise TimeoutError(f"not within {timeout_ms} ms: {what}")
+
+
+def _until(clock: Clock, timeout_ms: int) -> Iterator[None]:
+    end_ms = clock.now_ms() + timeout_ms
+    while clock.now_ms() < end_ms:
+        yield
+        time.sleep(seconds(POLL_MS))
--- /dev/null
+++ b/packages/standins/src/cowsliphitch/standins/scenario.py
@@ -0,0 +1,91 @@
+"""A small deployment: two failure domains, four stages and plain services."""
+
+import json
+from typing import Any
+
+import yaml
+
+from cowsliphitch.core import tokens
+
+from .fleet import Fleet, UpstreamSpec
+
+DOMAINS = ("sk-central-1", "sk-central-2")
+TEAMS = {"technicians": 3, "dispatchers": 2, "warehouse": 1}
+
+POOLS: dict[str, dict[str, Any]] = {
+    "encoders": {"kind": "stage", "slots": 8, "refuses_before_running": True},
+    "retrievers": {"kind": "stage", "slots": 8, "refuses_before_running": True},
+    "rerankers": {"kind": "stage", "slots": 8, "refuses_before_running": True},
+    "engines": {"kind": "engine", "slots": 8, "refuses_before_running": True},
+    "order-desk": {"kind": "service", "slots": 8, "refuses_before_running": True},
+    "records": {"kind": "service", "slots": 8, "refuses_before_running": True},
+}
+
+STAGES = [
+    {"name": "encode", "pool": "encoders"},
+    {"name": "retrieve", "pool": "retrievers"},
+    {"name": "rerank", "pool": "rerankers"},
+    {"name": "generate", "pool": "engines", "max_tokens": 32},
+]
+
+
+def upstream_specs(token_ms: float = 2.0, work_ms: int = 5) -> list[UpstreamSpec]:
+    """Return one upstream of each pool in each failure domain."""
+    kinds = {name: str(pool["kind"]) for name, pool in POOLS.items()}
+    options = ("--work-ms", str(work_ms), "--token-ms", str(token_ms))
+    return [
+        UpstreamSpec(f"{pool}-{index}", kind, pool, domain, options)
+        for index, domain in enumerate(DOMAINS, start=1)
+        for pool, kind in kinds.items()
+    ]
+
+
+def settings_document(fleet: Fleet, **fleet_extra: Any) -> dict[str, Any]:
+    """Return the settings tree of the deployment."""
+    return {
+        "fleet": {"pools": POOLS, **fleet_extra},
+        "pipelines": {
+            "diagnosis": {"deadline": "10s", "stages": STAGES},
+            "encode-only": {"deadline": "5s", "stages": STAGES[:1]},
+        },
+        "services": {
+            "part-order": {"pool": "order-desk", "repeat": "once", "deadline": "5s"},
+            "history": {"pool": "records", "repeat": "safe", "deadline": "5s"},
+        },
+        "teams": {
+            name: {"share": share, "tokens": [tokens.digest(fleet.token(name))]}
+            for name, share in TEAMS.items()
+        },
+    }
+
+
+def store(fleet: Fleet, daemon: str, document: dict[str, Any], note: str) -> str:
+    """Store a settings tree through the operators' command.
+
+    :raises RuntimeError: if the command fails
+    """
+    path = fleet.folder / "settings.yaml"
+    plain = json.loads(json.dumps(document))  # YAML would write shared lists as aliases
+    path.write_text(yaml.safe_dump(plain))
+    done = fleet.cli(daemon, "config", "store", str(path), "--note", note)
+    if done.returncode != 0:
+        raise RuntimeError(done.stdout + done.stderr)
+    return done.stdout.strip()
+
+
+def start(
+    fleet: Fleet,
+    daemons: int = 3,
+    upstreams: list[UpstreamSpec] | None = None,
+    document: dict[str, Any] | None = None,
+) -> None:
+    """Start the deployment and put its settings in force."""
+    fleet.start_platform()
+    for spec in upstreams if upstreams is not None else upstream_specs():
+        fleet.start_upstream(spec)
+    for index in range(daemons):
+        fleet.start_daemon(f"entry-{index + 1}", DOMAINS[index % len(DOMAINS)])
+    fleet.wait_until_up()
+    fleet.publish_vms()
+    store(fleet, "entry-1", document or settings_document(fleet), "first settings")
+    fleet.wait_until_ready()
--- /dev/null
+++ b/packages/standins/src/cowsliphitch/standins/server.py
@@ -0,0 +1,37 @@
+"""Serve one ASGI application until the process is told to stop."""
+
+import signal
+from types import FrameType
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from starlette.applications import Starlette
+
+from .const import LOOPBACK
+
+
+def run(app: Starlette, port: int) -> None:
+    """Serve ``app`` on the loopback address until SIGTERM or SIGINT."""
+    anyio.run(_serve, app, port)
+
+
+async def _serve(app: Starlette, port: int) -> None:
+    cfg = Config()
+    cfg.bind = [f"{LOOPBACK}:{port}"]
+    cfg.graceful_timeout = 1
+    cfg.keep_alive_timeout = 60
+    cfg.errorlog = None
+    stop = anyio.Event()
+
+    def on_signal(_signum: int, _frame: FrameType | None) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+
+    async def wait_for_stop() -> None:
+        while not stop.is_set():
+            await anyio.sleep(0.05)
+
+    await serve(app, cfg, shutdown_trigger=wait_for_stop)  # type: ignore[arg-type]
--- /dev/null
+++ b/packages/upstreams/src/cowsliphitch/upstreams/pool/const.py
@@ -0,0 +1,10 @@
+"""Timings of pools, with their units."""
+
+from typing import Final
+
+LOAD_POLL_INTERVAL_MS: Final = 500
+LOAD_TIMEOUT_MS: Final = 400
+PROBE_TIMEOUT_MS: Final = 250
+CHOICE_RETRY_MS: Final = 20
+RETRY_AFTER_MS: Final = 1_000
+DIVISION_INTERVAL_MS: Final = 200
