Leaving, crashes and membership proved; VMs spread between daemons

Cause: a test that lets only one daemon read the VM list failed: the others never learned of any upstream, since the list travelled only together with a newer configuration. The digest now carries when the platform's list was last seen and a checksum of it; who has an older one that differs fetches it from the peer. With that only two daemons of a failure domain have to poll the list while peers have fresh news.

Ruled out: sending the list in every digest (at the size to design for it is a megabyte), and polling by every daemon (400 daemons twice a second would use 800 of the platform's 2,000 reads).

Test ports now lie below the range that the system hands out by itself: a daemon had failed to start because an outgoing connection held its port.

--- a/features/daemon/orders.feature
+++ b/features/daemon/orders.feature
@@ -80,7 +80,7 @@
     Then order "a" ran 1 time
 
   Scenario: The upstream crashes in the middle of an order
-    Given the upstreams of "order-desk" crash on "body of a"
+    Given the upstreams of "order-desk" crash on the text "body of a"
     When order "a" is sent through entry-1
     Then the request is refused as "may-have-run" because of "connection-lost"
     And 1 upstreams of "order-desk" crashed
--- a/features/environment.py
+++ b/features/environment.py
@@ -39,6 +39,7 @@
     context.keys = {}
     context.answers = {}
     context.jobs = {}
+    context.begun = set()
     if context.fleet is not None:
         heal(context.fleet)
 
@@ -53,6 +54,7 @@
     fleet.wait_until_up()
     for name in fleet.processes:
         fleet.reset_faults(name)
+    fleet.bring_back()
     fleet.publish_vms()
     fleet.wait_until_ready()
 
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -290,7 +290,9 @@
         ) as resp:
             if resp.status_code != httpx.codes.OK:
                 return Answer(resp.status_code, json.loads(resp.read())), lines
-            lines.extend(json.loads(line) for line in resp.iter_lines())
+            for line in resp.iter_lines():
+                lines.append(json.loads(line))
+                context.begun.add(text)
     except httpx.HTTPError as exc:
         return Answer(0, {"error": type(exc).__name__}), lines
     last = lines[-1] if lines else {}
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -62,7 +62,7 @@
     time.sleep(seconds(700))
 
 
-@given('the upstreams of "{pool}" crash on "{marker}"')
+@given('the upstreams of "{pool:Word}" crash on the text "{marker}"')
 def pool_crashes(context: Any, pool: str, marker: str) -> None:
     set_all(context, pool, crash_marker=marker)
 
--- /dev/null
+++ b/features/steps/load_steps.py
@@ -0,0 +1,204 @@
+"""Steps that send many requests, and requests that crash upstreams."""
+
+import itertools
+import threading
+import time
+from typing import Any
+
+import httpx
+from behave import given, then, when
+from caller_steps import Answer, in_background, stream
+
+from cowsliphitch.core.clock import seconds
+from cowsliphitch.standins.fleet import UpstreamSpec, wait_for
+from cowsliphitch.standins.load import expected_tokens
+from cowsliphitch.standins.scenario import DOMAINS
+from cowsliphitch.standins.stage import stage_output
+
+STAGES = ["encode", "retrieve", "rerank"]
+TOKENS = 32
+POISON = "poison"
+
+
+def send_many(context: Any, count: int) -> None:
+    """Start diagnoses in the background, spread over the daemons."""
+    daemons = itertools.cycle(sorted(context.fleet.daemons))
+    context.diagnoses = {}
+    for index, daemon in zip(range(count), daemons, strict=False):
+        text = f"diagnosis {index}"
+
+        def call(text: str = text, daemon: str = daemon) -> Answer:
+            answer, lines = stream(context, text, daemon)
+            context.diagnoses[text] = (answer, lines)
+            return answer
+
+        in_background(context, text, call)
+
+
+@when("{count:d} diagnoses are streamed through all daemons in the background")
+def many_background(context: Any, count: int) -> None:
+    send_many(context, count)
+
+
+@when("{count:d} diagnoses are streamed through all daemons at once")
+def many(context: Any, count: int) -> None:
+    send_many(context, count)
+    join_all(context)
+
+
+@when("every diagnosis has begun")
+def all_begun(context: Any) -> None:
+    def begun() -> bool:
+        return len(context.begun) >= len(context.jobs)
+
+    wait_for("every diagnosis has begun", begun)
+
+
+@when("all diagnoses have come")
+def join_all(context: Any) -> None:
+    for job in context.jobs.values():
+        job.join(seconds(30_000))
+
+
+@then("every diagnosis is whole")
+def all_whole(context: Any) -> None:
+    broken = {
+        text: answer
+        for text, (answer, lines) in context.diagnoses.items()
+        if not is_whole(text, lines)
+    }
+    assert context.diagnoses and not broken, broken
+
+
+def is_whole(text: str, lines: list[dict[str, Any]]) -> bool:
+    """Tell whether a streamed answer is whole and the right one."""
+    got = [t for line in lines if "index" in line for t in line["tokens"]]
+    ended = bool(lines) and lines[-1].get("end") is True
+    return ended and got == expected_tokens(text, STAGES, TOKENS)
+
+
+@given("only entry-1 can read the VM list")
+def only_one_reads(context: Any) -> None:
+    for name in ("entry-2", "entry-3"):
+        context.fleet.daemons[name].kill()
+        context.fleet.restart_daemon(name, vm_list="http://127.0.0.1:9")
+    context.fleet.wait_until_up()
+    context.fleet.wait_until_ready()
+
+
+@when("load runs through the daemons that are ready")
+def start_load(context: Any) -> None:
+    context.stop_load = threading.Event()
+    context.load = []
+    context.load_threads = [
+        threading.Thread(target=_load, args=(context, index), daemon=True)
+        for index in range(6)
+    ]
+    for thread in context.load_threads:
+        thread.start()
+
+
+def _load(context: Any, index: int) -> None:
+    """Send to ready daemons only, as the platform's balancer does."""
+    names = itertools.cycle(sorted(context.fleet.daemons))
+    with httpx.Client(timeout=2.0) as http:
+        for number in itertools.count():
+            if context.stop_load.is_set():
+                return
+            name = next(names)
+            if not _ready(http, context.fleet.daemons[name].url):
+                continue
+            text = f"load {index}.{number}"
+            answer, lines = stream(context, text, name)
+            context.load.append((text, name, answer, lines))
+
+
+def _ready(http: httpx.Client, url: str) -> bool:
+    try:
+        return http.get(f"{url}/readyz").status_code == httpx.codes.OK
+    except httpx.HTTPError:
+        return False
+
+
+@when("every daemon is replaced in turn")
+def replace_all(context: Any) -> None:
+    for name in sorted(context.fleet.daemons):
+        assert context.fleet.daemons[name].stop() == 0
+        context.fleet.restart_daemon(name)
+        context.fleet.wait_until_up()
+        context.fleet.wait_until_ready()
+
+
+@when("the load has stopped")
+def stop_load(context: Any) -> None:
+    context.stop_load.set()
+    for thread in context.load_threads:
+        thread.join(seconds(30_000))
+
+
+@then("every request of the load was answered whole")
+def load_whole(context: Any) -> None:
+    broken = [
+        (text, name, answer)
+        for text, name, answer, lines in context.load
+        if not is_whole(text, lines)
+    ]
+    assert len(context.load) > 20 and not broken, (len(context.load), broken)
+
+
+@given("four more engines")
+def more_engines(context: Any) -> None:
+    if "engines-3" in context.fleet.processes:
+        return
+    options = ("--work-ms", "5", "--token-ms", "2")
+    for index in range(3, 7):
+        domain = DOMAINS[index % len(DOMAINS)]
+        spec = UpstreamSpec(f"engines-{index}", "engine", "engines", domain, options)
+        context.fleet.start_upstream(spec)
+    context.fleet.wait_until_up()
+    context.fleet.publish_vms()
+    context.fleet.wait_until_ready()
+
+
+@given('the upstreams of "engines" crash on "token-of-poison"')
+def crash_on_poison(context: Any) -> None:
+    """Crash on the prompt that the poisonous input has after three stages."""
+    prompt = POISON
+    for stage in STAGES:
+        prompt = stage_output(stage, prompt)
+    for name in context.fleet.processes:
+        if name.startswith("engines-"):
+            context.fleet.faults(name, crash_marker=prompt)
+
+
+@when("the poisonous diagnosis is streamed through {daemon:Word}")
+def poison(context: Any, daemon: str) -> None:
+    context.answer, context.lines = stream(context, POISON, daemon)
+
+
+@then('the request is refused because of "{reason}"')
+def refused_because(context: Any, reason: str) -> None:
+    assert context.answer.reason == reason, context.answer
+
+
+@then('at most {count:d} upstreams of "{pool}" crashed')
+def at_most_crashed(context: Any, count: int, pool: str) -> None:
+    processes = context.fleet.processes.items()
+    dead = [n for n, p in processes if n.startswith(f"{pool}-") and not p.alive]
+    assert len(dead) <= count, dead
+
+
+@then("{daemon:Word} holds {other:Word} for {state:Word} within {ms:d} ms")
+def holds_for(context: Any, daemon: str, other: str, state: str, ms: int) -> None:
+    def held() -> bool:
+        listed = context.fleet.ask(daemon, "/v1/daemons")
+        return any(d["name"] == other and d["state"] == state for d in listed)
+
+    wait_for(f"{daemon} holds {other} for {state}", held, ms)
+
+
+@then("{daemon:Word} knows {count:d} daemons")
+def knows_daemons(context: Any, daemon: str, count: int) -> None:
+    time.sleep(seconds(300))
+    listed = context.fleet.ask(daemon, "/v1/daemons")
+    assert len(listed) == count, listed
--- a/packages/core/src/cowsliphitch/core/vms/models.py
+++ b/packages/core/src/cowsliphitch/core/vms/models.py
@@ -1,6 +1,7 @@
 """VMs as the platform's list shows them."""
 
 import enum
+import zlib
 
 import attrs
 
@@ -29,6 +30,16 @@
 
 @attrs.frozen
 class VmListing:
-    """A whole answer of the VM list."""
+    """A whole answer of the VM list.
+
+    :param seen_ms: when the platform gave it, to this daemon or to a peer, Unix epoch;
+        0 before the first
+    """
 
     vms: tuple[Vm, ...] = ()
+    seen_ms: int = 0
+
+    @property
+    def checksum(self) -> int:
+        """Return a number by which peers tell that their VMs are the same."""
+        return zlib.crc32(repr(self.vms).encode())
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -61,16 +61,14 @@
         self._cfg = cfg
         self._clock = clock
         self._kv = KeyValueClient(cfg.platform.kv, clock)
-        self._vms = VmCoordinator(cfg.platform.vm_list, clock)
+        self._vms = VmCoordinator(cfg.platform.vm_list, clock, self._is_watcher)
         self._suspects = SuspectRegister()
         self._client = UpstreamClient(clock)
         self._registry = PoolRegistry(
             cfg.failure_domain, self._client, clock, self._suspects
         )
         self._leaving: set[str] = set()
-        self._config = ConfigCoordinator(
-            self._kv, clock, lambda: self._peers.is_watcher(WATCHERS_PER_DOMAIN)
-        )
+        self._config = ConfigCoordinator(self._kv, clock, self._is_watcher)
         self._claims = OrderCoordinator(self._kv, clock, self._forward)
         self._channels = Channels(_client_tls(cfg))
         self._hooks = self._make_hooks()
@@ -107,6 +105,7 @@
             snapshot=lambda: self._config.snapshot,
             offer=self._config.offer,
             listing=lambda: self._vms.listing,
+            confirm_listing=self._vms.confirm,
             offer_listing=self._vms.offer,
             demands=self._demands,
             append=self._claims.append_for_peer,
@@ -188,6 +187,9 @@
             case outcome:
                 return Answered(outcome)
 
+    def _is_watcher(self) -> bool:
+        return self._peers.is_watcher(WATCHERS_PER_DOMAIN)
+
     async def _tell_suspicion(self) -> None:
         await self._peers.spread_to_all(SUSPICION_TIMEOUT_MS)
 
--- a/packages/peers/src/cowsliphitch/peers/membership/channels.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/channels.py
@@ -46,12 +46,11 @@
         """Exchange digests with a peer."""
         return await self._call(address, "Exchange", digest, timeout)
 
-    async def fetch_config(
-        self, address: str, above: int, timeout: float
-    ) -> Result[pb.ConfigReply, CallFailed]:
-        """Read a peer's configuration."""
-        request = pb.ConfigRequest(above_revision=above)
-        return await self._call(address, "FetchConfig", request, timeout)
+    async def fetch_state(
+        self, address: str, request: pb.StateRequest, timeout: float
+    ) -> Result[pb.StateReply, CallFailed]:
+        """Read a peer's configuration and VMs."""
+        return await self._call(address, "FetchState", request, timeout)
 
     async def append(
         self, address: str, request: pb.AppendRequest, timeout: float
--- a/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
@@ -136,6 +136,7 @@
             records = [self.view.own]
         else:
             records = self.view.newer_than(convert.summary_of(for_peer))
+        listing = self._hooks.listing()
         news = self._hooks.suspects.news(self._clock.wall_ms())
         return pb.Digest(
             sender=self.view.own.name,
@@ -149,6 +150,8 @@
                 for name, crashes in news.items()
             ],
             leaving_upstreams=self._hooks.leaving(),
+            listing_ms=listing.seen_ms,
+            listing_checksum=listing.checksum,
         )
 
     def receive(self, digest: pb.Digest, address: str | None = None) -> None:
@@ -167,9 +170,20 @@
             )
         self._hooks.learn_leaving(tuple(digest.leaving_upstreams))
         address = address or self._address_of(digest.sender)
-        if digest.config_revision > self._hooks.revision() and address:
+        wanted = digest.config_revision > self._hooks.revision()
+        if (self._wants_listing(digest) or wanted) and address:
             self._fetch_soon(address)
 
+    def _wants_listing(self, digest: pb.Digest) -> bool:
+        """Tell whether a peer saw other VMs in the platform's list, later."""
+        listing = self._hooks.listing()
+        if digest.listing_ms <= listing.seen_ms:
+            return False
+        if digest.listing_checksum == listing.checksum:
+            self._hooks.confirm_listing(digest.listing_ms)
+            return False
+        return digest.listing_ms > listing.seen_ms + const.LISTING_STALE_MS
+
     def _address_of(self, name: str) -> str | None:
         found = (r.address for r in self.view.records() if r.name == name)
         return next(found, None)
@@ -239,13 +253,20 @@
         self._task_group.start_soon(self._fetch, address)
 
     async def _fetch(self, address: str) -> None:
-        """Read a newer configuration from a peer and pass the news on."""
+        """Read what a peer has newer: the configuration, the VMs, or both."""
+        request = pb.StateRequest(
+            above_revision=self._hooks.revision(),
+            listing_above_ms=self._hooks.listing().seen_ms,
+        )
         timeout = seconds(const.CALL_TIMEOUT_MS)
-        revision = self._hooks.revision()
         try:
-            reply = await self._channels.fetch_config(address, revision, timeout)
+            reply = await self._channels.fetch_state(address, request, timeout)
         finally:
             self._fetching = False
-        if isinstance(reply, Ok) and reply.ok_value.revision > self._hooks.revision():
-            self._hooks.offer_listing(convert.listing_from_wire(reply.ok_value))
-            self._hooks.offer(convert.snapshot_from_wire(reply.ok_value))
+        if isinstance(reply, Err):
+            return
+        state = reply.ok_value
+        if state.listing_ms:
+            self._hooks.offer_listing(convert.listing_from_wire(state))
+        if state.revision > self._hooks.revision():
+            self._hooks.offer(convert.snapshot_from_wire(state))
--- a/packages/peers/src/cowsliphitch/peers/membership/models.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/models.py
@@ -25,7 +25,8 @@
     :param snapshot: the configuration in force
     :param offer: puts a peer's configuration in force if it is newer
     :param listing: the VMs that are known
-    :param offer_listing: takes over a peer's VMs while the platform gave none
+    :param confirm_listing: a peer saw the same VMs in the platform's list later
+    :param offer_listing: takes over a peer's VMs if it saw them later
     :param demands: what this daemon wants of each pool
     :param append: appends to an order log for a peer
     :param leaving: upstreams that this daemon knows to leave
@@ -36,6 +37,7 @@
     snapshot: Callable[[], Snapshot | None]
     offer: Callable[[Snapshot], bool]
     listing: Callable[[], VmListing]
+    confirm_listing: Callable[[int], None]
     offer_listing: Callable[[VmListing], None]
     demands: Callable[[], tuple[PoolDemand, ...]]
     append: Append
--- a/packages/peers/src/cowsliphitch/peers/membership/server.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/server.py
@@ -6,6 +6,7 @@
 from grpclib.exceptions import GRPCError
 
 from cowsliphitch.core.clock import Clock
+from cowsliphitch.core.vms.models import VmListing
 
 from ..wire import convert, peers_pb2 as pb
 from ..wire.peers_grpc import PeersBase
@@ -38,14 +39,15 @@
         self._coordinator.diagnostics.bytes_sent += reply.ByteSize()
         await stream.send_message(reply)
 
-    async def FetchConfig(self, stream: Any) -> None:
-        """Hand over the configuration in force if it is newer."""
-        request: pb.ConfigRequest = await _receive(stream)
+    async def FetchState(self, stream: Any) -> None:
+        """Hand over the configuration and the VMs, as far as they are newer."""
+        request: pb.StateRequest = await _receive(stream)
         snapshot = self._hooks.snapshot()
-        if snapshot is None or snapshot.manifest.revision <= request.above_revision:
-            await stream.send_message(pb.ConfigReply())
-            return
-        listing = self._hooks.listing()
+        if snapshot and snapshot.manifest.revision <= request.above_revision:
+            snapshot = None
+        listing: VmListing | None = self._hooks.listing()
+        if listing and listing.seen_ms <= request.listing_above_ms:
+            listing = None
         await stream.send_message(convert.state_to_wire(snapshot, listing))
 
     async def Append(self, stream: Any) -> None:
--- a/packages/peers/src/cowsliphitch/peers/wire/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/wire/convert.py
@@ -120,19 +120,23 @@
             raise ValueError("the reply has no outcome")
 
 
-def state_to_wire(snapshot: Snapshot, listing: VmListing) -> pb.ConfigReply:
-    """Write a whole configuration and the VMs that are known."""
-    manifest = snapshot.manifest
-    return pb.ConfigReply(
-        revision=manifest.revision,
-        change=manifest.change,
-        branches=manifest.branches,
-        values=snapshot.values,
-        vms=[vm_to_wire(vm) for vm in listing.vms],
-    )
-
-
-def snapshot_from_wire(reply: pb.ConfigReply) -> Snapshot:
+def state_to_wire(
+    snapshot: Snapshot | None, listing: VmListing | None
+) -> pb.StateReply:
+    """Write a whole configuration and the VMs that are known, or either."""
+    reply = pb.StateReply()
+    if snapshot is not None:
+        reply.revision = snapshot.manifest.revision
+        reply.change = snapshot.manifest.change
+        reply.branches.update(snapshot.manifest.branches)
+        reply.values.update(snapshot.values)
+    if listing is not None:
+        reply.listing_ms = listing.seen_ms
+        reply.vms.extend(vm_to_wire(vm) for vm in listing.vms)
+    return reply
+
+
+def snapshot_from_wire(reply: pb.StateReply) -> Snapshot:
     """Read a whole configuration."""
     manifest = Manifest(reply.revision, reply.change, dict(reply.branches))
     return Snapshot(manifest, dict(reply.values))
@@ -149,7 +153,7 @@
     )
 
 
-def listing_from_wire(reply: pb.ConfigReply) -> VmListing:
+def listing_from_wire(reply: pb.StateReply) -> VmListing:
     """Read the VMs that a peer knows."""
     return VmListing(
         tuple(
@@ -161,5 +165,6 @@
                 state=VmState.LEAVING if vm.leaving else VmState.LIVE,
             )
             for vm in reply.vms
-        )
+        ),
+        seen_ms=reply.listing_ms,
     )
--- a/packages/peers/src/cowsliphitch/peers/wire/peers_grpc.py
+++ b/packages/peers/src/cowsliphitch/peers/wire/peers_grpc.py
@@ -19,7 +19,7 @@
         pass
 
     @abc.abstractmethod
-    async def FetchConfig(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.peers_pb2.ConfigRequest, cowsliphitch.peers.wire.peers_pb2.ConfigReply]') -> None:
+    async def FetchState(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.peers_pb2.StateRequest, cowsliphitch.peers.wire.peers_pb2.StateReply]') -> None:
         pass
 
     @abc.abstractmethod
@@ -34,11 +34,11 @@
                 cowsliphitch.peers.wire.peers_pb2.Digest,
                 cowsliphitch.peers.wire.peers_pb2.Digest,
             ),
-            '/cowsliphitch.peers.Peers/FetchConfig': grpclib.const.Handler(
-                self.FetchConfig,
+            '/cowsliphitch.peers.Peers/FetchState': grpclib.const.Handler(
+                self.FetchState,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                cowsliphitch.peers.wire.peers_pb2.ConfigRequest,
-                cowsliphitch.peers.wire.peers_pb2.ConfigReply,
+                cowsliphitch.peers.wire.peers_pb2.StateRequest,
+                cowsliphitch.peers.wire.peers_pb2.StateReply,
             ),
             '/cowsliphitch.peers.Peers/Append': grpclib.const.Handler(
                 self.Append,
@@ -58,11 +58,11 @@
             cowsliphitch.peers.wire.peers_pb2.Digest,
             cowsliphitch.peers.wire.peers_pb2.Digest,
         )
-        self.FetchConfig = grpclib.client.UnaryUnaryMethod(
+        self.FetchState = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/cowsliphitch.peers.Peers/FetchConfig',
-            cowsliphitch.peers.wire.peers_pb2.ConfigRequest,
-            cowsliphitch.peers.wire.peers_pb2.ConfigReply,
+            '/cowsliphitch.peers.Peers/FetchState',
+            cowsliphitch.peers.wire.peers_pb2.StateRequest,
+            cowsliphitch.peers.wire.peers_pb2.StateReply,
         )
         self.Append = grpclib.client.UnaryUnaryMethod(
             channel,
--- a/packages/platform/src/cowsliphitch/platform/vms/coordinator.py
+++ b/packages/platform/src/cowsliphitch/platform/vms/coordinator.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 import httpx
 from result import Err, Ok, Result
 
@@ -24,47 +25,55 @@
     The last listing is kept while the platform gives no answer.
     """
 
-    def __init__(self, base_url: str, clock: Clock) -> None:
+    def __init__(
+        self, base_url: str, clock: Clock, is_watcher: Callable[[], bool]
+    ) -> None:
         """Start with no VMs."""
         timeout = httpx.Timeout(seconds(const.CALL_TIMEOUT_MS))
         self._http = httpx.AsyncClient(base_url=base_url, timeout=timeout)
         self._clock = clock
+        self._is_watcher = is_watcher
         self._listeners: list[Listener] = []
         self._available = True
         self.listing = VmListing()
-        self.last_answer_ms: int | None = None
 
     def listen(self, listener: Listener) -> None:
-        """Call ``listener`` with each listing that differs from the last."""
+        """Call ``listener`` with each listing whose VMs differ from the last."""
         self._listeners.append(listener)
 
     async def run(self) -> None:
-        """Poll for ever."""
+        """Poll for ever; while the peers have fresh news, only watchers do."""
         while True:
-            await self.poll()
+            if self._is_watcher() or self._age_ms() > const.FOLLOW_PEERS_FOR_MS:
+                await self.poll()
             await anyio.sleep(seconds(const.POLL_INTERVAL_MS))
 
     async def poll(self) -> None:
         """Read the list once and tell the listeners what changed."""
         match await self._read():
             case Ok(listing):
-                self.last_answer_ms = self._clock.now_ms()
                 self._note_available(True)
-                self._take(listing)
+                seen_ms = self._clock.wall_ms()
+                self.offer(attrs.evolve(listing, seen_ms=seen_ms))
             case Err(_):
                 self._note_available(False)
 
-    def offer(self, listing: VmListing) -> None:
-        """Take over a peer's listing, while the platform never gave one."""
-        if self.last_answer_ms is None and not self.listing.vms:
-            self._take(listing)
+    def confirm(self, seen_ms: int) -> None:
+        """Note that a peer saw the same VMs later."""
+        self.listing = attrs.evolve(self.listing, seen_ms=seen_ms)
 
-    def _take(self, listing: VmListing) -> None:
-        if listing == self.listing:
+    def offer(self, listing: VmListing) -> None:
+        """Take over a listing that the platform gave later than the one known."""
+        if listing.seen_ms <= self.listing.seen_ms:
             return
+        changed = listing.vms != self.listing.vms
         self.listing = listing
-        for listener in self._listeners:
-            listener(listing)
+        if changed:
+            for listener in self._listeners:
+                listener(listing)
+
+    def _age_ms(self) -> int:
+        return self._clock.wall_ms() - self.listing.seen_ms
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/standins/src/cowsliphitch/standins/fleet.py
+++ b/packages/standins/src/cowsliphitch/standins/fleet.py
@@ -3,6 +3,8 @@
 The demo, the measurements and the tests use it.  Daemons start nothing themselves.
 """
 
+import contextlib
+import itertools
 import os
 import signal
 import socket
@@ -31,6 +33,13 @@
 HTTP_TIMEOUT_S = 2.0
 OPERATORS = ("alice", "bruno")
 
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+_PORT_SPAN = range(FIRST_PORT, LAST_PORT)
+_PORTS = itertools.islice(
+    itertools.cycle(_PORT_SPAN), os.getpid() * 97 % len(_PORT_SPAN), None
+)
+
 
 @attrs.define
 class Process:
@@ -92,11 +101,18 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that is free, and that no outgoing connection will take.
+
+    Ports that the system hands out by itself could be taken as the source of another
+    connection before the process that is meant to listen there has started.
+    """
+    for port in _PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind((LOOPBACK, port))
+                return port
+    raise AssertionError("the ports never end")
 
 
 class Fleet:
@@ -187,6 +203,24 @@
         ]
         self.publish_vms()
 
+    def bring_back(self) -> None:
+        """Let VMs that were leaving go, then list them again as new ones."""
+        gone = {vm["name"] for vm in self._vms if vm["state"] != "live"}
+        if not gone:
+            return
+        listed = self._vms
+        self._vms = [vm for vm in listed if vm["name"] not in gone]
+        self.publish_vms()
+        for daemon in self.daemons:
+            wait_for(
+                "the VMs are gone",
+                lambda d=daemon: (
+                    not gone & {u["name"] for u in self.ask(d, "/v1/upstreams")}
+                ),
+            )
+        self._vms = [vm | {"state": "live"} for vm in listed]
+        self.publish_vms()
+
     def drop_vm(self, name: str) -> None:
         """Take a VM off the platform's list."""
         self._vms = [vm for vm in self._vms if vm["name"] != name]
@@ -209,10 +243,7 @@
             "operators": operators,
             "peers": peers,
             "seeds": [daemon.peers for daemon in self.daemons.values()],
-            "platform": {
-                "kv": self.processes["kv"].url,
-                "vm_list": self.processes["vm-list"].url,
-            },
+            "platform": self._platform(),
             "operator_tokens": self.operator_digests,
             "drain_delay": "300ms",
         }
@@ -233,14 +264,23 @@
         self.daemons[name] = daemon
         return daemon
 
-    def restart_daemon(self, name: str) -> DaemonProcess:
-        """Start a daemon again with the same settings."""
+    def restart_daemon(self, name: str, **platform: str) -> DaemonProcess:
+        """Start a daemon again, with other addresses of the platform if wanted."""
         old = self.daemons[name]
+        cfg = yaml.safe_load(old.settings.read_text())
+        cfg["platform"] = self._platform() | platform
+        old.settings.write_text(yaml.safe_dump(cfg))
         command = [sys.executable, "-m", "cowsliphitch.daemon"]
         popen = self._popen(name, [*command, "--settings", str(old.settings)])
         self.daemons[name] = attrs.evolve(old, popen=popen)
         return self.daemons[name]
 
+    def _platform(self) -> dict[str, str]:
+        return {
+            "kv": self.processes["kv"].url,
+            "vm_list": self.processes["vm-list"].url,
+        }
+
     def _certificate(self, name: str) -> dict[str, str]:
         assert self.authority is not None
         issued = self.authority.issue_cert(LOOPBACK, common_name=name)
