--- a/packages/upstreams/src/cowsliphitch/upstreams/pool/registry.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/pool/registry.py
@@ -86,6 +86,7 @@
     async def run(self) -> None:
         """Poll the engines' load for ever."""
         while True:
+            await self._client.keep(self._addresses())
             async with anyio.create_task_group() as group:
                 for pool in self.pools.values():
                     if pool.cfg.pool.kind is not PoolKind.ENGINE:
@@ -94,6 +95,14 @@
                         group.start_soon(self._poll, upstream)
             await anyio.sleep(seconds(const.LOAD_POLL_INTERVAL_MS))
 
+    def _addresses(self) -> set[str]:
+        """Return the upstreams that are listed or still run something."""
+        return {member.address for member in self._members} | {
+            upstream.address
+            for pool in self.pools.values()
+            for upstream in pool.upstreams.values()
+        }
+
     async def _poll(self, upstream: UpstreamState) -> None:
         sent_before = upstream.outstanding
         url = f"{upstream.address}/v1/load"
--- a/packages/upstreams/src/cowsliphitch/upstreams/transport/client.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/transport/client.py
@@ -22,31 +22,52 @@
 
 
 class UpstreamClient:
-    """Send calls to upstreams and map what comes back to verdicts."""
+    """Send calls to upstreams and map what comes back to verdicts.
+
+    Each upstream has a connection pool of its own: the library looks through the
+    whole pool for every request, so that one pool for all costs the more processor
+    time the more streams are open.
+    """
 
     def __init__(self, clock: Clock) -> None:
-        """Open a pooled client; nothing is sent yet."""
-        limits = httpx.Limits(
-            max_connections=const.MAX_CONNECTIONS,
-            max_keepalive_connections=const.KEEPALIVE_CONNECTIONS,
-        )
-        self._http = httpx.AsyncClient(limits=limits, timeout=None)
+        """Open nothing yet."""
+        self._tls = httpx.create_ssl_context()
+        self._by_origin: dict[str, httpx.AsyncClient] = {}
         # A reused connection may be closed by the upstream just as a call is sent,
         # and then nobody knows if the call ran.  Orders always use a new one.
-        fresh = httpx.Limits(max_keepalive_connections=0)
-        self._fresh_http = httpx.AsyncClient(limits=fresh, timeout=None)
+        self._fresh_http = self._new_http(keepalive=0)
         self._clock = clock
 
+    def _new_http(self, keepalive: int) -> httpx.AsyncClient:
+        limits = httpx.Limits(
+            max_connections=const.MAX_CONNECTIONS, max_keepalive_connections=keepalive
+        )
+        return httpx.AsyncClient(limits=limits, timeout=None, verify=self._tls)
+
+    def _http_for(self, url: str) -> httpx.AsyncClient:
+        """Return the client with the connections to a URL's upstream."""
+        origin = url.partition("/v1/")[0]
+        http = self._by_origin.get(origin)
+        if http is None:
+            http = self._new_http(const.KEEPALIVE_CONNECTIONS)
+            self._by_origin[origin] = http
+        return http
+
+    async def keep(self, addresses: set[str]) -> None:
+        """Close the connections to upstreams that are gone."""
+        for origin in self._by_origin.keys() - addresses:
+            await self._by_origin.pop(origin).aclose()
+
     async def close(self) -> None:
         """Close the connections."""
-        await self._http.aclose()
+        await self.keep(set())
         await self._fresh_http.aclose()
 
     async def answer(
         self, url: str, content: bytes, call: Call, refuses_before_running: bool
     ) -> Result[StageAnswer, Refusal]:
         """Send a call and read its whole answer."""
-        http = self._fresh_http if call.key else self._http
+        http = self._fresh_http if call.key else self._http_for(url)
         left_ms = call.end_ms - self._clock.now_ms()
         try:
             with anyio.fail_after(seconds(left_ms)):
@@ -72,7 +93,7 @@
     ) -> AsyncIterator[httpx.Response]:
         """Send a call and leave its answer to be read as a stream."""
         left_ms = call.end_ms - self._clock.now_ms()
-        async with self._http.stream(
+        async with self._http_for(url).stream(
             "POST",
             url,
             content=content,
@@ -84,7 +105,7 @@
     async def get_json(self, url: str, timeout_ms: int) -> Result[bytes, Refusal]:
         """Read a report of an upstream."""
         try:
-            resp = await self._http.get(url, timeout=seconds(timeout_ms))
+            resp = await self._http_for(url).get(url, timeout=seconds(timeout_ms))
         except httpx.HTTPError as exc:
             return Err(refusal_of_exception(exc))
         if resp.status_code != httpx.codes.OK:
