--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,94 @@
+"""Steps on the membership view, without a network."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from cowsliphitch.core.clock import ManualClock
+from cowsliphitch.core.membership.models import MemberRecord
+from cowsliphitch.core.membership.ranking import rank
+from cowsliphitch.core.membership.view import MembershipView
+
+STEP_MS = 500
+START_MS = 1_000_000
+
+
+@given("daemons a, b and c that know each other")
+def three(context: Any) -> None:
+    context.clock = ManualClock(START_MS)
+    context.views = {
+        name: MembershipView(
+            MemberRecord(name, "domain", f"{name}:1"), START_MS, START_MS
+        )
+        for name in "abc"
+    }
+    for first, second in ("ab", "bc", "ca", "ab", "bc", "ca"):
+        exchange(context, first, second)
+    context.old = next(r for r in context.views["a"].records() if r.name == "c")
+    context.old_heartbeat = context.views["a"].heartbeat("c")
+
+
+def exchange(context: Any, first: str, second: str) -> None:
+    """Let two daemons tell each other what they know."""
+    now = context.clock.now_ms()
+    one, other = context.views[first], context.views[second]
+    for source, target in ((one, other), (other, one)):
+        summary = source.summary()
+        for record in source.newer_than(target.summary()):
+            target.merge_record(record, summary.heartbeats[record.id], now)
+        target.merge_summary(summary, now)
+
+
+def beat(context: Any, names: str) -> None:
+    context.clock.advance(STEP_MS)
+    for name in names:
+        context.views[name].beat(context.clock.now_ms(), context.clock.wall_ms())
+
+
+@when("c falls silent and a and b exchange for {ms:d} ms")
+def silence(context: Any, ms: int) -> None:
+    for _ in range(ms // STEP_MS):
+        beat(context, "ab")
+        exchange(context, "a", "b")
+
+
+@when("a hears an old record of c")
+def hear_old(context: Any) -> None:
+    now = context.clock.now_ms()
+    context.views["a"].merge_record(context.old, context.old_heartbeat, now)
+
+
+@when("c exchanges with b, and b with a")
+def comes_back(context: Any) -> None:
+    beat(context, "abc")
+    exchange(context, "c", "b")
+    beat(context, "abc")
+    exchange(context, "c", "b")
+    exchange(context, "b", "a")
+
+
+@when("a is paused for {ms:d} ms while the others exchange")
+def paused(context: Any, ms: int) -> None:
+    for _ in range(ms // STEP_MS):
+        beat(context, "bc")
+        exchange(context, "b", "c")
+    context.views["a"].beat(context.clock.now_ms(), context.clock.wall_ms())
+
+
+@then('{daemon:Word} holds {other:Word} for "{state}"')
+def holds(context: Any, daemon: str, other: str, state: str) -> None:
+    found = context.views[daemon].state(other, context.clock.now_ms())
+    assert found.value == state, found
+
+
+@then("of {count:d} duties over {members:d} members only those of a lost member move")
+def duties_move(context: Any, count: int, members: int) -> None:
+    names = [f"entry-{n}" for n in range(members)]
+    lost = names[3]
+    left = [name for name in names if name != lost]
+    moved = 0
+    for number in range(count):
+        before, after = rank(f"{number}", names)[0], rank(f"{number}", left)[0]
+        assert before in (after, lost)
+        moved += before != after
+    assert 0 < moved < count / 3, moved
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -7,7 +7,8 @@
 
 from cowsliphitch.core import tokens
 from cowsliphitch.core.codec import from_json
-from cowsliphitch.core.config.models import Snapshot, settings_of
+from cowsliphitch.core.config.build import settings_of
+from cowsliphitch.core.config.models import Snapshot
 from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.core.settings.schema import dump
 from cowsliphitch.standins.fleet import wait_for
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -5,11 +5,11 @@
 from behave import given, then, when
 from result import Err, Ok
 
+from cowsliphitch.core.config.build import settings_of
 from cowsliphitch.core.config.models import (
     Manifest,
     Snapshot,
     branch_values,
-    settings_of,
 )
 from cowsliphitch.core.settings.const import MAX_DOCUMENT_BYTES
 from cowsliphitch.core.settings.schema import load_settings
--- a/packages/core/src/cowsliphitch/core/config/models.py
+++ b/packages/core/src/cowsliphitch/core/config/models.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from cowsliphitch.core.settings.models import Settings
-from cowsliphitch.core.settings.schema import Problem, dump, load_settings
+from cowsliphitch.core.settings.schema import dump
 
 
 @attrs.frozen
@@ -87,22 +87,6 @@
     return hashlib.sha256(value.encode()).hexdigest()
 
 
-def settings_of(snapshot: Snapshot) -> Result[Settings, tuple[Problem, ...]]:
-    """Check and build the settings tree of a snapshot."""
-    teams = ",".join(
-        f'"{path.removeprefix("teams/")}":{value}'
-        for path, value in sorted(snapshot.values.items())
-        if path.startswith("teams/")
-    )
-    fixed = ",".join(
-        f'"{path}":{snapshot.values[path]}'
-        for path in ("fleet", "pipelines", "services")
-        if path in snapshot.values
-    )
-    separator = "," if fixed else ""
-    return load_settings(f'{{{fixed}{separator}"teams":{{{teams}}}}}')
-
-
 @attrs.frozen
 class Conflict:
     """A change was planned on a revision that is no longer in force."""
--- a/packages/core/src/cowsliphitch/core/forecast/model.py
+++ b/packages/core/src/cowsliphitch/core/forecast/model.py
@@ -6,19 +6,30 @@
 import attrs
 
 EWMA_WEIGHT: Final = 0.1
+SERVICE_WEIGHT_DOWN: Final = 0.3
+SERVICE_WEIGHT_UP: Final = 0.01
 MIN_SAMPLES: Final = 5
 
 
 @attrs.define
 class StageLatency:
-    """Observed latency of one pool, in ms for each unit of work."""
+    """Observed latency of one pool, in ms for each unit of work.
+
+    :param service_ms_per_unit: the same without waiting at the upstream; it follows
+        the lower edge of the samples
+    """
 
     samples: int = 0
     ms_per_unit: float = 0.0
+    service_ms_per_unit: float = 0.0
 
     def observe(self, latency_ms: float, work: int) -> None:
         """Take one finished call into account."""
         sample = latency_ms / max(1, work)
+        below = sample < self.service_ms_per_unit or not self.samples
+        edge_weight = SERVICE_WEIGHT_DOWN if below else SERVICE_WEIGHT_UP
+        edge_weight = edge_weight if self.samples else 1.0
+        self.service_ms_per_unit += edge_weight * (sample - self.service_ms_per_unit)
         weight = max(EWMA_WEIGHT, 1 / (self.samples + 1))
         self.samples += 1
         self.ms_per_unit += weight * (sample - self.ms_per_unit)
--- a/packages/core/src/cowsliphitch/core/membership/models.py
+++ b/packages/core/src/cowsliphitch/core/membership/models.py
@@ -20,7 +20,7 @@
 
     pool: str
     team: str
-    slots: int
+    slots: float
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/scheduling/division.py
+++ b/packages/core/src/cowsliphitch/core/scheduling/division.py
@@ -1,7 +1,9 @@
-"""Divide a pool's slots among daemons: weighted max-min fair over teams.
+"""Divide a pool's slots among teams and daemons: weighted max-min fair.
 
-Every daemon computes the same division from the same demand digests, so no daemon
-has to hand out slots.
+Every daemon computes the same division from the same demand digests, so no daemon has
+to hand out slots.  Digests are seconds old, so demand is what was offered lately, and
+only a team that wants more than its part is held to it: the others need no
+permission, and the upstreams' own queues take their variation.
 """
 
 from collections.abc import Iterable
@@ -10,18 +12,16 @@
 import attrs
 
 _EPSILON: Final = 1e-9
+OVERCOMMIT: Final = 1.1
 
 
 @attrs.frozen
 class Demand:
-    """What one team wants of one pool at one daemon, in slots.
-
-    :param slots: running requests plus waiting ones
-    """
+    """What one team offers to one pool at one daemon, in slots."""
 
     daemon: str
     team: str
-    slots: int
+    slots: float
 
 
 def max_min(
@@ -47,27 +47,43 @@
     return given
 
 
-def divide(
-    capacity: int,
-    demands: Iterable[Demand],
-    shares: dict[str, int],
-    daemons: Iterable[str],
-) -> dict[str, float]:
-    """Return the slots of a pool that each daemon may use.
+def caps(
+    capacity: float, demands: Iterable[Demand], shares: dict[str, int], daemon: str
+) -> dict[str, int]:
+    """Return the slots that a daemon may use for each team that wants too much.
 
-    A team's part is divided among daemons in proportion to its demand there; what
-    nobody wants is divided evenly, so that new demand finds slots at once.
+    A team that gets all it wants has no cap.  The part of a capped team is divided
+    among daemons by its demand there.  A little more than the capacity is divided, so
+    that no slot is idle while a digest is on its way.
     """
-    listed = [demand for demand in demands if demand.slots > 0]
-    names = sorted(set(daemons))
-    wants: dict[str, float] = {}
-    for demand in listed:
-        wants[demand.team] = wants.get(demand.team, 0.0) + demand.slots
-    given = max_min(float(capacity), wants, shares)
-    parts = dict.fromkeys(names, 0.0)
-    for demand in listed:
-        if demand.daemon in parts:
-            part = given[demand.team] * demand.slots / wants[demand.team]
-            parts[demand.daemon] += part
-    spare = max(0.0, capacity - sum(parts.values()))
-    return {name: part + spare / len(names) for name, part in parts.items()}
+    by_team: dict[str, dict[str, float]] = {}
+    for demand in demands:
+        if demand.slots > 0:
+            by_team.setdefault(demand.team, {})[demand.daemon] = demand.slots
+    wants = {team: sum(slots.values()) for team, slots in by_team.items()}
+    if sum(wants.values()) <= capacity * OVERCOMMIT:
+        return {}
+    given = max_min(capacity * OVERCOMMIT, wants, shares)
+    return {
+        team: _part_of(daemon, by_team[team], given[team] / want)
+        for team, want in wants.items()
+        if want > given[team] + _EPSILON
+    }
+
+
+def _part_of(daemon: str, slots: dict[str, float], ratio: float) -> int:
+    """Return a daemon's part of a team's slots, at least one."""
+    if daemon not in slots:
+        return 1
+    return max(1, apportion({n: s * ratio for n, s in slots.items()})[daemon])
+
+
+def apportion(parts: dict[str, float]) -> dict[str, int]:
+    """Round parts to whole slots without changing their sum, by largest remainder."""
+    whole = {name: int(part + _EPSILON) for name, part in parts.items()}
+    left = round(sum(parts.values())) - sum(whole.values())
+    by_remainder = sorted(parts, key=lambda name: (whole[name] - parts[name], name))
+    return {
+        name: whole[name] + (1 if place < left else 0)
+        for place, name in enumerate(by_remainder)
+    }
--- a/packages/core/src/cowsliphitch/core/scheduling/queue.py
+++ b/packages/core/src/cowsliphitch/core/scheduling/queue.py
@@ -20,8 +20,11 @@
     def push(self, ticket: Ticket) -> None:
         """Add a waiting request."""
 
-    def pop(self, now_ms: int) -> Ticket | None:
-        """Remove and return the next request whose deadline is not past."""
+    def pop(self, now_ms: int, capped: frozenset[str]) -> Ticket | None:
+        """Remove and return the next request whose deadline is not past.
+
+        :param capped: teams that have to wait for a slot of their own
+        """
 
     def remove(self, ticket: Ticket) -> None:
         """Forget a request that stopped waiting."""
@@ -83,9 +86,9 @@
         if ticket.number in self._present:
             self._forget(ticket)
 
-    def pop(self, now_ms: int) -> Ticket | None:
+    def pop(self, now_ms: int, capped: frozenset[str]) -> Ticket | None:
         """Remove and return the next request whose deadline is not past."""
-        while (name := self._next_team()) is not None:
+        while (name := self._next_team(capped)) is not None:
             team = self._teams[name]
             _, number, ticket = heapq.heappop(team.heap)
             if number not in self._present:
@@ -107,8 +110,12 @@
         """Return the waiting work by team, in tokens."""
         return {name: team.work for name, team in self._teams.items() if team.work}
 
-    def _next_team(self) -> str | None:
-        ready = ((t.virtual, name) for name, t in self._teams.items() if t.heap)
+    def _next_team(self, capped: frozenset[str]) -> str | None:
+        ready = (
+            (team.virtual, name)
+            for name, team in self._teams.items()
+            if team.heap and name not in capped
+        )
         return min(ready, default=(0.0, None))[1]
 
     def _forget(self, ticket: Ticket) -> None:
@@ -138,8 +145,8 @@
         """Forget a request that stopped waiting."""
         self._tickets.pop(ticket.number, None)
 
-    def pop(self, now_ms: int) -> Ticket | None:
-        """Remove and return the next request whose deadline is not past."""
+    def pop(self, now_ms: int, capped: frozenset[str]) -> Ticket | None:
+        """Remove and return the next request; caps of teams have no effect."""
         while self._tickets:
             ticket = self._tickets.pop(next(iter(self._tickets)))
             if ticket.deadline_ms > now_ms:
--- a/packages/core/src/cowsliphitch/core/settings/models.py
+++ b/packages/core/src/cowsliphitch/core/settings/models.py
@@ -37,6 +37,13 @@
     FIFO = "fifo"
 
 
+class DivisionPolicy(enum.Enum):
+    """How daemons divide a pool's slots; ``LOCAL`` (not at all) is the baseline."""
+
+    DEMAND = "demand"
+    LOCAL = "local"
+
+
 class RoutingPolicy(enum.Enum):
     """How an upstream is chosen; all but ``SCORED`` are baselines."""
 
@@ -115,11 +122,13 @@
 
     :param retry_ratio: retries allowed for each first attempt
     :param queueing: how waiting requests are ordered
+    :param division: how daemons divide a pool's slots
     :param routing: how an upstream is chosen
     :param forecast: refuse a request that cannot meet its deadline
     """
 
     queueing: QueuePolicy = QueuePolicy.FAIR
+    division: DivisionPolicy = DivisionPolicy.DEMAND
     routing: RoutingPolicy = RoutingPolicy.SCORED
     retry_ratio: Ratio = Ratio(const.DEFAULT_RETRY_RATIO)
     forecast: bool = True
--- a/packages/core/src/cowsliphitch/core/settings/schema.py
+++ b/packages/core/src/cowsliphitch/core/settings/schema.py
@@ -117,6 +117,22 @@
         return Err(tuple(found))
 
 
+def load_branch(path: str, text: str, kind: Any) -> Result[Any, tuple[Problem, ...]]:
+    """Check a stored branch, which is JSON.
+
+    :param path: where the branch stands in the tree
+    :param kind: the type that the branch describes
+    """
+    try:
+        return Ok(_CONVERTER.structure(json.loads(text), kind))
+    except Exception as exc:
+        found = [
+            Problem(".".join((path, *inner)), 1, expected)
+            for inner, expected in _leaves(exc, ())
+        ]
+        return Err(tuple(found))
+
+
 def load_settings(text: str) -> Result[Settings, tuple[Problem, ...]]:
     """Check the fleet's settings document, references included."""
     match load_document(text, Settings):
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -17,8 +17,8 @@
 from cowsliphitch.core.membership.models import MemberRecord, PoolDemand
 from cowsliphitch.core.orders.models import Record
 from cowsliphitch.core.quarantine.register import SuspectRegister
-from cowsliphitch.core.scheduling.division import Demand, divide
-from cowsliphitch.core.settings.models import Settings
+from cowsliphitch.core.scheduling.division import Demand, caps
+from cowsliphitch.core.settings.models import DivisionPolicy, Settings
 from cowsliphitch.core.verdict import Reason, Refusal
 from cowsliphitch.core.vms.models import VmListing, VmState
 from cowsliphitch.operators.api.app import OperatorsApp
@@ -33,6 +33,7 @@
 from cowsliphitch.platform.orders.coordinator import OrderCoordinator
 from cowsliphitch.platform.orders.models import Answered, Forwarded, NoAnswer
 from cowsliphitch.platform.vms.coordinator import VmCoordinator
+from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
 from cowsliphitch.upstreams.pool.registry import Member, PoolRegistry
 from cowsliphitch.upstreams.transport.client import UpstreamClient
 
@@ -46,6 +47,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 DIVISION_INTERVAL_MS: Final = 200
+DEMAND_DIGITS: Final = 1
+LEAST_DEMAND: Final = 0.05
 DRAIN_POLL_MS: Final = 20
 SUSPICION_TIMEOUT_MS: Final = 200
 WATCHERS_PER_DOMAIN: Final = 2
@@ -172,9 +175,10 @@
 
     def _demands(self) -> tuple[PoolDemand, ...]:
         return tuple(
-            PoolDemand(name, team, slots)
+            PoolDemand(name, team, round(slots, DEMAND_DIGITS))
             for name, pool in self._registry.pools.items()
             for team, slots in sorted(pool.demand().items())
+            if slots >= LEAST_DEMAND
         )
 
     async def _forward(self, shard: int, record: Record, end_ms: int) -> Forwarded:
@@ -198,26 +202,30 @@
         return -1 if last_ms is None else self._clock.now_ms() - last_ms
 
     async def _divide(self) -> None:
-        """Set this daemon's part of each pool's slots, for ever."""
+        """Hold teams that want too much to their part of each pool, for ever."""
         while True:
             await anyio.sleep(seconds(DIVISION_INTERVAL_MS))
-            own = self._peers.view.own.name
-            alive = set(self._peers.alive_names()) | {own}
-            now = self._clock.now_ms()
-            records = [r for r in self._peers.view.alive(now) if r.name != own]
-            shares = {str(n): t.share for n, t in self._config.settings.teams.items()}
-            for name, pool in self._registry.pools.items():
-                demands = [
-                    Demand(record.name, demand.team, demand.slots)
-                    for record in records
-                    for demand in record.demands
-                    if demand.pool == name
-                ]
-                demands += [Demand(own, t, s) for t, s in pool.demand().items()]
-                parts = divide(pool.capacity, demands, shares, alive)
-                pool.limit = parts[own]
+            for pool in self._registry.pools.values():
+                pool.caps = self._caps_of(pool)
                 pool.serve_queue()
 
+    def _caps_of(self, pool: PoolCoordinator) -> dict[str, int]:
+        """Return the slots of each team that wants more than its part of a pool."""
+        settings = self._config.settings
+        if settings.fleet.policy.division is DivisionPolicy.LOCAL:
+            return {}
+        own = self._peers.view.own.name
+        others = self._peers.view.alive(self._clock.now_ms())
+        demands = [
+            Demand(record.name, demand.team, demand.slots)
+            for record in others
+            for demand in record.demands
+            if demand.pool == pool.name and record.name != own
+        ]
+        demands += [Demand(own, team, n) for team, n in pool.demand().items()]
+        shares = {str(name): team.share for name, team in settings.teams.items()}
+        return caps(pool.capacity, demands, shares, own)
+
     async def run(self, stop: anyio.Event) -> None:
         """Serve until told to stop, then finish what is in flight."""
         server = Server([PeerServer(self._peers, self._hooks, self._clock)])
--- a/packages/daemon/src/cowsliphitch/daemon/control.py
+++ b/packages/daemon/src/cowsliphitch/daemon/control.py
@@ -174,7 +174,7 @@
             "key_value_service": to_plain(self._kv.diagnostics),
             "peers": to_plain(self._peers.diagnostics),
             "pools": {
-                name: to_plain(pool.counts) | {"limit": pool.limit}
+                name: to_plain(pool.counts) | {"caps": pool.caps}
                 for name, pool in self._pools.items()
             },
         }
--- a/packages/daemon/src/cowsliphitch/daemon/metrics.py
+++ b/packages/daemon/src/cowsliphitch/daemon/metrics.py
@@ -94,7 +94,7 @@
         by_pool: dict[str, Callable[[PoolCoordinator], float]] = {
             "cowsliphitch_queue_length": lambda pool: pool.queue_length,
             "cowsliphitch_slots_running": lambda pool: pool.running,
-            "cowsliphitch_slots_allowed": lambda pool: pool.limit or pool.capacity,
+            "cowsliphitch_teams_capped": lambda pool: len(pool.caps),
             "cowsliphitch_stage_calls": lambda pool: pool.counts.calls,
             "cowsliphitch_stage_failures": lambda pool: pool.counts.failures,
             "cowsliphitch_stage_retries": lambda pool: pool.counts.retries,
--- a/packages/daemon/src/cowsliphitch/daemon/serving/pipelines.py
+++ b/packages/daemon/src/cowsliphitch/daemon/serving/pipelines.py
@@ -56,6 +56,9 @@
     async def run(self, req: PipelineRequest) -> AsyncGenerator[PipelineEvent, None]:
         """Run all stages; the last event is Finished or Refused."""
         text = req.input
+        for stage in req.pipeline.stages:
+            work = estimate_work(text, stage.max_tokens)
+            self._pools[stage.pool].note_offered(req.team, work)
         for index, stage in enumerate(req.pipeline.stages):
             if not self._can_finish(req, index, text):
                 yield Refused(_late(stage, ran=index > 0))
@@ -86,7 +89,9 @@
         self, req: PipelineRequest, index: int, text: str
     ) -> list[StageForecast]:
         return [
-            self._pools[stage.pool].forecast(estimate_work(text, stage.max_tokens))
+            self._pools[stage.pool].forecast(
+                req.team, estimate_work(text, stage.max_tokens)
+            )
             for stage in req.pipeline.stages[index:]
         ]
 
--- a/packages/daemon/src/cowsliphitch/daemon/serving/services.py
+++ b/packages/daemon/src/cowsliphitch/daemon/serving/services.py
@@ -128,6 +128,7 @@
             end_ms=req.end_ms,
             fingerprint=fingerprint(req.team, req.name, req.body),
         )
+        pool.note_offered(req.team, pool_request.work)
         attempts = Attempts(
             pool=pool,
             clock=self._clock,
--- a/packages/operators/src/cowsliphitch/operators/cli/config.py
+++ b/packages/operators/src/cowsliphitch/operators/cli/config.py
@@ -10,7 +10,8 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.codec import to_json, to_plain
-from cowsliphitch.core.config.models import Snapshot, settings_of
+from cowsliphitch.core.config.build import settings_of
+from cowsliphitch.core.config.models import Snapshot
 from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.core.settings.schema import dump_yaml, load_settings
 from cowsliphitch.core.settings.units import parse_duration
--- a/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
@@ -47,6 +47,7 @@
         self._rng = random.Random(own.id)
         self._states: dict[str, MemberState] = {}
         self._fetching = False
+        self._told_slots = 0.0
         self._task_group: TaskGroup | None = None
         self.diagnostics = Diagnostics()
 
@@ -196,9 +197,20 @@
             self.view.own, config_revision=revision, demands=self._hooks.demands()
         )
         self.view.describe(own, wall_ms)
+        if self._demand_jumped():
+            self.spread_soon()
         self._note_states(now)
         self._channels.keep(self._known_addresses())
 
+    def _demand_jumped(self) -> bool:
+        """Tell whether demand changed so much that the peers should hear at once."""
+        slots = sum(demand.slots for demand in self.view.own.demands)
+        change = abs(slots - self._told_slots)
+        if change <= max(const.LEAST_JUMP_SLOTS, const.JUMP_RATIO * self._told_slots):
+            return False
+        self._told_slots = slots
+        return True
+
     def _note_states(self, now: int) -> None:
         """Log each change of a member's state once."""
         names = {record.name for record in self.view.records()}
--- a/packages/platform/src/cowsliphitch/platform/config/coordinator.py
+++ b/packages/platform/src/cowsliphitch/platform/config/coordinator.py
@@ -9,7 +9,8 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.config import const as keys
-from cowsliphitch.core.config.models import Manifest, Snapshot, newer, settings_of
+from cowsliphitch.core.config.build import SettingsBuilder
+from cowsliphitch.core.config.models import Manifest, Snapshot, newer
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 
 from ..kv.client import KeyValueClient
@@ -46,6 +47,7 @@
         self._kv = kv
         self._store = ConfigStore(kv, clock)
         self._is_watcher = is_watcher
+        self._builder = SettingsBuilder()
         self._listeners: list[Listener] = []
         self._key_revision = 0
         self._available = True
@@ -112,7 +114,7 @@
         if not newer(self.snapshot, manifest):
             self.diagnostics.refused_older += 1
             return False
-        match settings_of(snapshot):
+        match self._builder.build(snapshot):
             case Err(problems):
                 self.diagnostics.invalid += 1
                 _LOGGER.error(
--- a/packages/standins/src/cowsliphitch/standins/measure/__main__.py
+++ b/packages/standins/src/cowsliphitch/standins/measure/__main__.py
@@ -3,12 +3,22 @@
 import argparse
 from collections.abc import Callable
 
+from .control import measure_membership, measure_orders, measure_propagation
 from .overhead import measure_overhead, measure_throughput
+from .policy import measure_deadlines, measure_fairness, measure_routing
 from .report import Report, render, write
+from .slopes import measure_slopes
 
 PARTS: dict[str, Callable[[], Report]] = {
     "overhead": measure_overhead,
     "throughput": measure_throughput,
+    "membership": measure_membership,
+    "propagation": measure_propagation,
+    "orders": measure_orders,
+    "slopes": measure_slopes,
+    "fairness": measure_fairness,
+    "deadlines": measure_deadlines,
+    "routing": measure_routing,
 }
 
 
--- a/packages/standins/src/cowsliphitch/standins/scenario.py
+++ b/packages/standins/src/cowsliphitch/standins/scenario.py
@@ -21,7 +21,7 @@
     "records": {"kind": "service", "slots": 8, "refuses_before_running": True},
 }
 
-STAGES = [
+STAGES: list[dict[str, Any]] = [
     {"name": "encode", "pool": "encoders"},
     {"name": "retrieve", "pool": "retrievers"},
     {"name": "rerank", "pool": "rerankers"},
--- a/packages/upstreams/src/cowsliphitch/upstreams/pool/coordinator.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/pool/coordinator.py
@@ -16,6 +16,7 @@
 from cowsliphitch.core.routing.choice import Chooser, Wanted, note_prefix, usable
 from cowsliphitch.core.routing.models import UpstreamState
 from cowsliphitch.core.scheduling.models import Ticket
+from cowsliphitch.core.scheduling.offered import OfferedWork
 from cowsliphitch.core.scheduling.queue import make_queue
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
@@ -26,8 +27,8 @@
 class PoolCoordinator:
     """Grant slots in fair order and choose the upstream for each.
 
-    :param limit: slots of the pool that this daemon may use, set by the division
-        among daemons
+    Teams that want more than their part of the pool are held to a cap, which the
+    division among daemons sets.
     """
 
     def __init__(
@@ -50,11 +51,12 @@
         self._numbers = itertools.count()
         self._granted: dict[int, anyio.Event] = {}
         self._running: dict[str, int] = {}
+        self._offered = OfferedWork()
         self.upstreams: dict[str, UpstreamState] = {}
         self.latency = StageLatency()
         self.budget = RetryBudget(cfg.policy.retry_ratio)
         self.counts = StageCounts()
-        self.limit: float | None = None
+        self.caps: dict[str, int] = {}
 
     @property
     def capacity(self) -> int:
@@ -75,16 +77,15 @@
         """Return the work that waits for a team, in tokens."""
         return self._queue.waiting().get(team, 0)
 
-    def demand(self) -> dict[str, int]:
-        """Return running and waiting requests by team, in slots."""
-        waiting = self._queue.waiting()
-        typical = max(1, sum(waiting.values()) // max(1, len(self._queue)))
-        teams = self._running.keys() | waiting.keys()
-        wanted = {
-            team: self._running.get(team, 0) + -(-waiting.get(team, 0) // typical)
-            for team in teams
-        }
-        return {team: slots for team, slots in wanted.items() if slots}
+    def note_offered(self, team: str, work: int) -> None:
+        """Count work that a team offers, whether it is admitted or not."""
+        self._offered.note(team, work, self._clock.now_ms())
+
+    def demand(self) -> dict[str, float]:
+        """Return what each team offered lately, in slots."""
+        rates = self._offered.rates(self._clock.now_ms())
+        ms_per_unit = self.latency.service_ms_per_unit
+        return {team: rate * ms_per_unit for team, rate in rates.items()}
 
     def apply(self, cfg: PoolConfig) -> None:
         """Use new settings from now on; waiting requests keep their place."""
@@ -111,11 +112,14 @@
         self.upstreams = fresh
         self.serve_queue()
 
-    def forecast(self, work: int, queued: bool = True) -> StageForecast:
-        """Return what one call of this pool is expected to take."""
-        slots = float(self.capacity) if self.limit is None else self.limit
-        waiting = sum(self._queue.waiting().values()) if queued else 0
-        return StageForecast(self.latency, work, slots, waiting)
+    def forecast(self, team: str, work: int) -> StageForecast:
+        """Return what one call of a team is expected to take in this pool."""
+        waiting = self._queue.waiting()
+        cap = self.caps.get(team)
+        if cap is not None:
+            return StageForecast(self.latency, work, cap, waiting.get(team, 0))
+        total = sum(waiting.values())
+        return StageForecast(self.latency, work, self.capacity, total)
 
     async def acquire(
         self, req: PoolRequest, avoid: frozenset[str] = frozenset()
@@ -161,18 +165,18 @@
         return False
 
     def serve_queue(self) -> None:
-        """Grant turns while this daemon's part of the slots is not used up."""
-        while len(self._queue) and self.running < self._allowed():
-            ticket = self._queue.pop(self._clock.now_ms())
+        """Grant turns while slots are free, except to teams at their cap."""
+        while len(self._queue) and self.running < self.capacity:
+            ticket = self._queue.pop(self._clock.now_ms(), self._teams_at_cap())
             if ticket is None:
                 return
             self._running[ticket.team] = self._running.get(ticket.team, 0) + 1
             self._granted.pop(ticket.number).set()
 
-    def _allowed(self) -> int:
-        if self.limit is None:
-            return self.capacity
-        return max(1, round(self.limit))
+    def _teams_at_cap(self) -> frozenset[str]:
+        return frozenset(
+            team for team, cap in self.caps.items() if self._running.get(team, 0) >= cap
+        )
 
     async def _place(
         self, req: PoolRequest, avoid: frozenset[str]
@@ -264,7 +268,7 @@
         if slot.alone:
             upstream.exclusive = False
         latency_ms = now - slot.started_ms
-        self._learn(upstream, failure, now, latency_ms)
+        self._learn(upstream, failure, latency_ms, req.work)
         if failure is None:
             self.latency.observe(latency_ms, req.work)
             self.counts.work += done_work
@@ -276,8 +280,13 @@
         self._finish(req.team)
 
     def _learn(
-        self, upstream: UpstreamState, failure: Refusal | None, now: int, ms: float
+        self, upstream: UpstreamState, failure: Refusal | None, ms: int, work: int
     ) -> None:
+        """Judge an upstream by one call.
+
+        A deadline that passes soon after the call began is not the upstream's fault.
+        """
+        now = self._clock.now_ms()
         match failure.reason if failure is not None else None:
             case None:
                 breaker.note_success(upstream, now, ms)
@@ -285,9 +294,16 @@
                 breaker.note_unreachable(upstream, now)
             case Reason.UPSTREAM_REFUSED:
                 breaker.note_refused(upstream, now)
+            case Reason.DEADLINE_EXCEEDED if ms < self._patience_ms(work):
+                pass
             case _:
                 breaker.note_failure(upstream, now)
 
+    def _patience_ms(self, work: int) -> float:
+        """Return how long a call may take before its upstream is held for stuck."""
+        expected_ms = const.PATIENCE_FACTOR * self.latency.expect(work)
+        return max(const.LEAST_PATIENCE_MS, expected_ms)
+
     def note_crash(self, slot: Slot) -> None:
         """Put a request under suspicion whose upstream crashed."""
         wall_ms = self._clock.wall_ms()
