Fencing of orders to engines, cuts between daemons, engine priorities

Cause: three points of the guarantees had no proof. (1) Orders to engines: a holder that was paused must not undo its successor's. (2) Daemons that can't reach each other: relays before the daemons' ports cut them off. (3) A caller that goes away.

Ruled out: sleeping through a pause by a longer lease (it only moves the bound).

--- a/features/daemon/streams.feature
+++ b/features/daemon/streams.feature
@@ -24,6 +24,11 @@
     Then the request is refused as "ran" because of "deadline-exceeded"
     And the answer took at most 2000 ms
 
+  Scenario: A caller that goes away gives its slot back
+    Given the upstreams of "engines" take 1500 ms more
+    When diagnosis "gone" is streamed through entry-1 and left after its first line
+    Then entry-1 has nothing running within 3000 ms
+
   Scenario: An answer that belongs to another attempt is not handed on
     Given the upstreams of "encoders" answer for another attempt
     When diagnosis "four" is streamed through entry-1
--- a/features/environment.py
+++ b/features/environment.py
@@ -18,6 +18,7 @@
 register_type(Word=parse_word)
 
 FLEET_TAG = "fleet"
+RELAYED_TAG = "relayed"
 DAEMONS = 3
 
 
@@ -26,7 +27,7 @@
     context.fleet = None
     if FLEET_TAG not in feature.tags:
         return
-    context.fleet = Fleet()
+    context.fleet = Fleet(relayed=RELAYED_TAG in feature.tags)
     try:
         start(context.fleet, DAEMONS)
     except BaseException:
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -283,6 +283,32 @@
     context.took_ms = Clock().now_ms() - started_ms
 
 
+@when(
+    'diagnosis "{text}" is streamed through {daemon:Word} and left after its first line'
+)
+def stream_left(context: Any, text: str, daemon: str) -> None:
+    url = f"{context.fleet.daemons[daemon].url}/v1/pipelines/diagnosis"
+    headers = {
+        "authorization": f"Bearer {context.fleet.token('technicians')}",
+        "accept": "application/x-ndjson",
+    }
+    with httpx.stream(
+        "POST", url, json={"input": text}, headers=headers, timeout=TIMEOUT_S
+    ) as resp:
+        assert next(resp.iter_lines())
+        listed = context.fleet.ask(daemon, "/v1/upstreams")
+    assert any(upstream["outstanding"] for upstream in listed), "it had ended before"
+
+
+@then("{daemon:Word} has nothing running within {ms:d} ms")
+def nothing_running(context: Any, daemon: str, ms: int) -> None:
+    def idle() -> bool:
+        listed = context.fleet.ask(daemon, "/v1/upstreams")
+        return not any(upstream["outstanding"] for upstream in listed)
+
+    wait_for(f"{daemon} has nothing running", idle, ms)
+
+
 @then("the answer took at most {ms:d} ms")
 def answer_took(context: Any, ms: int) -> None:
     assert context.took_ms <= ms, context.took_ms
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -163,3 +163,32 @@
 @then('"{name}" got nothing new')
 def nothing_new(context: Any, name: str) -> None:
     assert len(context.fleet.record(name)) == context.noted
+
+
+RELAY = "relay-"
+GONE_MS = 12_000
+
+
+@when("all daemons are cut off from each other")
+def cut_all(context: Any) -> None:
+    for name in context.fleet.processes:
+        if name.startswith(RELAY):
+            context.fleet.faults(name, hang=True)
+
+
+@when("the cut is over")
+def cut_over(context: Any) -> None:
+    for name in context.fleet.processes:
+        if name.startswith(RELAY):
+            context.fleet.faults(name, hang=False)
+
+
+@when("every daemon holds the others for gone")
+def all_gone(context: Any) -> None:
+    def gone() -> bool:
+        listed = [
+            context.fleet.ask(name, "/v1/daemons") for name in context.fleet.daemons
+        ]
+        return all(sum(d["state"] == "alive" for d in known) == 1 for known in listed)
+
+    wait_for("every daemon is alone", gone, GONE_MS)
--- a/packages/callers/src/cowsliphitch/callers/app.py
+++ b/packages/callers/src/cowsliphitch/callers/app.py
@@ -21,7 +21,7 @@
 from . import const
 from .models import Gateway, Headers, PipelineBody
 from .problems import problem, problem_response
-from .requests import read_body, read_headers
+from .requests import read_request
 
 
 class CallersApp:
@@ -55,22 +55,17 @@
 
     async def _pipeline(self, req: Request) -> Response:
         request = self._gateway.new_request()
-        match read_headers(req):
+        match await read_request(req, self._gateway.max_body()):
             case Err(refusal):
                 return problem_response(refusal, request)
-            case Ok(headers):
+            case Ok(received):
                 pass
-        match await read_body(req, self._gateway.max_body()):
-            case Err(refusal):
-                return problem_response(refusal, request)
-            case Ok(content):
-                pass
-        match from_json(content, PipelineBody):
+        match from_json(received.body, PipelineBody):
             case Err(detail):
                 refusal = not_run(Reason.INVALID_REQUEST, f"the body is {detail}")
                 return problem_response(refusal, request)
             case Ok(body):
-                return await self._run(req, request, headers, body)
+                return await self._run(req, request, received.headers, body)
 
     async def _run(
         self, req: Request, request: str, headers: Headers, body: PipelineBody
@@ -92,16 +87,11 @@
 
     async def _service(self, req: Request) -> Response:
         request = self._gateway.new_request()
-        match read_headers(req):
-            case Err(refusal):
-                return problem_response(refusal, request)
-            case Ok(headers):
-                pass
-        match await read_body(req, self._gateway.max_body()):
+        match await read_request(req, self._gateway.max_body()):
             case Err(refusal):
                 return problem_response(refusal, request)
-            case Ok(body):
-                pass
+            case Ok(received):
+                headers, body = received.headers, received.body
         name = req.path_params["name"]
         match await self._gateway.call_service(request, name, headers, body):
             case Err(refusal):
--- a/packages/callers/src/cowsliphitch/callers/models.py
+++ b/packages/callers/src/cowsliphitch/callers/models.py
@@ -23,6 +23,14 @@
     key: str
 
 
+@attrs.frozen
+class Received:
+    """A request as it arrived: nothing of it has been checked but its size."""
+
+    headers: Headers
+    body: bytes
+
+
 @attrs.frozen
 class PipelineBody:
     """The body of a request to run a pipeline."""
--- a/packages/callers/src/cowsliphitch/callers/requests.py
+++ b/packages/callers/src/cowsliphitch/callers/requests.py
@@ -8,7 +8,17 @@
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
 from . import const
-from .models import Headers
+from .models import Headers, Received
+
+
+async def read_request(req: Request, max_bytes: int) -> Result[Received, Refusal]:
+    """Read what every request has: headers first, then the whole body."""
+    match read_headers(req):
+        case Err(refusal):
+            return Err(refusal)
+        case Ok(headers):
+            body = await read_body(req, max_bytes)
+            return body.map(lambda content: Received(headers, content))
 
 
 def read_headers(req: Request) -> Result[Headers, Refusal]:
--- a/packages/core/src/cowsliphitch/core/scheduling/division.py
+++ b/packages/core/src/cowsliphitch/core/scheduling/division.py
@@ -13,6 +13,7 @@
 
 _EPSILON: Final = 1e-9
 OVERCOMMIT: Final = 1.1
+TOLERANCE: Final = 1.3
 
 
 @attrs.frozen
@@ -52,9 +53,10 @@
 ) -> dict[str, int]:
     """Return the slots that a daemon may use for each team that wants too much.
 
-    A team that gets all it wants has no cap.  The part of a capped team is divided
-    among daemons by its demand there.  A little more than the capacity is divided, so
-    that no slot is idle while a digest is on its way.
+    A team that wants little more than it is given has no cap: what it offers varies by
+    chance, and the upstreams' queues bear that better than a cap does.  The part of a
+    capped team is divided among daemons by its demand there.  A little more than the
+    capacity is divided, so that no slot is idle while a digest is on its way.
     """
     by_team: dict[str, dict[str, float]] = {}
     for demand in demands:
@@ -67,7 +69,7 @@
     return {
         team: _part_of(daemon, by_team[team], given[team] / want)
         for team, want in wants.items()
-        if want > given[team] + _EPSILON
+        if want > given[team] * TOLERANCE + _EPSILON
     }
 
 
--- a/packages/core/src/cowsliphitch/core/settings/references.py
+++ b/packages/core/src/cowsliphitch/core/settings/references.py
@@ -39,6 +39,8 @@
     for name, pool in settings.fleet.pools.items():
         if pool.slots < 1:
             yield ("fleet", "pools", name, "slots"), "expected at least 1 slot"
+        if pool.adapters and pool.kind is not PoolKind.ENGINE:
+            yield ("fleet", "pools", name, "adapters"), "expected a pool of kind engine"
 
 
 def _check_deadline(branch: str, name: str, deadline_ms: int) -> Iterator[Found]:
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -38,6 +38,7 @@
 from cowsliphitch.upstreams.transport.client import UpstreamClient
 
 from .control import DaemonControl
+from .duties.engine_orders import EngineOrders
 from .gateway import DaemonGateway
 from .metrics import Gauges, Metrics
 from .serving.pipelines import PipelineRunner
@@ -78,6 +79,14 @@
         self._peers = PeerCoordinator(
             _own_record(cfg), cfg.seeds, self._channels, self._hooks, clock
         )
+        self._engine_orders = EngineOrders(
+            str(cfg.name),
+            self._registry.pools,
+            self._peers.alive_names,
+            self._kv,
+            self._client,
+            clock,
+        )
         self._metrics = Metrics()
         pools = self._registry.pools
         self._gateway = DaemonGateway(
@@ -256,6 +265,7 @@
             self._claims.run,
             self._peers.run,
             self._divide,
+            self._engine_orders.run,
         ]
 
     def _listeners(self) -> list[tuple[Starlette, str]]:
@@ -301,7 +311,7 @@
     return MemberRecord(
         name=str(cfg.name),
         failure_domain=str(cfg.failure_domain),
-        address=cfg.peers,
+        address=cfg.peers_advertised or cfg.peers,
         operators_address=cfg.operators,
     )
 
--- a/packages/daemon/src/cowsliphitch/daemon/control.py
+++ b/packages/daemon/src/cowsliphitch/daemon/control.py
@@ -1,10 +1,10 @@
 """The daemon as operators see it."""
 
+import attrs
 from result import Err, Ok, Result
 
 from cowsliphitch.core import tokens
 from cowsliphitch.core.clock import Clock
-from cowsliphitch.core.codec import to_plain
 from cowsliphitch.core.config.models import Snapshot
 from cowsliphitch.core.routing.breaker import health
 from cowsliphitch.core.settings.models import Settings
@@ -169,12 +169,12 @@
         """Return counters for a person who looks for a fault, without secrets."""
         return {
             "name": self._cfg.name,
-            "config": to_plain(self._config.diagnostics),
-            "orders": to_plain(self._claims.diagnostics),
-            "key_value_service": to_plain(self._kv.diagnostics),
-            "peers": to_plain(self._peers.diagnostics),
+            "config": attrs.asdict(self._config.diagnostics),
+            "orders": attrs.asdict(self._claims.diagnostics),
+            "key_value_service": attrs.asdict(self._kv.diagnostics),
+            "peers": attrs.asdict(self._peers.diagnostics),
             "pools": {
-                name: to_plain(pool.counts) | {"caps": pool.caps}
+                name: attrs.asdict(pool.counts) | {"caps": pool.caps}
                 for name, pool in self._pools.items()
             },
         }
--- a/packages/daemon/src/cowsliphitch/daemon/metrics.py
+++ b/packages/daemon/src/cowsliphitch/daemon/metrics.py
@@ -100,6 +100,7 @@
             "cowsliphitch_stage_retries": lambda pool: pool.counts.retries,
             "cowsliphitch_stage_work": lambda pool: pool.counts.work,
             "cowsliphitch_stage_wasted_work": lambda pool: pool.counts.wasted,
+            "cowsliphitch_stage_busy_ms": lambda pool: pool.counts.busy_ms,
             "cowsliphitch_stage_prefix_hits": lambda pool: pool.counts.prefix_hits,
         }
         for name, value in by_pool.items():
--- a/packages/daemon/src/cowsliphitch/daemon/serving/pipelines.py
+++ b/packages/daemon/src/cowsliphitch/daemon/serving/pipelines.py
@@ -162,7 +162,8 @@
         self, attempts: Attempts, slot: Slot, stage: Stage, text: str, done: int
     ) -> AsyncGenerator[Chunk | End | Failed, None]:
         """Stream from one engine and give its slot back."""
-        body = GenerateBody(text, stage.max_tokens, done)
+        left_ms = max(0, attempts.req.end_ms - self._clock.now_ms())
+        body = GenerateBody(text, stage.max_tokens, done, priority=left_ms)
         refuses = attempts.pool.cfg.pool.refuses_before_running
         failure: Refusal | None = CANCELLED
         next_index = done
--- a/packages/daemon/src/cowsliphitch/daemon/settings.py
+++ b/packages/daemon/src/cowsliphitch/daemon/settings.py
@@ -44,6 +44,7 @@
     :param callers: host and port for callers
     :param operators: host and port for operators and scrapers
     :param peers: host and port for the other daemons
+    :param peers_advertised: host and port that the other daemons use, if another
     :param seeds: peers to ask while no member is known
     :param operator_tokens: salted digest of the token by operator
     :param drain_delay: time between unready and the refusal of new requests
@@ -56,6 +57,7 @@
     operators: str
     peers: str
     platform: PlatformSettings
+    peers_advertised: str | None = None
     seeds: tuple[str, ...] = ()
     operator_tokens: dict[Name, str] = attrs.Factory(dict)
     tls: TlsSettings | None = None
--- a/packages/platform/src/cowsliphitch/platform/orders/coordinator.py
+++ b/packages/platform/src/cowsliphitch/platform/orders/coordinator.py
@@ -101,7 +101,7 @@
         return True
 
     async def _submit(self, record: Record, end_ms: int) -> Outcome:
-        shard = int(record.key[:8], 16) % self._settings.shards
+        shard = record.shard(self._settings.shards)
         forwarded = await self._forward(shard, record, end_ms)
         match forwarded:
             case Answered(outcome):
--- a/packages/standins/src/cowsliphitch/standins/__main__.py
+++ b/packages/standins/src/cowsliphitch/standins/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+import anyio
 from starlette.applications import Starlette
 
 from cowsliphitch.core.clock import Clock
@@ -9,12 +10,13 @@
 from .const import TOKEN_INTERVAL_MS
 from .engine import Engine
 from .kv import KeyValueService
+from .relay import Relay
 from .server import run
 from .stage import service_app, stage_app
 from .upstream import Upstream
 from .vm_list import VmList
 
-KINDS = ("kv", "vm-list", "engine", "stage", "service")
+KINDS = ("kv", "vm-list", "engine", "stage", "service", "relay")
 
 
 def parse_args() -> argparse.Namespace:
@@ -28,6 +30,8 @@
     parser.add_argument("--token-ms", type=float, default=TOKEN_INTERVAL_MS)
     parser.add_argument("--honours-keys", action="store_true")
     parser.add_argument("--checks-fencing", action="store_true")
+    parser.add_argument("--listen", type=int, help="port of a relay")
+    parser.add_argument("--target", help="host:port that a relay passes on to")
     return parser.parse_args()
 
 
@@ -53,4 +57,7 @@
 
 if __name__ == "__main__":
     arguments = parse_args()
-    run(build(arguments), arguments.port)
+    if arguments.kind == "relay":
+        anyio.run(Relay(arguments.listen, arguments.target).run, arguments.port)
+    else:
+        run(build(arguments), arguments.port)
--- a/packages/standins/src/cowsliphitch/standins/engine.py
+++ b/packages/standins/src/cowsliphitch/standins/engine.py
@@ -46,6 +46,7 @@
     prompt: str
     max_tokens: int
     resume_from: int = 0
+    priority: int = 0
 
 
 class Engine:
@@ -81,7 +82,8 @@
             return refused
         body = json.loads(text)
         resume = int(body.get("resume_from", 0))
-        job = Generation(body["prompt"], int(body["max_tokens"]), resume)
+        priority = int(body.get("priority", 0))
+        job = Generation(body["prompt"], int(body["max_tokens"]), resume, priority)
         self._upstream.start(req, text)
         if self._upstream.faults.garbage:
             return Response(b"\x00garbage")
@@ -93,7 +95,7 @@
     async def _stream(self, job: Generation, attempt: str) -> AsyncIterator[bytes]:
         state = self._upstream
         state.waiting += 1
-        async with state.slots:
+        async with state.slots.hold(job.priority):
             state.waiting -= 1
             state.active += 1
             try:
--- a/packages/standins/src/cowsliphitch/standins/upstream.py
+++ b/packages/standins/src/cowsliphitch/standins/upstream.py
@@ -12,6 +12,7 @@
 from cowsliphitch.core.clock import Clock, seconds
 
 from .faults import Faults
+from .slots import PrioritySlots
 
 ATTEMPT_HEADER = "x-attempt-id"
 KEY_HEADER = "idempotency-key"
@@ -39,7 +40,7 @@
         self.faults = Faults()
         self.runs: list[Run] = []
         self.leaving = False
-        self.slots = anyio.Semaphore(slots)
+        self.slots = PrioritySlots(slots)
         self.active = 0
         self.waiting = 0
 
@@ -72,7 +73,7 @@
     async def work(self, factor: float = 1.0) -> None:
         """Take the time that one request takes, within the slots."""
         self.waiting += 1
-        async with self.slots:
+        async with self.slots.hold():
             self.waiting -= 1
             self.active += 1
             try:
--- a/packages/upstreams/src/cowsliphitch/upstreams/engines/models.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/engines/models.py
@@ -13,11 +13,13 @@
     """The body of a generation.
 
     :param resume_from: tokens that the caller has already
+    :param priority: the lowest number is served first: the time left, in ms
     """
 
     prompt: str
     max_tokens: int
     resume_from: int = 0
+    priority: int = 0
 
 
 @attrs.frozen
--- a/packages/upstreams/src/cowsliphitch/upstreams/pool/coordinator.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/pool/coordinator.py
@@ -268,6 +268,7 @@
         if slot.alone:
             upstream.exclusive = False
         latency_ms = now - slot.started_ms
+        self.counts.busy_ms += latency_ms
         self._learn(upstream, failure, latency_ms, req.work)
         if failure is None:
             self.latency.observe(latency_ms, req.work)
--- a/packages/upstreams/src/cowsliphitch/upstreams/pool/models.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/pool/models.py
@@ -55,6 +55,7 @@
 
     :param work: tokens done for callers
     :param wasted: tokens done for attempts that gave no answer
+    :param busy_ms: time that calls held their slots
     """
 
     calls: int = 0
@@ -62,4 +63,5 @@
     retries: int = 0
     work: int = 0
     wasted: int = 0
+    busy_ms: int = 0
     prefix_hits: int = 0
--- a/packages/upstreams/src/cowsliphitch/upstreams/transport/client.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/transport/client.py
@@ -128,6 +128,24 @@
             return Err(refusal_of_status(resp.status_code, refuses_before_running=True))
         return Ok(content)
 
+    async def post_status(self, url: str, content: bytes, timeout_ms: int) -> int:
+        """Send something whose answer is its status; 0 stands for no answer."""
+        timeout = httpx.Timeout(seconds(timeout_ms)).as_dict()
+        request = httpx.Request(
+            "POST",
+            url,
+            headers={"content-type": "application/json"},
+            content=content,
+            extensions={"timeout": timeout},
+        )
+        try:
+            with anyio.fail_after(seconds(timeout_ms)):
+                resp = await self._pool_for(url).handle_async_request(request)
+                await resp.aclose()
+        except (TimeoutError, httpx.HTTPError):
+            return 0
+        return resp.status_code
+
     def _request(self, url: str, content: bytes, call: Call) -> httpx.Request:
         left_ms = max(1, call.end_ms - self._clock.now_ms())
         headers = {
