Keep the caller's stream open in the test of a caller that goes away

A trace showed that the test itself let go of the iterator after the first line, which closes the connection, and that the daemon had given the slot back within a few ms.

The check is as strict as it was.

Ruled out: a slot that is released too early (the daemon's count was right).

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -295,7 +295,8 @@
     with httpx.stream(
         "POST", url, json={"input": text}, headers=headers, timeout=TIMEOUT_S
     ) as resp:
-        assert next(resp.iter_lines())
+        lines = resp.iter_lines()  # kept: letting go of it closes the connection
+        assert next(lines)
         listed = context.fleet.ask(daemon, "/v1/upstreams")
     assert any(upstream["outstanding"] for upstream in listed), "it had ended before"
 
