Smaller digests, few open connections, and a smaller daemon/app.py

The digest tells two full times for each member (16.1 bytes a member), every daemon keeps a TLS connection to every other one (0.6 MB for each member), and engines' load and the VM list were polled twice a second.

Ruled out: an exchange a second instead of two: at 27 members a heartbeat would take about as long to spread as the time after which a member is suspected.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -45,7 +45,7 @@
         found = pb.Digest.FromString(raw)
     except DecodeError:
         return
-    if len({len(found.ids), len(found.heartbeats), len(found.versions)}) == 1:
+    if len({len(found.ids), len(found.heartbeat_ages), len(found.version_ages)}) == 1:
         convert.summary_of(found)
     [convert.member_from_wire(record) for record in found.records]
 
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -9,6 +9,7 @@
 from behave import then, when
 from result import Err, Ok
 
+from cowsliphitch.core.clock import Clock
 from cowsliphitch.peers import tls
 from cowsliphitch.peers.membership.channels import Channels
 from cowsliphitch.peers.wire import peers_pb2 as pb
@@ -24,8 +25,9 @@
     fields: dict[str, Any] = {
         "sender": "entry-99",
         "ids": [7],
-        "heartbeats": [1],
-        "versions": [1],
+        "newest": 1,
+        "heartbeat_ages": [0],
+        "version_ages": [0],
         "records": [record],
         "config_revision": 1_000_000,
     }
@@ -36,7 +38,7 @@
     """Send a digest and note if an answer came."""
 
     async def run() -> None:
-        channels = Channels(tls_context)
+        channels = Channels(tls_context, Clock())
         address = context.fleet.daemons[daemon].peers
         context.reply = await channels.exchange(address, sent, TIMEOUT_S)
         channels.close()
@@ -73,7 +75,7 @@
         str(folder / "entry-2.key"),
         str(folder / "authority.pem"),
     )
-    exchange(context, daemon, digest(heartbeats=[1, 2, 3]), known)
+    exchange(context, daemon, digest(heartbeat_ages=[1, 2, 3]), known)
 
 
 @then("the stranger gets no answer")
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -14,13 +14,11 @@
 
 from cowsliphitch.callers.app import CallersApp
 from cowsliphitch.core.clock import Clock, seconds
-from cowsliphitch.core.membership.models import MemberRecord, PoolDemand
+from cowsliphitch.core.membership.models import MemberRecord
 from cowsliphitch.core.orders.models import Record
 from cowsliphitch.core.quarantine.register import SuspectRegister
-from cowsliphitch.core.scheduling.division import Demand, caps
-from cowsliphitch.core.settings.models import DivisionPolicy, Settings
+from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.core.verdict import Reason, Refusal
-from cowsliphitch.core.vms.models import VmListing, VmState
 from cowsliphitch.operators.api.app import OperatorsApp
 from cowsliphitch.peers import tls
 from cowsliphitch.peers.membership.channels import CallFailed, Channels
@@ -33,13 +31,14 @@
 from cowsliphitch.platform.orders.coordinator import OrderCoordinator
 from cowsliphitch.platform.orders.models import Answered, Forwarded, NoAnswer
 from cowsliphitch.platform.vms.coordinator import VmCoordinator
-from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
-from cowsliphitch.upstreams.pool.registry import Member, PoolRegistry
+from cowsliphitch.upstreams.pool.registry import PoolRegistry
 from cowsliphitch.upstreams.transport.client import UpstreamClient
 
 from .control import DaemonControl
+from .duties.division import Division, demands_of
 from .duties.engine_orders import EngineOrders
 from .gateway import DaemonGateway
+from .listing import UpstreamListing
 from .metrics import Gauges, Metrics
 from .serving.pipelines import PipelineRunner
 from .serving.services import ServiceRunner
@@ -47,9 +46,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-DIVISION_INTERVAL_MS: Final = 200
-DEMAND_DIGITS: Final = 1
-LEAST_DEMAND: Final = 0.05
 DRAIN_POLL_MS: Final = 20
 SUSPICION_TIMEOUT_MS: Final = 200
 WATCHERS_PER_DOMAIN: Final = 2
@@ -71,14 +67,21 @@
         self._registry = PoolRegistry(
             cfg.failure_domain, self._client, clock, self._suspects
         )
-        self._leaving: set[str] = set()
         self._config = ConfigCoordinator(self._kv, clock, self._is_watcher)
         self._claims = OrderCoordinator(self._kv, clock, self._forward)
-        self._channels = Channels(_client_tls(cfg))
+        self._channels = Channels(_client_tls(cfg), clock)
+        self._listing = UpstreamListing(
+            self._registry,
+            lambda addresses: self._peers.set_listed(addresses),
+            lambda: self._peers.spread_soon(),
+        )
         self._hooks = self._make_hooks()
         self._peers = PeerCoordinator(
             _own_record(cfg), cfg.seeds, self._channels, self._hooks, clock
         )
+        self._division = Division(
+            self._registry.pools, self._peers, self._config, clock
+        )
         self._engine_orders = EngineOrders(
             str(cfg.name),
             self._registry.pools,
@@ -119,11 +122,11 @@
             listing=lambda: self._vms.listing,
             confirm_listing=self._vms.confirm,
             offer_listing=self._vms.offer,
-            demands=self._demands,
+            demands=lambda: demands_of(self._registry.pools),
             append=self._claims.append_for_peer,
             suspects=self._suspects,
-            leaving=lambda: tuple(sorted(self._leaving)),
-            learn_leaving=self._learn_leaving,
+            leaving=self._listing.leaving,
+            learn_leaving=self._listing.learn_leaving,
         )
 
     def _make_gauges(self) -> Gauges:
@@ -142,7 +145,7 @@
     def _listen(self) -> None:
         """Let every part hear of new settings and of the VM list."""
         self._config.listen(self._apply)
-        self._vms.listen(self._take_listing)
+        self._vms.listen(self._listing.take)
 
     def _apply(self, settings: Settings) -> None:
         self._registry.apply(settings)
@@ -150,46 +153,6 @@
         self._gateway.apply(settings)
         self._peers.spread_soon()
 
-    def _take_listing(self, listing: VmListing) -> None:
-        """Learn upstreams, entry VMs, and who is leaving."""
-        listed = {vm.name for vm in listing.vms}
-        leaving = {vm.name for vm in listing.vms if vm.state is VmState.LEAVING}
-        fresh = leaving - self._leaving
-        self._leaving = (self._leaving | leaving) & listed
-        self._peers.set_listed(vm.address for vm in listing.vms if not vm.pool)
-        self._set_members()
-        if fresh:
-            self._peers.spread_soon()
-
-    def _learn_leaving(self, names: tuple[str, ...]) -> None:
-        """Take over what a peer knows of leaving upstreams."""
-        listed = {vm.name for vm in self._vms.listing.vms}
-        fresh = (set(names) & listed) - self._leaving
-        if fresh:
-            self._leaving |= fresh
-            self._set_members()
-
-    def _set_members(self) -> None:
-        self._registry.set_members(
-            Member(
-                vm.name,
-                vm.pool,
-                vm.address,
-                vm.failure_domain,
-                vm.name in self._leaving,
-            )
-            for vm in self._vms.listing.vms
-            if vm.pool
-        )
-
-    def _demands(self) -> tuple[PoolDemand, ...]:
-        return tuple(
-            PoolDemand(name, team, round(slots, DEMAND_DIGITS))
-            for name, pool in self._registry.pools.items()
-            for team, slots in sorted(pool.demand().items())
-            if slots >= LEAST_DEMAND
-        )
-
     async def _forward(self, shard: int, record: Record, end_ms: int) -> Forwarded:
         match await self._peers.forward(shard, record, end_ms):
             case CallFailed(may_have_run):
@@ -210,31 +173,6 @@
         last_ms = self._kv.diagnostics.last_answer_ms
         return -1 if last_ms is None else self._clock.now_ms() - last_ms
 
-    async def _divide(self) -> None:
-        """Hold teams that want too much to their part of each pool, for ever."""
-        while True:
-            await anyio.sleep(seconds(DIVISION_INTERVAL_MS))
-            for pool in self._registry.pools.values():
-                pool.caps = self._caps_of(pool)
-                pool.serve_queue()
-
-    def _caps_of(self, pool: PoolCoordinator) -> dict[str, int]:
-        """Return the slots of each team that wants more than its part of a pool."""
-        settings = self._config.settings
-        if settings.fleet.policy.division is DivisionPolicy.LOCAL:
-            return {}
-        own = self._peers.view.own.name
-        others = self._peers.view.alive(self._clock.now_ms())
-        demands = [
-            Demand(record.name, demand.team, demand.slots)
-            for record in others
-            for demand in record.demands
-            if demand.pool == pool.name and record.name != own
-        ]
-        demands += [Demand(own, team, n) for team, n in pool.demand().items()]
-        shares = {str(name): team.share for name, team in settings.teams.items()}
-        return caps(pool.capacity, demands, shares, own)
-
     async def run(self, stop: anyio.Event) -> None:
         """Serve until told to stop, then finish what is in flight."""
         server = Server([PeerServer(self._peers, self._hooks, self._clock)])
@@ -264,7 +202,7 @@
             self._registry.run,
             self._claims.run,
             self._peers.run,
-            self._divide,
+            self._division.run,
             self._engine_orders.run,
         ]
 
--- a/packages/daemon/src/cowsliphitch/daemon/duties/engine_orders.py
+++ b/packages/daemon/src/cowsliphitch/daemon/duties/engine_orders.py
@@ -26,7 +26,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-KEEP_INTERVAL_MS: Final = 300
+KEEP_INTERVAL_MS: Final = 500
 REPEAT_INTERVAL_MS: Final = 3_000
 
 
--- a/packages/peers/src/cowsliphitch/peers/membership/channels.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/channels.py
@@ -8,6 +8,8 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 
+from cowsliphitch.core.clock import Clock
+
 from ..wire import peers_pb2 as pb
 from ..wire.peers_grpc import PeersStub
 
@@ -25,9 +27,11 @@
 class Channels:
     """One channel for each peer address, opened when it is first used."""
 
-    def __init__(self, tls: ssl.SSLContext | None) -> None:
+    def __init__(self, tls: ssl.SSLContext | None, clock: Clock) -> None:
         """Remember how connections are secured."""
         self._tls = tls
+        self._clock = clock
+        self._used_ms: dict[str, int] = {}
         self._channels: dict[str, Channel] = {}
 
     def close(self) -> None:
@@ -35,9 +39,11 @@
         for channel in self._channels.values():
             channel.close()
 
-    def keep(self, addresses: set[str]) -> None:
-        """Close the channels to addresses that no member has any more."""
-        for address in self._channels.keys() - addresses:
+    def close_idle(self, before_ms: int) -> None:
+        """Close the channels that were not used since ``before_ms``."""
+        idle = [a for a, used_ms in self._used_ms.items() if used_ms < before_ms]
+        for address in idle:
+            del self._used_ms[address]
             self._channels.pop(address).close()
 
     async def exchange(
@@ -70,6 +76,7 @@
             return Err(CallFailed(may_have_run=True))
 
     def _channel(self, address: str) -> Channel:
+        self._used_ms[address] = self._clock.now_ms()
         channel = self._channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(":")
--- a/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
@@ -139,11 +139,8 @@
             records = self.view.newer_than(convert.summary_of(for_peer))
         listing = self._hooks.listing()
         news = self._hooks.suspects.news(self._clock.wall_ms())
-        return pb.Digest(
+        digest = pb.Digest(
             sender=self.view.own.name,
-            ids=summary.heartbeats.keys(),
-            heartbeats=summary.heartbeats.values(),
-            versions=summary.versions.values(),
             records=[convert.member_to_wire(record) for record in records],
             config_revision=self._hooks.revision(),
             suspicions=[
@@ -154,6 +151,8 @@
             listing_ms=listing.seen_ms,
             listing_checksum=listing.checksum,
         )
+        convert.put_summary(digest, summary)
+        return digest
 
     def receive(self, digest: pb.Digest, address: str | None = None) -> None:
         """Take over what a peer knows."""
@@ -200,7 +199,7 @@
         if self._demand_jumped():
             self.spread_soon()
         self._note_states(now)
-        self._channels.keep(self._known_addresses())
+        self._channels.close_idle(now - const.CHANNEL_IDLE_MS)
 
     def _demand_jumped(self) -> bool:
         """Tell whether demand changed so much that the peers should hear at once."""
@@ -235,12 +234,19 @@
         now = self._clock.now_ms()
         own = self.view.own
         alive = {r.address for r in self.view.alive(now)} - {own.address}
+        near = self._neighbours(alive) if count < const.NEIGHBOURS else alive
         silent = sorted(self._known_addresses() - alive - {own.address})
-        chosen = self._rng.sample(sorted(alive), min(count, len(alive)))
+        chosen = self._rng.sample(sorted(near), min(count, len(near)))
         if silent and (not chosen or self._rng.random() < 1 / (1 + len(alive))):
             chosen.append(self._rng.choice(silent))
         return chosen
 
+    def _neighbours(self, alive: set[str]) -> set[str]:
+        """Return the few peers of this while, so that few connections are open."""
+        turn = self._clock.wall_ms() // const.NEIGHBOURS_FOR_MS
+        key = f"{self.view.own.name}/{turn}"
+        return set(rank(key, alive)[: const.NEIGHBOURS])
+
     async def _exchange_with(self, addresses: list[str]) -> None:
         async with anyio.create_task_group() as group:
             for address in addresses:
--- a/packages/peers/src/cowsliphitch/peers/membership/server.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/server.py
@@ -29,7 +29,11 @@
     async def Exchange(self, stream: Any) -> None:
         """Take a peer's digest and answer with what it lacks."""
         digest: pb.Digest = await _receive(stream)
-        counts = {len(digest.ids), len(digest.heartbeats), len(digest.versions)}
+        counts = {
+            len(digest.ids),
+            len(digest.heartbeat_ages),
+            len(digest.version_ages),
+        }
         if len(counts) != 1 or digest.ByteSize() > const.MAX_DIGEST_BYTES:
             self._coordinator.diagnostics.refused_senders += 1
             raise GRPCError(Status.INVALID_ARGUMENT, "the digest is not valid")
--- a/packages/peers/src/cowsliphitch/peers/wire/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/wire/convert.py
@@ -14,12 +14,23 @@
 
 def summary_of(digest: pb.Digest) -> Summary:
     """Read the summary of a digest."""
+    heartbeats = (digest.newest - age for age in digest.heartbeat_ages)
+    versions = (digest.newest - age for age in digest.version_ages)
     return Summary(
-        dict(zip(digest.ids, digest.heartbeats, strict=True)),
-        dict(zip(digest.ids, digest.versions, strict=True)),
+        dict(zip(digest.ids, heartbeats, strict=True)),
+        dict(zip(digest.ids, versions, strict=True)),
     )
 
 
+def put_summary(digest: pb.Digest, summary: Summary) -> None:
+    """Write a summary into a digest."""
+    heartbeats, versions = summary.heartbeats.values(), summary.versions.values()
+    digest.newest = max((*heartbeats, *versions), default=0)
+    digest.ids.extend(summary.heartbeats)
+    digest.heartbeat_ages.extend(digest.newest - value for value in heartbeats)
+    digest.version_ages.extend(digest.newest - value for value in versions)
+
+
 def member_to_wire(record: MemberRecord) -> pb.MemberRecord:
     """Write a member's record."""
     return pb.MemberRecord(
--- a/packages/standins/src/cowsliphitch/standins/kv.py
+++ b/packages/standins/src/cowsliphitch/standins/kv.py
@@ -10,7 +10,6 @@
 from starlette.routing import Route
 
 from cowsliphitch.core.clock import Clock, seconds
-from cowsliphitch.core.codec import to_plain
 
 from .const import DEFAULT_LEASE_TTL_MS
 from .faults import Faults
@@ -197,4 +196,4 @@
         return JSONResponse({"ttl_ms": lease.ttl_ms})
 
     async def _stats(self, _req: Request) -> Response:
-        return JSONResponse(to_plain(self.counts))
+        return JSONResponse(attrs.asdict(self.counts))
--- a/packages/standins/src/cowsliphitch/standins/measure/slopes.py
+++ b/packages/standins/src/cowsliphitch/standins/measure/slopes.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from cowsliphitch.core import ids
 from cowsliphitch.core.codec import from_json, to_json
 from cowsliphitch.core.config.build import SettingsBuilder
@@ -29,6 +31,8 @@
 TEAMS = 340
 UPSTREAMS = 733
 RECORDS = 400
+HEARTBEAT_SPREAD_MS = 90
+RECORD_SPREAD_MS = 200_000
 
 
 def best_ms(call: Callable[[], Any]) -> float:
@@ -70,22 +74,20 @@
     """Return the view of a group of daemons."""
     view = MembershipView(member(0, 0), 0, WALL_MS)
     for number in range(1, members):
-        view.merge_record(member(number, 0), WALL_MS, 0)
+        age_ms = number * HEARTBEAT_SPREAD_MS
+        version_ms = number * RECORD_SPREAD_MS
+        record = attrs.evolve(member(number, 0), version=WALL_MS - version_ms)
+        view.merge_record(record, WALL_MS - age_ms, 0)
     return view
 
 
 def digest_bytes(members: int) -> int:
     """Return the size of a digest without records."""
-    summary = view_of(members).summary()
-    return pb.Digest(
-        sender="entry-001",
-        ids=summary.heartbeats.keys(),
-        heartbeats=summary.heartbeats.values(),
-        versions=summary.versions.values(),
-        config_revision=9,
-        listing_ms=WALL_MS,
-        listing_checksum=1,
-    ).ByteSize()
+    digest = pb.Digest(
+        sender="entry-001", config_revision=9, listing_ms=WALL_MS, listing_checksum=1
+    )
+    convert.put_summary(digest, view_of(members).summary())
+    return digest.ByteSize()
 
 
 def settings_text(teams: int) -> str:
--- a/packages/upstreams/src/cowsliphitch/upstreams/pool/const.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/pool/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-LOAD_POLL_INTERVAL_MS: Final = 500
+LOAD_POLL_INTERVAL_MS: Final = 1_000
 LOAD_TIMEOUT_MS: Final = 400
 PROBE_TIMEOUT_MS: Final = 250
 CHOICE_RETRY_MS: Final = 20
