--- a/packages/standins/src/cowsliphitch/standins/measure/control.py
+++ b/packages/standins/src/cowsliphitch/standins/measure/control.py
@@ -29,6 +29,7 @@
 POLL_MS = 10
 ORDER_SECONDS = 6
 ORDER_LOGS = 4
+CALLERS_PER_CLIENT = 8
 CLAIM_INTERVAL_MS = 100
 
 
@@ -190,7 +191,7 @@
         least < 0.5,
         f"Three daemons, {ORDER_LOGS} order logs, at least {CLAIM_INTERVAL_MS} ms "
         "between the writes of one log.  A claim and an outcome are two records of "
-        "each order.",
+        "each order.  One process of callers.",
     )
 
 
@@ -200,10 +201,12 @@
     end_ms = clock.now_ms() + ORDER_SECONDS * process.MS_PER_SECOND
     urls = itertools.cycle([daemon.url for daemon in fleet.daemons.values()])
     outcomes: list[Outcome] = []
-    async with new_http() as http, anyio.create_task_group() as group:
-        caller = Caller(http, fleet.token("warehouse"))
+    https = [new_http() for _ in range(-(-callers // CALLERS_PER_CLIENT))]
+    async with anyio.create_task_group() as group:
 
         async def order(index: int) -> None:
+            http = https[index // CALLERS_PER_CLIENT]
+            caller = Caller(http, fleet.token("warehouse"))
             for number in itertools.count():
                 if clock.now_ms() >= end_ms:
                     return
@@ -213,4 +216,6 @@
 
         for index in range(callers):
             group.start_soon(order, index)
+    for http in https:
+        await http.aclose()
     return outcomes
