Divide a pool's capacity itself, not a tenth more

Change: caps come from the capacity; the constant is gone.

Ruled out: a lower tolerance (it cost teams whose demand varies by chance).

--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -7,7 +7,6 @@
 from behave import given, then, when
 
 from cowsliphitch.core.scheduling.division import (
-    OVERCOMMIT,
     Demand,
     caps,
     max_min,
@@ -137,7 +136,7 @@
         wants: dict[str, float] = {}
         for demand in demands:
             wants[demand.team] = wants.get(demand.team, 0.0) + demand.slots
-        given = max_min(capacity * OVERCOMMIT, wants, shares)
+        given = max_min(capacity, wants, shares)
         assert len({frozenset(c) for c in found.values()}) == 1
         for team in next(iter(found.values())):
             total = sum(c[team] for c in found.values())
--- a/packages/core/src/cowsliphitch/core/scheduling/division.py
+++ b/packages/core/src/cowsliphitch/core/scheduling/division.py
@@ -12,7 +12,6 @@
 import attrs
 
 _EPSILON: Final = 1e-9
-OVERCOMMIT: Final = 1.1
 TOLERANCE: Final = 1.3
 
 
@@ -55,17 +54,16 @@
 
     A team that wants little more than it is given has no cap: what it offers varies by
     chance, and the upstreams' queues bear that better than a cap does.  The part of a
-    capped team is divided among daemons by its demand there.  A little more than the
-    capacity is divided, so that no slot is idle while a digest is on its way.
+    capped team is divided among daemons by its demand there.
     """
     by_team: dict[str, dict[str, float]] = {}
     for demand in demands:
         if demand.slots > 0:
             by_team.setdefault(demand.team, {})[demand.daemon] = demand.slots
     wants = {team: sum(slots.values()) for team, slots in by_team.items()}
-    if sum(wants.values()) <= capacity * OVERCOMMIT:
+    if sum(wants.values()) <= capacity:
         return {}
-    given = max_min(capacity * OVERCOMMIT, wants, shares)
+    given = max_min(capacity, wants, shares)
     return {
         team: _part_of(daemon, by_team[team], given[team] / want)
         for team, want in wants.items()
