--- a/features/steps/fencing_steps.py
+++ b/features/steps/fencing_steps.py
@@ -1,5 +1,6 @@
 """Steps on orders to engines."""
 
+import base64
 import signal
 from typing import Any
 
@@ -62,8 +63,9 @@
 
 @when("the holder of the engines' duty is frozen")
 def freeze_holder(context: Any) -> None:
-    url = f"{context.fleet.processes['kv'].url}/v1/kv/duties/engines/engines"
-    value = context.fleet.http.get(url).json()["value"]
+    url = f"{context.fleet.processes['kv'].url}/kv-key?key=duties/engines/engines"
+    item = context.fleet.http.get(url).json()
+    value = base64.b64decode(item["value"]).decode()
     context.holder = value.split('"daemon":"')[1].split('"')[0]
     context.fleet.daemons[context.holder].signal(signal.SIGSTOP)
 
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -0,0 +1,312 @@
+"""One stage pool's queue: which pieces are made together, where and when.
+
+Load pattern: every server runs one call at a time, a call costs far more than a piece,
+and no daemon alone sees enough requests to fill a call.  So one owner sees all of them:
+it fills each call in order of urgency, counts the memory that results take up, and
+refuses at once what can't be made in time.
+"""
+
+import itertools
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from cowsliphitch.core.deployment.models import StagePool
+from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.verdict import Reason, Refusal, not_run
+
+from . import const
+from .models import Call, Failed, Job, JobOutcome, Made, Piece
+from .room import RoomLedger
+
+
+@attrs.define
+class _Progress:
+    """What is known of a job that is not done."""
+
+    job: Job
+    waiting: list[int]
+    handles: dict[int, str] = attrs.Factory(dict)
+    makes: int = 0
+
+    @property
+    def half_made(self) -> bool:
+        return bool(self.handles) or len(self.waiting) < self.job.pieces
+
+
+@attrs.define
+class _ServerState:
+    """What calls to a server have shown.
+
+    :param slowness: time of its calls against the pool's figures
+    """
+
+    slowness: float = 1.0
+    penalty_until_ms: int = 0
+
+
+@attrs.define
+class Diagnostics:
+    """Counters of a queue, for metrics."""
+
+    calls: int = 0
+    pieces: int = 0
+    made: int = 0
+    failed_calls: int = 0
+    refused: int = 0
+    no_room: int = 0
+
+
+class StageQueue:
+    """Decide on the calls to the servers of one stage pool.
+
+    :param pool: figures of one server
+    """
+
+    def __init__(self, pool: StagePool) -> None:
+        """Start without jobs."""
+        self._pool = pool
+        self._jobs: dict[int, _Progress] = {}
+        self._calls: dict[int, Call] = {}
+        self._servers: dict[str, _ServerState] = {}
+        self._numbers = itertools.count(1)
+        self.room = RoomLedger(pool.room_bytes, pool.keep_ms)
+        self.diagnostics = Diagnostics()
+
+    @property
+    def waiting_pieces(self) -> int:
+        """Return the pieces that no call has taken yet."""
+        return sum(len(progress.waiting) for progress in self._jobs.values())
+
+    @property
+    def running_calls(self) -> int:
+        """Return the calls that have no answer yet."""
+        return len(self._calls)
+
+    def offer(
+        self, job: Job, servers: tuple[Server, ...], now_ms: int
+    ) -> Refusal | None:
+        """Take a job, or say at once that it can't be done in time."""
+        refusal = self._check(job, servers, now_ms)
+        if refusal is None:
+            self._jobs[job.id] = _Progress(job, list(range(job.pieces)))
+        else:
+            self.diagnostics.refused += 1
+        return refusal
+
+    def predicted_ms(self, job: Job, servers: tuple[Server, ...], now_ms: int) -> float:
+        """Return how long a job would take from now on."""
+        able = self._able(servers, now_ms)
+        count = max(1, len(able))
+        ahead = sum(
+            len(progress.waiting)
+            for progress in self._jobs.values()
+            if self._order(progress, now_ms) <= self._order_of(job, now_ms)
+        )
+        batch = self._pool.batch
+        full_ms = self._call_ms(batch)
+        rounds = ahead // (batch * count)
+        busy = sorted(call.due_ms - now_ms for call in self._calls.values())
+        start_ms = max(0, busy[0]) if len(busy) >= count else 0
+        last = min(batch, job.pieces + ahead % (batch * count))
+        own_calls = math.ceil(job.pieces / (batch * count))
+        return start_ms + (rounds + own_calls - 1) * full_ms + self._call_ms(last)
+
+    def _check(
+        self, job: Job, servers: tuple[Server, ...], now_ms: int
+    ) -> Refusal | None:
+        if not servers:
+            detail = "no server of the stage is ready"
+            return not_run(Reason.NO_UPSTREAM, detail, const.MIN_RETRY_AFTER_MS)
+        needed_ms = self.predicted_ms(job, servers, now_ms)
+        spare_ms = job.deadline_ms - job.rest_ms - now_ms - needed_ms
+        if spare_ms >= 0:
+            return None
+        detail = f"the stage would take {needed_ms:.0f} ms, {-spare_ms:.0f} ms too long"
+        return not_run(
+            Reason.DEADLINE_UNREACHABLE, detail, self._retry_after_ms(servers, now_ms)
+        )
+
+    def _retry_after_ms(self, servers: tuple[Server, ...], now_ms: int) -> int:
+        """Return when the present queue will have been worked off."""
+        count = max(1, len(self._able(servers, now_ms)))
+        calls = self.waiting_pieces / (self._pool.batch * count)
+        wait_ms = round(calls * self._call_ms(self._pool.batch))
+        return min(const.MAX_RETRY_AFTER_MS, max(const.MIN_RETRY_AFTER_MS, wait_ms))
+
+    def plan(self, servers: tuple[Server, ...], now_ms: int) -> list[Call]:
+        """Start the calls that can start now."""
+        self.room.expire(now_ms)
+        running = {
+            server_id: len(tuple(group))
+            for server_id, group in itertools.groupby(
+                sorted(call.server.id for call in self._calls.values())
+            )
+        }
+        idle = [
+            server
+            for server in self._able(servers, now_ms)
+            if running.get(server.id, 0) < self._pool.slots
+        ]
+        idle.sort(key=lambda server: self._state(server).slowness)
+        calls: list[Call] = []
+        for server in idle:
+            pieces = self._fill(server, now_ms)
+            if pieces:
+                calls.append(self._start(server, pieces, now_ms))
+        return calls
+
+    def _fill(self, server: Server, now_ms: int) -> tuple[Piece, ...]:
+        """Choose the pieces of one call, the most urgent first."""
+        free = self.room.free_bytes(server.id)
+        chosen: list[Piece] = []
+        waiting = [p for p in self._jobs.values() if p.waiting]
+        waiting.sort(key=lambda p: self._order(p, now_ms, server.failure_domain))
+        for progress in waiting:
+            job = progress.job
+            while progress.waiting and len(chosen) < self._pool.batch:
+                if free < job.result_bytes:
+                    self.diagnostics.no_room += 1
+                    break
+                free -= job.result_bytes
+                chosen.append(Piece(job, progress.waiting.pop(0)))
+        return tuple(chosen)
+
+    def _start(self, server: Server, pieces: tuple[Piece, ...], now_ms: int) -> Call:
+        needed_ms = self._call_ms(len(pieces)) * self._state(server).slowness
+        call = Call(
+            next(self._numbers), server, pieces, now_ms, now_ms + round(needed_ms)
+        )
+        self._calls[call.id] = call
+        size = sum(piece.job.result_bytes for piece in pieces)
+        self.room.reserve(call.id, server.id, size)
+        self.diagnostics.calls += 1
+        self.diagnostics.pieces += len(pieces)
+        return call
+
+    def finish(
+        self, call: Call, handles: tuple[str | None, ...], now_ms: int
+    ) -> tuple[list[JobOutcome], list[str]]:
+        """Take over a call's results.
+
+        :param handles: by piece, ``None`` where the piece was not made
+        :returns: the jobs that ended, and handles that nobody wants any more
+        """
+        del self._calls[call.id]
+        made = {
+            handle: piece.job.result_bytes
+            for piece, handle in zip(call.pieces, handles, strict=True)
+            if handle is not None
+        }
+        self.room.settle(call.id, made, now_ms)
+        self._note_speed(call, now_ms)
+        self.diagnostics.made += len(made)
+        unwanted: list[str] = []
+        ended: list[JobOutcome] = []
+        for piece, handle in zip(call.pieces, handles, strict=True):
+            progress = self._jobs.get(piece.job.id)
+            if progress is None:
+                unwanted.extend([handle] if handle is not None else [])
+            elif handle is None:
+                ended.extend(self._again(progress, piece))
+            else:
+                progress.handles[piece.number] = handle
+                ended.extend(self._done(progress))
+        return ended, unwanted
+
+    def fail(self, call: Call, now_ms: int) -> list[JobOutcome]:
+        """Put the pieces of a call that got no answer back into the queue."""
+        del self._calls[call.id]
+        self.room.settle(call.id, {}, now_ms)
+        self.diagnostics.failed_calls += 1
+        self._state(call.server).penalty_until_ms = now_ms + const.PENALTY_MS
+        ended: list[JobOutcome] = []
+        for piece in call.pieces:
+            progress = self._jobs.get(piece.job.id)
+            if progress is not None:
+                ended.extend(self._again(progress, piece))
+        return ended
+
+    def drop(self, job_id: int) -> tuple[str, ...]:
+        """Forget a job that nobody wants; return the handles of its results."""
+        progress = self._jobs.pop(job_id, None)
+        return tuple(progress.handles.values()) if progress is not None else ()
+
+    def drop_late(self, now_ms: int) -> list[Failed]:
+        """Give up the jobs that can't be done any more."""
+        least_ms = self._call_ms(1)
+        late = [
+            progress.job
+            for progress in self._jobs.values()
+            if progress.waiting
+            and now_ms + least_ms + progress.job.rest_ms > progress.job.deadline_ms
+        ]
+        detail = "the stage can't be done in time any more"
+        refusal = not_run(Reason.DEADLINE_UNREACHABLE, detail, const.MIN_RETRY_AFTER_MS)
+        return [Failed(job, refusal, self.drop(job.id)) for job in late]
+
+    def keep_servers(self, servers: Iterable[Server]) -> None:
+        """Forget what is known of servers that are gone."""
+        ids = {server.id for server in servers}
+        for gone in self._servers.keys() - ids:
+            del self._servers[gone]
+            self.room.forget_server(gone)
+
+    def _again(self, progress: _Progress, piece: Piece) -> list[JobOutcome]:
+        """Let a piece be made once more, unless it has failed too often."""
+        progress.makes += 1
+        if progress.makes < const.MAX_MAKES:
+            progress.waiting.insert(0, piece.number)
+            return []
+        detail = f"piece {piece.number} could not be made"
+        refusal = not_run(Reason.UPSTREAM_FAILED, detail, const.MIN_RETRY_AFTER_MS)
+        return [Failed(progress.job, refusal, self.drop(progress.job.id))]
+
+    def _done(self, progress: _Progress) -> list[JobOutcome]:
+        job = progress.job
+        if len(progress.handles) < job.pieces:
+            return []
+        del self._jobs[job.id]
+        handles = tuple(progress.handles[n] for n in range(job.pieces))
+        return [Made(job, handles)]
+
+    def _order(
+        self, progress: _Progress, now_ms: int, domain: str | None = None
+    ) -> tuple[object, ...]:
+        return self._order_of(progress.job, now_ms, progress.half_made, domain)
+
+    def _order_of(
+        self,
+        job: Job,
+        now_ms: int,
+        half_made: bool = False,
+        domain: str | None = None,
+    ) -> tuple[object, ...]:
+        """Return a job's place in the queue, the smallest first.
+
+        A job that can't meet its objective any more yields to one that can.
+        """
+        spare_ms = job.objective_ms - job.rest_ms - now_ms - self._call_ms(1)
+        waited_ms = now_ms - job.queued_ms
+        far = (
+            domain is not None
+            and domain != job.reader_domain
+            and waited_ms < const.NEAR_WAIT_MS
+        )
+        return (spare_ms < 0, not half_made, job.rank, far, spare_ms, job.id)
+
+    def _able(self, servers: tuple[Server, ...], now_ms: int) -> list[Server]:
+        able = [s for s in servers if self._state(s).penalty_until_ms <= now_ms]
+        return able or list(servers)
+
+    def _state(self, server: Server) -> _ServerState:
+        return self._servers.setdefault(server.id, _ServerState())
+
+    def _note_speed(self, call: Call, now_ms: int) -> None:
+        state = self._state(call.server)
+        seen = (now_ms - call.started_ms) / self._call_ms(len(call.pieces))
+        state.slowness += const.SPEED_WEIGHT * (seen - state.slowness)
+
+    def _call_ms(self, pieces: int) -> float:
+        return self._pool.call_ms + self._pool.piece_ms * pieces
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -0,0 +1,191 @@
+"""The settings of a deployment: routes, services, teams and limits on callers.
+
+They come from the operator as one versioned document and replace each other whole.
+"""
+
+import enum
+import hashlib
+import itertools
+from typing import Final
+
+import attrs
+
+MAX_PRIORITY: Final = 9
+
+
+class RouteKind(enum.Enum):
+    """What kind of calls a route carries, and so what may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@attrs.frozen
+class StageSpec:
+    """Work that is done before a request can run.
+
+    :param service: the stage pool that does it
+    :param after: numbers of the stages whose results it reads
+    :param result_bytes: approximate size of one result
+    """
+
+    service: str
+    after: tuple[int, ...]
+    result_bytes: int
+
+
+@attrs.frozen
+class Target:
+    """One of the services that a route's traffic is divided over."""
+
+    service: str
+    weight: int
+
+
+@attrs.frozen
+class Route:
+    """What happens to the requests of one host and path prefix.
+
+    :param timeout_ms: longest time that a request may be kept without its answer
+    :param objective_ms: time within which an answer earns its full credit
+    :param priority: rank among routes, 0 is the most urgent
+    :param max_attempts: servers to which one request may be sent
+    :param public: no key is asked for
+    :param resumable: a stream may go on at another server
+    :param max_gap_ms: longest pause between events of a stream that is on time
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: int
+    objective_ms: int
+    priority: int
+    targets: tuple[Target, ...]
+    max_attempts: int
+    stages: tuple[StageSpec, ...] = ()
+    public: bool = False
+    resumable: bool = False
+    max_gap_ms: int = 0
+
+    @property
+    def final_stages(self) -> tuple[int, ...]:
+        """Return the stages that no other stage follows."""
+        read = set(itertools.chain.from_iterable(s.after for s in self.stages))
+        return tuple(n for n in range(len(self.stages)) if n not in read)
+
+    def service_for(self, request: str) -> str:
+        """Return the service of a request, divided by weight over its identifier."""
+        total = sum(target.weight for target in self.targets)
+        if len(self.targets) == 1 or total <= 0:
+            return self.targets[0].service
+        digest = hashlib.blake2b(request.encode(), digest_size=4).digest()
+        point = int.from_bytes(digest) % total
+        bounds = itertools.accumulate(target.weight for target in self.targets)
+        chosen = next(n for n, bound in enumerate(bounds) if point < bound)
+        return self.targets[chosen].service
+
+
+@attrs.frozen
+class StagePool:
+    """Figures of one server of a stage pool.
+
+    :param slots: calls that are worked on at a time
+    :param queue: calls that may wait
+    :param batch: pieces in one call
+    :param call_ms: time of a call besides its pieces
+    :param piece_ms: approximate time of a piece
+    :param room_bytes: memory for results
+    :param keep_ms: how long a result lives that nobody frees
+    """
+
+    slots: int
+    queue: int
+    batch: int
+    call_ms: float
+    piece_ms: float
+    room_bytes: int
+    keep_ms: int
+
+
+@attrs.frozen
+class EnginePool:
+    """Figures of one model engine of a pool.
+
+    :param slots: requests in a batch
+    :param kv_tokens: memory for the tokens of running requests and cached prompts
+    """
+
+    slots: int
+    kv_tokens: int
+
+
+@attrs.frozen
+class Service:
+    """A pool of servers that the system routes to.
+
+    :param max_connections: connections that one server takes from all daemons
+    """
+
+    name: str
+    max_connections: int
+    stage_pool: StagePool | None = None
+    engine_pool: EnginePool | None = None
+
+
+@attrs.frozen
+class CallerLimits:
+    """Limits on what a caller may send and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@attrs.frozen
+class Team:
+    """A team (organisation) that shares the fleet.
+
+    :param priority: goes before the priority of a route, ``None`` if not given
+    """
+
+    name: str
+    priority: int | None = None
+
+
+@attrs.frozen
+class Deployment:
+    """One version of the settings in force.
+
+    :param routes: by host, longest prefix first
+    :param team_by_key: the team that holds each key
+    :param with_teams: requests must carry a key unless their route is public
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    limits: CallerLimits
+    team_by_key: dict[str, Team]
+    with_teams: bool
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        found = (r for r in self.routes.get(host, ()) if path.startswith(r.prefix))
+        return next(found, None)
+
+    def all_routes(self) -> tuple[Route, ...]:
+        """Return the routes of all hosts."""
+        return tuple(itertools.chain.from_iterable(self.routes.values()))
+
+
+def index_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return routes by host, the longest prefix first."""
+    ordered = sorted(routes, key=lambda r: (r.host, -len(r.prefix)))
+    return {
+        host: tuple(group)
+        for host, group in itertools.groupby(ordered, key=lambda r: r.host)
+    }
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -0,0 +1,141 @@
+"""Which daemons live, from the store's list and from their heartbeats.
+
+Load pattern: the store is away or refuses this daemon, failure domains are cut off from
+each other, processes freeze and wake.  Heartbeats alone decide who takes duties; a
+wrong suspicion costs a duty, never safety.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from cowsliphitch.core.membership.ranking import rank
+
+# Four heartbeats in a row are missed before a member loses its duties.
+LIVE_FOR_MS: Final = 1_000
+
+# How long a silent member still counts for the division of fleet-wide allowances: a
+# failure domain may be cut off for tens of seconds and goes on spending.
+COUNTED_FOR_MS: Final = 60_000
+
+# The allowances are divided by at least this many while no list has been read.
+LEAST_COUNTED: Final = 16
+
+# A pause of the own process of more than this must not make all others suspect.
+OWN_PAUSE_MS: Final = 600
+
+
+@attrs.frozen
+class Member:
+    """Another daemon.
+
+    :param address: host and port of its internal listener
+    :param lifetime: Unix ms of its process's start, 0 until it was heard
+    """
+
+    address: str
+    name: str
+    failure_domain: str
+    lifetime: int = 0
+
+
+@attrs.define
+class _Known:
+    member: Member
+    heard_ms: int | None = None
+    listed: bool = False
+    leaving: bool = False
+    number: int = 0
+    seen_ms: int = 0
+
+
+class MemberTable:
+    """What this daemon believes about the others."""
+
+    def __init__(self, own: Member, now_ms: int) -> None:
+        """Start alone."""
+        self.own = own
+        self._known: dict[str, _Known] = {}
+        self._ticked_ms = now_ms
+        self._was_listed = False
+
+    def tick(self, now_ms: int) -> int:
+        """Notice pauses of the own process; return the pause in ms, 0 if none."""
+        pause_ms = now_ms - self._ticked_ms
+        self._ticked_ms = now_ms
+        if pause_ms <= OWN_PAUSE_MS:
+            return 0
+        for known in self._known.values():
+            if known.heard_ms is not None:
+                known.heard_ms += pause_ms
+        return pause_ms
+
+    def set_listed(self, members: Iterable[Member], now_ms: int) -> None:
+        """Take over the store's list."""
+        listed = {m.address: m for m in members if m.address != self.own.address}
+        for known in self._known.values():
+            known.listed = known.member.address in listed
+        for address, member in listed.items():
+            known = self._known.setdefault(address, _Known(member))
+            known.listed = True
+            known.seen_ms = now_ms
+        self._was_listed = True
+        self._forget(now_ms)
+
+    def hear(self, member: Member, number: int, leaving: bool, now_ms: int) -> bool:
+        """Take over a heartbeat; tell whether the member was not live before."""
+        if member.address == self.own.address:
+            return False
+        known = self._known.setdefault(member.address, _Known(member))
+        was_live = self._is_live(known, now_ms)
+        if member.lifetime == known.member.lifetime:
+            if number <= known.number:
+                return False
+        elif member.lifetime < known.member.lifetime and was_live:
+            # An old datagram; once the member is silent, its clock may have stepped.
+            return False
+        known.member = member
+        known.number = number
+        known.leaving = leaving
+        known.heard_ms = known.seen_ms = now_ms
+        return not was_live and not leaving
+
+    def peers(self) -> list[Member]:
+        """Return all other daemons that may live."""
+        return [known.member for known in self._known.values()]
+
+    def live(self, now_ms: int) -> list[Member]:
+        """Return the daemons that may hold duties, this one included."""
+        others = [k.member for k in self._known.values() if self._is_live(k, now_ms)]
+        return [self.own, *others]
+
+    def is_live(self, address: str, now_ms: int) -> bool:
+        """Tell whether a daemon may hold duties."""
+        known = self._known.get(address)
+        return known is not None and self._is_live(known, now_ms)
+
+    def owners(self, duty: str, now_ms: int) -> list[Member]:
+        """Return the live daemons in order of preference for a duty."""
+        by_address = {member.address: member for member in self.live(now_ms)}
+        return [by_address[address] for address in rank(duty, by_address)]
+
+    def counted(self, now_ms: int) -> int:
+        """Return how many daemons may spend fleet-wide allowances, at the most."""
+        self._forget(now_ms)
+        count = 1 + len(self._known)
+        return count if self._was_listed else max(count, LEAST_COUNTED)
+
+    def _is_live(self, known: _Known, now_ms: int) -> bool:
+        if known.leaving or known.heard_ms is None:
+            return False
+        return now_ms - known.heard_ms < LIVE_FOR_MS
+
+    def _forget(self, now_ms: int) -> None:
+        gone = [
+            address
+            for address, known in self._known.items()
+            if not known.listed and now_ms - known.seen_ms > COUNTED_FOR_MS
+        ]
+        for address in gone:
+            del self._known[address]
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/servers/models.py
@@ -0,0 +1,32 @@
+"""Servers of the deployment's services, as the store lists them."""
+
+import enum
+
+import attrs
+
+
+class ServerState(enum.Enum):
+    """What a server says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen
+class Server:
+    """One registered server.
+
+    :param address: host and port
+    :param slots: requests that it runs at a time
+    :param born_ms: Unix time of its start, 0 if it does not say
+    :param cold_left_ms: how much longer it stays slow after its start
+    """
+
+    id: str
+    service: str
+    address: str
+    failure_domain: str
+    state: ServerState
+    slots: int
+    born_ms: int = 0
+    cold_left_ms: int = 0
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -25,12 +25,12 @@
 from cowsliphitch.peers.membership.coordinator import PeerCoordinator
 from cowsliphitch.peers.membership.models import Hooks
 from cowsliphitch.peers.membership.server import PeerServer
-from cowsliphitch.platform.config.coordinator import ConfigCoordinator
-from cowsliphitch.platform.config.store import ConfigStore
-from cowsliphitch.platform.kv.client import KeyValueClient
-from cowsliphitch.platform.orders.coordinator import OrderCoordinator
-from cowsliphitch.platform.orders.models import Answered, Forwarded, NoAnswer
-from cowsliphitch.platform.vms.coordinator import VmCoordinator
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.state.config.coordinator import ConfigCoordinator
+from cowsliphitch.state.config.store import ConfigStore
+from cowsliphitch.state.orders.coordinator import OrderCoordinator
+from cowsliphitch.state.orders.models import Answered, Forwarded, NoAnswer
+from cowsliphitch.state.vms.coordinator import VmCoordinator
 from cowsliphitch.upstreams.pool.registry import PoolRegistry
 from cowsliphitch.upstreams.transport.client import UpstreamClient
 
--- a/packages/daemon/src/cowsliphitch/daemon/control.py
+++ b/packages/daemon/src/cowsliphitch/daemon/control.py
@@ -19,8 +19,9 @@
     UpstreamStatus,
 )
 from cowsliphitch.peers.membership.coordinator import PeerCoordinator
-from cowsliphitch.platform.config.coordinator import ConfigCoordinator
-from cowsliphitch.platform.config.models import (
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.state.config.coordinator import ConfigCoordinator
+from cowsliphitch.state.config.models import (
     LostRace,
     OutcomeUnknown,
     PlatformDown,
@@ -28,9 +29,8 @@
     SubmitResult,
     Unchanged,
 )
-from cowsliphitch.platform.config.store import Author, ConfigStore
-from cowsliphitch.platform.kv.client import KeyValueClient
-from cowsliphitch.platform.orders.coordinator import OrderCoordinator
+from cowsliphitch.state.config.store import Author, ConfigStore
+from cowsliphitch.state.orders.coordinator import OrderCoordinator
 from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
 
 from .metrics import Metrics
--- a/packages/daemon/src/cowsliphitch/daemon/duties/division.py
+++ b/packages/daemon/src/cowsliphitch/daemon/duties/division.py
@@ -9,7 +9,7 @@
 from cowsliphitch.core.scheduling.division import Demand, caps
 from cowsliphitch.core.settings.models import DivisionPolicy, Settings
 from cowsliphitch.peers.membership.coordinator import PeerCoordinator
-from cowsliphitch.platform.config.coordinator import ConfigCoordinator
+from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
 
 INTERVAL_MS: Final = 300
--- a/packages/daemon/src/cowsliphitch/daemon/duties/engine_orders.py
+++ b/packages/daemon/src/cowsliphitch/daemon/duties/engine_orders.py
@@ -13,8 +13,8 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.membership.ranking import rank
-from cowsliphitch.platform.kv.client import KeyValueClient
-from cowsliphitch.platform.leases.coordinator import LeaseCoordinator
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.state.leases.coordinator import LeaseCoordinator
 from cowsliphitch.upstreams.engines.orders import (
     ORDER_TIMEOUT_MS,
     EngineOrder,
--- a/packages/daemon/src/cowsliphitch/daemon/serving/services.py
+++ b/packages/daemon/src/cowsliphitch/daemon/serving/services.py
@@ -27,7 +27,7 @@
     Verdict,
     not_run,
 )
-from cowsliphitch.platform.orders.coordinator import OrderCoordinator
+from cowsliphitch.state.orders.coordinator import OrderCoordinator
 from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
 from cowsliphitch.upstreams.pool.models import PoolRequest
 from cowsliphitch.upstreams.services.client import call_service
--- /dev/null
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -0,0 +1,41 @@
+"""Timings and limits of a daemon on the platform, with their units."""
+
+from typing import Final
+
+# A watch is cut and sent again this often, so that one which fell silent is noticed
+# well within the time in which a change of settings must be in force.
+WATCH_WAIT_MS: Final = 2_000
+STORE_TIMEOUT_MS: Final = 700
+STORE_RETRY_MS: Final = 200
+
+# The leased key names the daemon to the others; it may lapse in an outage, since the
+# heartbeats decide who lives.
+MEMBER_PREFIX: Final = "members/"
+MEMBER_LEASE_MS: Final = 15_000
+MEMBER_RENEW_MS: Final = 4_000
+
+# Housekeeping of connections, queues and members.
+TICK_MS: Final = 100
+
+# Largest answer that is held in memory before it goes to the caller.
+MAX_ANSWER_BYTES: Final = 8 * 1_048_576
+
+# A final answer leaves this long before a route's timeout, to be there in time.
+TIMEOUT_MARGIN_MS: Final = 20
+
+# Part of a server's connections that this daemon uses when several daemons share it.
+CONNECTION_SHARE: Final = 0.8
+
+# Readiness is withdrawn at SIGTERM and the balancer asks once a second; new
+# connections arrive until it was refused twice.
+BALANCER_NOTICE_MS: Final = 2_500
+
+# Before the platform's SIGKILL.
+EXIT_MARGIN_MS: Final = 300
+
+# Descriptors that are not for sockets of callers: files, servers, peers, the store.
+RESERVED_DESCRIPTORS: Final = 1_000
+CALLER_DESCRIPTOR_SHARE: Final = 0.7
+
+# Time between two tries of a caller whose request met no settings yet.
+NO_SETTINGS_RETRY_MS: Final = 300
--- /dev/null
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet.py
@@ -0,0 +1,142 @@
+"""This daemon among the others: heartbeats out, beliefs in."""
+
+import logging
+
+import anyio
+from anyio.abc import TaskGroup
+
+from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.engines.models import EngineShare
+from cowsliphitch.core.fleet.members import Member
+from cowsliphitch.peers.fleet import const as peer_const
+from cowsliphitch.peers.fleet.convert import server_checksum
+from cowsliphitch.peers.fleet.heartbeats import HeartbeatSocket
+from cowsliphitch.peers.fleet.link import FleetLinks
+from cowsliphitch.peers.fleet.models import Heartbeat, PeerLost
+from cowsliphitch.telemetry.logs import event
+
+from .discovery import StoreCoordinator
+from .state import GatewayState
+
+_LOGGER = logging.getLogger(__name__)
+
+# News of a leaving server is repeated in heartbeats for so long.
+DRAINING_NEWS_MS = 3_000
+MAX_DRAINING_NEWS = 50
+
+
+class FleetCoordinator:
+    """Exchange heartbeats, and follow the peers' news."""
+
+    def __init__(
+        self, state: GatewayState, links: FleetLinks, group: TaskGroup
+    ) -> None:
+        """Start alone."""
+        self._state = state
+        self._links = links
+        self._group = group
+        self._number = 0
+        self._draining: dict[str, int] = {}
+        self._fetching = False
+        self._live: set[str] = set()
+        self.store: StoreCoordinator | None = None
+        self.socket = HeartbeatSocket(state.members.own.address, self._receive)
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            now = self._state.clock.now_ms()
+            pause_ms = self._state.members.tick(now)
+            if pause_ms:
+                event(_LOGGER, "process.paused", logging.WARNING, pause_ms=pause_ms)
+            await self.beat()
+            self._note_live(now)
+            await anyio.sleep(seconds(peer_const.HEARTBEAT_INTERVAL_MS))
+
+    async def beat(self) -> None:
+        """Send one heartbeat to all peers."""
+        self._number += 1
+        addresses = [member.address for member in self._state.members.peers()]
+        await self.socket.send(self._heartbeat(), addresses)
+
+    def beat_soon(self) -> None:
+        """Send a heartbeat at once: something changed that the peers should hear."""
+        self._group.start_soon(self.beat)
+
+    def note_draining(self, server_id: str) -> None:
+        """Tell the peers that a server is leaving."""
+        self._draining[server_id] = self._state.clock.now_ms() + DRAINING_NEWS_MS
+        self.beat_soon()
+
+    def _heartbeat(self) -> Heartbeat:
+        state = self._state
+        now = state.clock.now_ms()
+        self._draining = {
+            s: until for s, until in self._draining.items() if until > now
+        }
+        return Heartbeat(
+            name=state.members.own.name,
+            address=state.members.own.address,
+            lifetime=state.lifetime,
+            number=self._number,
+            failure_domain=state.members.own.failure_domain,
+            version=state.versions.version,
+            leaving=state.stopping,
+            draining=tuple(self._draining)[:MAX_DRAINING_NEWS],
+            engines={
+                server_checksum(server_id): EngineShare(
+                    max(0, share.running), max(0, share.waiting_tokens)
+                )
+                for server_id, share in state.placement.shares().items()
+            },
+            suspects={},
+        )
+
+    async def _receive(self, beat: Heartbeat) -> None:
+        state = self._state
+        now = state.clock.now_ms()
+        member = Member(beat.address, beat.name, beat.failure_domain, beat.lifetime)
+        state.members.hear(member, beat.number, beat.leaving, now)
+        by_checksum = {server_checksum(s.id): s.id for s in state.servers.all()}
+        state.placement.set_peer(
+            beat.address,
+            {
+                by_checksum[number]: share
+                for number, share in beat.engines.items()
+                if number in by_checksum
+            },
+        )
+        for server_id in beat.draining:
+            if state.servers.drain(server_id):
+                event(_LOGGER, "server.draining", server=server_id, source=beat.name)
+        if beat.version > state.versions.version and not self._fetching:
+            self._fetching = True
+            self._group.start_soon(self._fetch, beat.address)
+
+    async def _fetch(self, address: str) -> None:
+        """Read a newer operator document from a peer."""
+        try:
+            found = await self._links.fetch_document(
+                address, self._state.versions.version
+            )
+        finally:
+            self._fetching = False
+        match found:
+            case PeerLost(detail):
+                event(_LOGGER, "settings.fetch_failed", peer=address, cause=detail)
+            case None:
+                pass
+            case content if self.store is not None:
+                self.store.offer_document(content, address)
+
+    def _note_live(self, now_ms: int) -> None:
+        """Log each change of who lives, and cut the links to the silent."""
+        live = {member.address for member in self._state.members.live(now_ms)}
+        live.discard(self._state.members.own.address)
+        for address in live - self._live:
+            event(_LOGGER, "member.live", member=address)
+        for address in self._live - live:
+            event(_LOGGER, "member.silent", member=address)
+            self._state.placement.forget_peer(address)
+            self._links.drop(address)
+        self._live = live
--- /dev/null
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -0,0 +1,259 @@
+"""Send a request to servers until one answers or nothing more may be tried."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from cowsliphitch.callers.edge.models import Reply
+from cowsliphitch.core.attempts.rules import AttemptState, may_repeat
+from cowsliphitch.core.budgets.retry import RetryAllowance, RetryBudget
+from cowsliphitch.core.deployment.models import MAX_PRIORITY, Route, RouteKind, Team
+from cowsliphitch.core.requests.models import AnswerFacts, CallerRequest
+from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.verdict import (
+    Reason,
+    Refusal,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+from cowsliphitch.platform import servers as wire
+from cowsliphitch.platform.callers import answer_headers
+from cowsliphitch.telemetry.logs import event
+from cowsliphitch.upstreams.http1.models import UpstreamError
+from cowsliphitch.upstreams.http1.pool import Answer, ConnectionPool
+
+from . import const
+from .relay import EventSplitter, StreamProgress, last_event_id, relay_whole
+from .state import GatewayState
+
+_LOGGER = logging.getLogger(__name__)
+
+# What a caller is told to wait when servers refused or were not there.
+RETRY_AFTER_MS = 250
+
+# Statuses that promise "not run" to a caller; a server's own may not mean that.
+PROMISES = frozenset({408, 421, 429, 503})
+
+
+@attrs.define
+class Passage:
+    """One request on its way through this daemon.
+
+    :param end_ms: monotonic time at which it has its final answer
+    :param stage_results: handles that an engine reads before the prompt
+    :param on_head: called when a server began its answer
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    team: Team | None
+    rank: int
+    end_ms: int
+    first_server: Server | None = None
+    stage_results: tuple[str, ...] = ()
+    on_head: Callable[[], None] = lambda: None
+    attempts: AttemptState = attrs.Factory(AttemptState)
+    stream: StreamProgress = attrs.Factory(StreamProgress)
+    server: str | None = None
+    status: int | None = None
+
+    @property
+    def tokens(self) -> int:
+        """Return the prompt tokens that an engine has to read at most."""
+        generation = self.request.generation
+        return generation.prompt_tokens if generation else 0
+
+
+class Forwarder:
+    """Choose servers, send requests, judge answers and repeat what may be repeated."""
+
+    def __init__(
+        self, state: GatewayState, pool: ConnectionPool, allowance: RetryAllowance
+    ) -> None:
+        """Start with full budgets."""
+        self._state = state
+        self._pool = pool
+        self._allowance = allowance
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def choose(self, passage: Passage) -> Server | None:
+        """Return the server that a request would be sent to now."""
+        return self._state.placement.choose(
+            passage.request.generation,
+            self._state.servers.ready(passage.service),
+            self._state.clock.now_ms(),
+            frozenset(passage.attempts.avoided),
+        )
+
+    async def run(self, passage: Passage, reply: Reply) -> Refusal | None:
+        """Answer a request; return the refusal if no server's answer was passed on."""
+        budget = self._budget(passage.service)
+        budget.request(self._state.clock.now_ms())
+        while True:
+            server = passage.first_server or self.choose(passage)
+            passage.first_server = None
+            if server is None or not self._state.servers.usable(server):
+                server = self.choose(passage)
+            if server is None:
+                detail = f"no server of {passage.service} is ready"
+                return self._refusal(
+                    passage, not_run(Reason.NO_UPSTREAM, detail, RETRY_AFTER_MS)
+                )
+            try:
+                await self._attempt(passage, server, reply)
+                return None
+            except UpstreamError as exc:
+                refusal = exc.refusal
+            self._note_failure(passage, server, refusal)
+            if reply.started and not passage.route.resumable:
+                return self._refusal(passage, refusal)
+            now = self._state.clock.now_ms()
+            if not may_repeat(passage.route, passage.attempts):
+                return self._refusal(passage, refusal)
+            if not budget.take(self._state.members.counted(now), now):
+                event(_LOGGER, "retry.denied", request=passage.request.id)
+                return self._refusal(passage, refusal)
+
+    def _note_failure(self, passage: Passage, server: Server, refusal: Refusal) -> None:
+        passage.attempts.note(server.id, refusal.verdict)
+        if refusal.reason is not Reason.QUEUE_FULL:
+            self._state.placement.failed(server.id, self._state.clock.now_ms())
+        event(
+            _LOGGER,
+            "attempt.failed",
+            request=passage.request.id,
+            server=server.id,
+            verdict=refusal.verdict.value,
+            reason=refusal.reason.value,
+            cause=refusal.detail,
+            left_ms=passage.end_ms - self._state.clock.now_ms(),
+        )
+
+    def _refusal(self, passage: Passage, last: Refusal) -> Refusal:
+        """Return the last refusal with the verdict on the whole request."""
+        verdict = passage.attempts.verdict
+        if verdict is Verdict.NOT_RUN and last.retry_after_ms is None:
+            return attrs.evolve(last, verdict=verdict, retry_after_ms=RETRY_AFTER_MS)
+        return attrs.evolve(last, verdict=verdict)
+
+    async def _attempt(self, passage: Passage, server: Server, reply: Reply) -> None:
+        """Send a request to one server and pass its answer on.
+
+        :raises UpstreamError: the server gave no answer that can be passed on
+        """
+        passage.server = server.id
+        now = self._state.clock.now_ms()
+        forwarding = wire.Forwarding(
+            left_ms=passage.end_ms - now,
+            team=passage.team.name if passage.team else None,
+            engine_priority=self._engine_priority(passage),
+            stage_results=passage.stage_results,
+            resume_after=passage.stream.last_event or passage.request.resume_after,
+        )
+        request = wire.encode_request(passage.request, server, forwarding)
+        placement, began = self._state.placement, False
+        # From here on a cancelled request may have run.
+        passage.attempts.ran_at.add(server.id)
+        placement.sent(server.id, passage.tokens)
+        try:
+            async with self._pool.exchange(
+                server.address, request, self._max_open(passage.service)
+            ) as answer:
+                facts = wire.decode_head(answer.head)
+                await self._check(answer, facts, passage)
+                placement.began(server.id, passage.tokens)
+                began = True
+                passage.on_head()
+                await self._relay(passage, answer, facts, reply)
+        except UpstreamError as exc:
+            if exc.refusal.verdict is Verdict.NOT_RUN:
+                passage.attempts.ran_at.discard(server.id)
+            raise
+        finally:
+            placement.ended(server.id, passage.tokens, began)
+
+    def _engine_priority(self, passage: Passage) -> int | None:
+        if passage.request.generation is None:
+            return None
+        return max(0, min(MAX_PRIORITY, passage.rank))
+
+    async def _check(
+        self, answer: Answer, facts: AnswerFacts, passage: Passage
+    ) -> None:
+        """Accept an answer that may be passed on.
+
+        :raises UpstreamError: it says "not run", or it is spoilt
+        """
+        if facts.not_run:
+            await answer.read(const.MAX_ANSWER_BYTES)
+            reason = Reason.CONNECT_FAILED if facts.wrong_server else Reason.QUEUE_FULL
+            detail = f"the server refused with {facts.status}"
+            raise UpstreamError(not_run(reason, detail, RETRY_AFTER_MS))
+        if facts.success and not facts.sealed:
+            detail = "a success without the server's proof"
+            raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
+        if facts.status in PROMISES:
+            detail = f"the server answered {facts.status} and may have run it"
+            raise UpstreamError(may_have_run(Reason.UPSTREAM_FAILED, detail))
+        last_try = len(passage.attempts.ran_at) >= passage.route.max_attempts
+        if (
+            facts.status >= 500
+            and not last_try
+            and passage.route.kind is (RouteKind.IDEMPOTENT)
+        ):
+            detail = f"the server failed with {facts.status}"
+            raise UpstreamError(may_have_run(Reason.UPSTREAM_FAILED, detail))
+
+    async def _relay(
+        self, passage: Passage, answer: Answer, facts: AnswerFacts, reply: Reply
+    ) -> None:
+        passage.status = facts.status
+        if passage.route.kind is RouteKind.STREAM and facts.success:
+            await self._relay_stream(passage, answer, reply)
+            return
+        content = await answer.read(const.MAX_ANSWER_BYTES)
+        await relay_whole(answer, content, reply)
+
+    async def _relay_stream(
+        self, passage: Passage, answer: Answer, reply: Reply
+    ) -> None:
+        """Pass whole events on as they arrive."""
+        splitter, progress = EventSplitter(), passage.stream
+        async for chunk in answer.chunks():
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            if not reply.started:
+                progress.first_event_ms = self._state.clock.now_ms()
+                await reply.start(
+                    answer.head.status, answer_headers(answer.head.headers), length=None
+                )
+            await reply.send(events)
+            progress.events += events.count(b"\n\n")
+            progress.last_event = last_event_id(events) or progress.last_event
+        if splitter.rest:
+            detail = "the stream ended in the middle of an event"
+            raise UpstreamError(may_have_run(Reason.STREAM_CUT, detail))
+        if not reply.started:
+            await reply.start(
+                answer.head.status, answer_headers(answer.head.headers), length=None
+            )
+        await reply.end()
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(self._allowance)
+        return self._budgets[service]
+
+    def _max_open(self, service: str) -> int:
+        """Return this daemon's part of a server's connections."""
+        deployment = self._state.deployment
+        known = deployment.services.get(service) if deployment else None
+        if known is None:
+            return 1
+        daemons = self._state.members.counted(self._state.clock.now_ms())
+        part = known.max_connections * const.CONNECTION_SHARE / daemons
+        return max(1, round(part))
--- /dev/null
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -0,0 +1,231 @@
+"""From a caller's request to its answer: route, key, stages, server."""
+
+import logging
+from typing import Any
+
+import anyio
+import attrs
+from result import Err, Ok
+
+from cowsliphitch.callers.edge.models import EdgeRequest, Reply
+from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.deployment.models import Deployment, Route, Team
+from cowsliphitch.core.requests.models import CallerRequest
+from cowsliphitch.core.verdict import (
+    Reason,
+    Refusal,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+from cowsliphitch.platform.callers import decode_request, encode_refusal
+from cowsliphitch.telemetry.logs import event
+
+from . import const
+from .forwarding import Forwarder, Passage
+from .stages import StageError, StageRun, StageRunner
+from .state import GatewayState
+from .telemetry import RequestMetrics
+
+_LOGGER = logging.getLogger(__name__)
+
+ENGINE_RESTART_MS = 300
+
+
+@attrs.define
+class _Trace:
+    """What the log says of a request when it has ended."""
+
+    route: str = ""
+    team: str = ""
+    version: int = 0
+    stages_ms: int | None = None
+
+
+class RequestHandler:
+    """Answer the requests of callers."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        forwarder: Forwarder,
+        stages: StageRunner,
+        metrics: RequestMetrics,
+    ) -> None:
+        """Use the daemon's parts."""
+        self._state = state
+        self._forwarder = forwarder
+        self._stages = stages
+        self._metrics = metrics
+
+    async def handle(self, req: EdgeRequest, reply: Reply) -> None:
+        """Answer one request."""
+        match decode_request(req):
+            case Err(detail):
+                malformed = not_run(Reason.INVALID_REQUEST, detail)
+                await self._refuse(None, malformed, reply)
+                self._log(None, _Trace(), malformed, None, req.received_ms)
+                return
+            case Ok(request):
+                pass
+        trace = _Trace()
+        passage: Passage | None = None
+        refusal: Refusal | None = None
+        finished = False
+        try:
+            admitted = self._admit(request, trace)
+            if isinstance(admitted, Refusal):
+                refusal = admitted
+            else:
+                passage = admitted
+                refusal = await self._serve(passage, trace, reply)
+            if refusal is not None and not reply.started:
+                await self._refuse(request, refusal, reply)
+            finished = True
+        finally:
+            left = None if finished else "caller left"
+            self._log(request, trace, refusal, passage, request.received_ms, left)
+
+    def _admit(self, request: CallerRequest, trace: _Trace) -> Passage | Refusal:
+        """Find the route and the team, and check what can be checked at once."""
+        deployment = self._state.deployment
+        if deployment is None:
+            detail = "this daemon knows no settings yet"
+            return not_run(Reason.NOT_CONFIGURED, detail, const.NO_SETTINGS_RETRY_MS)
+        trace.version = deployment.version
+        route = deployment.route_for(request.host, request.path)
+        if route is None:
+            detail = f"no route of {request.host} begins {request.path}"
+            return not_run(Reason.UNKNOWN_ROUTE, detail)
+        trace.route = route.name
+        team = self._team(deployment, route, request)
+        if isinstance(team, Refusal):
+            return team
+        trace.team = team.name if team else ""
+        priority = team.priority if team and team.priority is not None else None
+        timeout_ms = route.timeout_ms - const.TIMEOUT_MARGIN_MS
+        if request.patience_ms is not None:
+            timeout_ms = min(timeout_ms, request.patience_ms)
+        return Passage(
+            request=request,
+            route=route,
+            service=route.service_for(request.id),
+            team=team,
+            rank=route.priority if priority is None else priority,
+            end_ms=request.received_ms + timeout_ms,
+        )
+
+    def _team(
+        self, deployment: Deployment, route: Route, request: CallerRequest
+    ) -> Team | Refusal | None:
+        if not deployment.with_teams:
+            return None
+        team = deployment.team_by_key.get(request.key or "")
+        if team is None and not route.public:
+            return not_run(Reason.UNAUTHENTICATED, "the key belongs to no team")
+        return team
+
+    async def _serve(
+        self, passage: Passage, trace: _Trace, reply: Reply
+    ) -> Refusal | None:
+        """Run a request within its time; return the refusal if it got no answer."""
+        left_ms = passage.end_ms - self._state.clock.now_ms()
+        refusal: Refusal | None = None
+        with anyio.move_on_after(seconds(max(0, left_ms))) as scope:
+            refusal = await self._run(passage, trace, reply)
+        if scope.cancelled_caught:
+            return _timed_out(passage)
+        return refusal
+
+    async def _run(
+        self, passage: Passage, trace: _Trace, reply: Reply
+    ) -> Refusal | None:
+        if not passage.route.stages:
+            return await self._forwarder.run(passage, reply)
+        deployment = self._state.deployment
+        assert deployment is not None
+        passage.first_server = self._forwarder.choose(passage)
+        reader = passage.first_server
+        run = StageRun(
+            request=passage.request,
+            route=passage.route,
+            team=trace.team,
+            rank=passage.rank,
+            end_ms=passage.end_ms,
+            objective_ms=passage.request.received_ms + passage.route.objective_ms,
+            reader_domain=reader.failure_domain if reader else "",
+        )
+        started_ms = self._state.clock.now_ms()
+        try:
+            passage.stage_results = await self._stages.run(run, deployment)
+            trace.stages_ms = self._state.clock.now_ms() - started_ms
+            passage.on_head = lambda: self._stages.free_all(run)
+            return await self._forwarder.run(passage, reply)
+        except StageError as exc:
+            return attrs.evolve(exc.refusal, stage=str(exc.stage))
+        finally:
+            self._stages.free_all(run)
+
+    async def _refuse(
+        self, request: CallerRequest | None, refusal: Refusal, reply: Reply
+    ) -> None:
+        status, headers = encode_refusal(request.id if request else None, refusal)
+        await reply.start(status, headers, 0)
+        await reply.end()
+
+    def _log(
+        self,
+        request: CallerRequest | None,
+        trace: _Trace,
+        refusal: Refusal | None,
+        passage: Passage | None,
+        received_ms: int,
+        left: str | None = None,
+    ) -> None:
+        """Write the one line that tells how a request ended."""
+        took_ms = self._state.clock.now_ms() - received_ms
+        outcome = "answered" if refusal is None else "refused"
+        outcome = "left" if left else outcome
+        self._metrics.request(trace.route, trace.team, outcome, took_ms)
+        stream = passage.stream if passage else None
+        if stream is not None and stream.first_event_ms is not None:
+            first_ms = stream.first_event_ms - received_ms
+            self._metrics.first_event(trace.route, first_ms)
+        else:
+            first_ms = None
+        fields: dict[str, Any] = {
+            "request": request.id if request else None,
+            "route": trace.route,
+            "team": trace.team,
+            "settings": trace.version,
+            "outcome": outcome,
+            "status": passage.status if passage and refusal is None else None,
+            "server": passage.server if passage else None,
+            "attempts": len(passage.attempts.avoided) if passage else 0,
+            "stages_ms": trace.stages_ms,
+            "first_event_ms": first_ms,
+            "events": stream.events if stream else None,
+            "took_ms": took_ms,
+        }
+        if refusal is not None:
+            fields |= {
+                "verdict": refusal.verdict.value,
+                "reason": refusal.reason.value,
+                "cause": refusal.detail,
+                "stage": refusal.stage,
+                "retry_after_ms": refusal.retry_after_ms,
+            }
+        event(
+            _LOGGER,
+            "request.ended",
+            **{k: v for k, v in fields.items() if v is not None},
+        )
+
+
+def _timed_out(passage: Passage) -> Refusal:
+    detail = "there was no whole answer in time"
+    if passage.attempts.verdict is Verdict.NOT_RUN:
+        return not_run(
+            Reason.DEADLINE_EXCEEDED, detail, retry_after_ms=ENGINE_RESTART_MS
+        )
+    return may_have_run(Reason.DEADLINE_EXCEEDED, detail)
--- /dev/null
+++ b/packages/peers/src/cowsliphitch/peers/fleet/link.py
@@ -0,0 +1,130 @@
+"""Calls between daemons, and the server that answers them."""
+
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from cowsliphitch.core.clock import seconds
+
+from ..wire import fleet_pb2 as pb
+from ..wire.fleet_grpc import FleetBase, FleetStub
+from . import const, convert
+from .models import PeerLost, Services, StageOrder, StageReply
+
+_CONFIG = Configuration(
+    _keepalive_time=const.PROBE_AFTER_S,
+    _keepalive_timeout=const.PROBE_TIMEOUT_S,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=const.PROBE_AFTER_S,
+)
+
+_FAILURES = (TimeoutError, OSError, GRPCError, StreamTerminatedError)
+
+
+class FleetServer(FleetBase):
+    """Answer the other daemons."""
+
+    def __init__(self, services: Services) -> None:
+        """Use what this daemon does for its peers."""
+        self._services = services
+
+    async def RunStage(self, stream: Any) -> None:
+        """Make the pieces of a stage."""
+        message = await _receive(stream)
+        reply = await self._services.run_stage(convert.order_from_wire(message))
+        await stream.send_message(convert.reply_to_wire(reply))
+
+    async def Free(self, stream: Any) -> None:
+        """Give up results."""
+        message = await _receive(stream)
+        self._services.free(message.service, tuple(message.handles))
+        await stream.send_message(pb.FreeReply())
+
+    async def FetchDocument(self, stream: Any) -> None:
+        """Hand over the operator's document if it is newer."""
+        message = await _receive(stream)
+        version, content = self._services.document(message.above_version)
+        await stream.send_message(pb.Document(version=version, content=content))
+
+
+def make_server(services: Services) -> Server:
+    """Return the server, which is not listening yet."""
+    return Server([FleetServer(services)], config=_CONFIG)
+
+
+class FleetLinks:
+    """One connection to each peer, opened when it is first used."""
+
+    def __init__(self) -> None:
+        """Open nothing yet."""
+        self._channels: dict[str, Channel] = {}
+
+    def drop(self, address: str) -> None:
+        """Close the connection to a peer; its pending calls fail at once."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def addresses(self) -> list[str]:
+        """Return the peers to which a connection was opened."""
+        return list(self._channels)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in self.addresses():
+            self.drop(address)
+
+    async def run_stage(self, address: str, order: StageOrder) -> StageReply | PeerLost:
+        """Ask a peer for the pieces of a stage."""
+        timeout_s = seconds(max(0, order.left_ms)) + const.CALL_MARGIN_S
+        message = convert.order_to_wire(order)
+        try:
+            reply = await self._stub(address).RunStage(message, timeout=timeout_s)
+            return convert.reply_from_wire(reply)
+        except ValueError as exc:
+            return PeerLost(f"{address} gave an answer that can't be read: {exc}")
+        except _FAILURES as exc:
+            return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
+
+    async def free(
+        self, address: str, service: str, handles: tuple[str, ...]
+    ) -> PeerLost | None:
+        """Tell a peer that results are given up."""
+        message = pb.FreeRequest(service=service, handles=handles)
+        try:
+            await self._stub(address).Free(message, timeout=const.FREE_TIMEOUT_S)
+        except _FAILURES as exc:
+            return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
+        return None
+
+    async def fetch_document(
+        self, address: str, above_version: int
+    ) -> bytes | PeerLost | None:
+        """Read a peer's operator document if it is above a version."""
+        message = pb.DocumentRequest(above_version=above_version)
+        try:
+            reply = await self._stub(address).FetchDocument(
+                message, timeout=const.FETCH_TIMEOUT_S
+            )
+        except _FAILURES as exc:
+            return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
+        return reply.content if reply.version > above_version else None
+
+    def _stub(self, address: str) -> FleetStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), config=_CONFIG)
+            self._channels[address] = channel
+        return FleetStub(channel)
+
+
+async def _receive(stream: Any) -> Any:
+    message = await stream.recv_message()
+    if message is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
+    return message
--- a/packages/standins/src/cowsliphitch/standins/const.py
+++ b/packages/standins/src/cowsliphitch/standins/const.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 LOOPBACK: Final = "127.0.0.1"
-DEFAULT_LEASE_TTL_MS: Final = 3_000
 LOAD_LAG_MS: Final = 500
 VM_LIST_LAG_MS: Final = 500
 TOKEN_INTERVAL_MS: Final = 10
--- a/packages/platform/src/cowsliphitch/platform/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -12,9 +12,9 @@
 from cowsliphitch.core.config.build import SettingsBuilder
 from cowsliphitch.core.config.models import Manifest, Snapshot, newer
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.platform.store.models import Unavailable
 
-from ..kv.client import KeyValueClient
-from ..kv.models import Unavailable
 from . import const
 from .models import Root
 from .store import ConfigStore, parse_root
@@ -81,7 +81,7 @@
         if not self._is_watcher() and self.snapshot is not None:
             await anyio.sleep(seconds(const.BACKSTOP_POLL_MS))
             return (await self._store.root()).map(lambda root: root)
-        match await self._kv.watch(keys.ROOT_KEY, self._key_revision):
+        match await self._kv.watch_key(keys.ROOT_KEY, self._key_revision):
             case Ok(entry) if entry is not None:
                 return parse_root(entry.value, entry.revision).map(lambda root: root)
             case Ok(_):
--- a/packages/platform/src/cowsliphitch/platform/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -18,9 +18,14 @@
     plan_change,
 )
 from cowsliphitch.core.settings.models import Settings
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.platform.store.models import (
+    Applied,
+    Conflict as KeyConflict,
+    Unavailable,
+    Unknown,
+)
 
-from ..kv.client import KeyValueClient
-from ..kv.models import Applied, Conflict as KeyConflict, Unavailable, Unknown
 from . import const
 from .models import (
     LostRace,
@@ -224,11 +229,11 @@
 
     async def rejected(self) -> Result[tuple[Rejected, ...], Unavailable]:
         """Read the changes that lost a race."""
-        entries = await self._kv.list(keys.REJECTED_PREFIX)
+        entries = await self._kv.scan(keys.REJECTED_PREFIX)
         return entries.map(
             lambda found: tuple(
                 parsed.ok_value
-                for parsed in (from_json(entry.value, Rejected) for entry in found)
+                for parsed in (from_json(e.value, Rejected) for e in found.entries)
                 if isinstance(parsed, Ok)
             )
         )
--- a/packages/platform/src/cowsliphitch/platform/leases/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/leases/coordinator.py
@@ -7,9 +7,9 @@
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.codec import to_json
 from cowsliphitch.core.fencing.lease import HeldLease, renew_at_ms
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.platform.store.models import Applied, Lost
 
-from ..kv.client import KeyValueClient
-from ..kv.models import Applied, Lost
 from . import const
 from .models import Diagnostics, Holder
 
--- a/packages/platform/src/cowsliphitch/platform/orders/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/orders/coordinator.py
@@ -10,8 +10,8 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.orders.models import Answer, OrderKey, Record, State
 from cowsliphitch.core.settings.models import Orders, Settings
+from cowsliphitch.platform.store.client import KeyValueClient
 
-from ..kv.client import KeyValueClient
 from . import const
 from .models import Answered, Diagnostics, Forwarded, NoAnswer, Outcome
 from .writer import LogWriter
--- a/packages/platform/src/cowsliphitch/platform/orders/writer.py
+++ b/packages/state/src/cowsliphitch/state/orders/writer.py
@@ -22,9 +22,9 @@
 from cowsliphitch.core.orders.models import Head, Record, Segment, State
 from cowsliphitch.core.settings.models import Orders
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.platform.store.models import Applied, Conflict, Unavailable, Unknown
 
-from ..kv.client import KeyValueClient
-from ..kv.models import Applied, Conflict, Unavailable, Unknown
 from . import const
 from .models import Diagnostics, Outcome, Pending
 
