--- a/packages/core/src/cowsliphitch/core/batching/models.py
+++ b/packages/core/src/cowsliphitch/core/batching/models.py
@@ -1,5 +1,7 @@
 """Jobs of a stage pool, and the calls that they are divided over."""
 
+import enum
+
 import attrs
 
 from cowsliphitch.core.servers.models import Server
@@ -19,6 +21,7 @@
     :param rest_ms: expected time of what follows this stage
     :param rank: urgency of the request, 0 goes first
     :param reader_domain: failure domain of the server that will read the results
+    :param late: the request was admitted although it misses its objective
     """
 
     id: int
@@ -35,6 +38,7 @@
     team: str
     reader_domain: str
     queued_ms: int
+    late: bool = False
 
 
 @attrs.frozen
@@ -59,6 +63,32 @@
     due_ms: int
 
 
+class PieceFailure(enum.Enum):
+    """Why a server did not make a piece."""
+
+    LATE = "late"
+    INPUT_GONE = "gone"
+    ROOM = "room"
+    ERROR = "error"
+
+
+@attrs.frozen
+class PieceMade:
+    """A piece was made; its result lies under the handle."""
+
+    handle: str
+
+
+@attrs.frozen
+class PieceFailed:
+    """A piece was not made."""
+
+    failure: PieceFailure
+
+
+PieceOutcome = PieceMade | PieceFailed
+
+
 @attrs.frozen
 class Made:
     """A job is done.
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -8,16 +8,27 @@
 
 import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
 from cowsliphitch.core.deployment.models import StagePool
 from cowsliphitch.core.servers.models import Server
-from cowsliphitch.core.verdict import Reason, Refusal, not_run
+from cowsliphitch.core.verdict import Reason, not_run
 
 from . import const
-from .models import Call, Failed, Job, JobOutcome, Made, Piece
+from .models import (
+    Call,
+    Failed,
+    Job,
+    JobOutcome,
+    Made,
+    Piece,
+    PieceFailed,
+    PieceFailure,
+    PieceMade,
+    PieceOutcome,
+)
 from .room import RoomLedger
 
 
@@ -40,10 +51,13 @@
     """What calls to a server have shown.
 
     :param slowness: time of its calls against the pool's figures
+    :param full_until_ms: until then it is taken to have no room, unless a result
+        is freed there
     """
 
     slowness: float = 1.0
     penalty_until_ms: int = 0
+    full_until_ms: int = 0
 
 
 @attrs.define
@@ -54,7 +68,6 @@
     pieces: int = 0
     made: int = 0
     failed_calls: int = 0
-    refused: int = 0
     no_room: int = 0
 
 
@@ -77,63 +90,62 @@
     @property
     def waiting_pieces(self) -> int:
         """Return the pieces that no call has taken yet."""
-        return sum(len(progress.waiting) for progress in self._jobs.values())
+        return self.waiting(with_late=True)
 
     @property
     def running_calls(self) -> int:
         """Return the calls that have no answer yet."""
         return len(self._calls)
 
-    def offer(
-        self, job: Job, servers: tuple[Server, ...], now_ms: int
-    ) -> Refusal | None:
-        """Take a job, or say at once that it can't be done in time."""
-        refusal = self._check(job, servers, now_ms)
-        if refusal is None:
-            self._jobs[job.id] = _Progress(job, list(range(job.pieces)))
-        else:
-            self.diagnostics.refused += 1
-        return refusal
-
-    def predicted_ms(self, job: Job, servers: tuple[Server, ...], now_ms: int) -> float:
-        """Return how long a job would take from now on."""
-        able = self._able(servers, now_ms)
-        count = max(1, len(able))
-        ahead = sum(
+    def set_pool(self, pool: StagePool) -> None:
+        """Take over new figures of a server."""
+        self._pool = pool
+        self.room.set_figures(pool.room_bytes, pool.keep_ms)
+
+    def add(self, job: Job) -> None:
+        """Take a job that was admitted."""
+        self._jobs[job.id] = _Progress(job, list(range(job.pieces)))
+
+    def waiting(self, with_late: bool) -> int:
+        """Return the pieces that wait.
+
+        :param with_late: those of requests that miss their objective, too
+        """
+        return sum(
             len(progress.waiting)
             for progress in self._jobs.values()
-            if self._order(progress, now_ms) <= self._order_of(job, now_ms)
-        )
-        batch = self._pool.batch
-        full_ms = self._call_ms(batch)
-        rounds = ahead // (batch * count)
-        busy = sorted(call.due_ms - now_ms for call in self._calls.values())
-        start_ms = max(0, busy[0]) if len(busy) >= count else 0
-        last = min(batch, job.pieces + ahead % (batch * count))
-        own_calls = math.ceil(job.pieces / (batch * count))
-        return start_ms + (rounds + own_calls - 1) * full_ms + self._call_ms(last)
-
-    def _check(
-        self, job: Job, servers: tuple[Server, ...], now_ms: int
-    ) -> Refusal | None:
-        if not servers:
-            detail = "no server of the stage is ready"
-            return not_run(Reason.NO_UPSTREAM, detail, const.MIN_RETRY_AFTER_MS)
-        needed_ms = self.predicted_ms(job, servers, now_ms)
-        spare_ms = job.deadline_ms - job.rest_ms - now_ms - needed_ms
-        if spare_ms >= 0:
-            return None
-        detail = f"the stage would take {needed_ms:.0f} ms, {-spare_ms:.0f} ms too long"
-        return not_run(
-            Reason.DEADLINE_UNREACHABLE, detail, self._retry_after_ms(servers, now_ms)
+            if with_late or not progress.job.late
         )
 
-    def _retry_after_ms(self, servers: tuple[Server, ...], now_ms: int) -> int:
-        """Return when the present queue will have been worked off."""
-        count = max(1, len(self._able(servers, now_ms)))
-        calls = self.waiting_pieces / (self._pool.batch * count)
-        wait_ms = round(calls * self._call_ms(self._pool.batch))
-        return min(const.MAX_RETRY_AFTER_MS, max(const.MIN_RETRY_AFTER_MS, wait_ms))
+    def clear_ms(self, ahead: int, servers: tuple[Server, ...], now_ms: int) -> float:
+        """Return how long the servers are busy with what runs and waits.
+
+        :param ahead: pieces that go first
+        """
+        able = self._able(servers, now_ms)
+        if not able:
+            return const.NO_SERVER_MS
+        batch = self._pool.batch
+        rate = sum(batch / (self._call_ms(batch) * self._slowness(s)) for s in able)
+        left = [0.0] * len(able)
+        for index, server in enumerate(able):
+            due = [c.due_ms for c in self._calls.values() if c.server.id == server.id]
+            left[index] = max(0.0, max(due, default=now_ms) - now_ms)
+        if ahead == 0:
+            return min(left)
+        return sum(left) / len(left) + ahead / rate
+
+    def job_ms(self, pieces: int, servers: tuple[Server, ...], now_ms: int) -> float:
+        """Return how long the calls of a job take once they start."""
+        able = self._able(servers, now_ms)
+        if pieces == 0:
+            return 0.0
+        if not able:
+            return const.NO_SERVER_MS
+        speeds = sorted(self._slowness(server) for server in able)
+        rounds = math.ceil(pieces / (self._pool.batch * len(able)))
+        full_ms = self._call_ms(min(pieces, self._pool.batch))
+        return rounds * full_ms * speeds[len(speeds) // 2]
 
     def plan(self, servers: tuple[Server, ...], now_ms: int) -> list[Call]:
         """Start the calls that can start now."""
@@ -148,6 +160,7 @@
             server
             for server in self._able(servers, now_ms)
             if running.get(server.id, 0) < self._pool.slots
+            and self._state(server).full_until_ms <= now_ms
         ]
         idle.sort(key=lambda server: self._state(server).slowness)
         calls: list[Call] = []
@@ -186,35 +199,54 @@
         return call
 
     def finish(
-        self, call: Call, handles: tuple[str | None, ...], now_ms: int
+        self, call: Call, outcomes: Sequence[PieceOutcome], now_ms: int
     ) -> tuple[list[JobOutcome], list[str]]:
         """Take over a call's results.
 
-        :param handles: by piece, ``None`` where the piece was not made
+        :param outcomes: by piece
         :returns: the jobs that ended, and handles that nobody wants any more
         """
         del self._calls[call.id]
+        pairs = tuple(zip(call.pieces, outcomes, strict=True))
         made = {
-            handle: piece.job.result_bytes
-            for piece, handle in zip(call.pieces, handles, strict=True)
-            if handle is not None
+            outcome.handle: piece.job.result_bytes
+            for piece, outcome in pairs
+            if isinstance(outcome, PieceMade)
         }
         self.room.settle(call.id, made, now_ms)
-        self._note_speed(call, now_ms)
+        if made:
+            self._note_speed(call, now_ms)
         self.diagnostics.made += len(made)
         unwanted: list[str] = []
         ended: list[JobOutcome] = []
-        for piece, handle in zip(call.pieces, handles, strict=True):
+        for piece, outcome in pairs:
             progress = self._jobs.get(piece.job.id)
-            if progress is None:
-                unwanted.extend([handle] if handle is not None else [])
-            elif handle is None:
-                ended.extend(self._again(progress, piece))
-            else:
-                progress.handles[piece.number] = handle
-                ended.extend(self._done(progress))
+            match outcome:
+                case PieceMade(handle) if progress is None:
+                    unwanted.append(handle)
+                case PieceMade(handle):
+                    assert progress is not None
+                    progress.handles[piece.number] = handle
+                    ended.extend(self._done(progress))
+                case PieceFailed(PieceFailure.ROOM):
+                    # Results are larger than stated at times; nothing was tried.
+                    self.diagnostics.no_room += 1
+                    state = self._state(call.server)
+                    state.full_until_ms = now_ms + const.FULL_FOR_MS
+                    if progress is not None:
+                        progress.waiting.insert(0, piece.number)
+                case PieceFailed(failure) if progress is not None:
+                    ended.extend(self._again(progress, piece, failure))
+                case PieceFailed():
+                    pass
         return ended, unwanted
 
+    def free(self, handle: str) -> None:
+        """Note that a result was freed at its maker."""
+        server_id = self.room.free(handle)
+        if server_id is not None and server_id in self._servers:
+            self._servers[server_id].full_until_ms = 0
+
     def fail(self, call: Call, now_ms: int) -> list[JobOutcome]:
         """Put the pieces of a call that got no answer back into the queue."""
         del self._calls[call.id]
@@ -225,7 +257,7 @@
         for piece in call.pieces:
             progress = self._jobs.get(piece.job.id)
             if progress is not None:
-                ended.extend(self._again(progress, piece))
+                ended.extend(self._again(progress, piece, PieceFailure.ERROR))
         return ended
 
     def drop(self, job_id: int) -> tuple[str, ...]:
@@ -253,13 +285,15 @@
             del self._servers[gone]
             self.room.forget_server(gone)
 
-    def _again(self, progress: _Progress, piece: Piece) -> list[JobOutcome]:
-        """Let a piece be made once more, unless it has failed too often."""
+    def _again(
+        self, progress: _Progress, piece: Piece, failure: PieceFailure
+    ) -> list[JobOutcome]:
+        """Let a piece be made once more, unless that can't help."""
         progress.makes += 1
-        if progress.makes < const.MAX_MAKES:
+        if failure is PieceFailure.ERROR and progress.makes < const.MAX_MAKES:
             progress.waiting.insert(0, piece.number)
             return []
-        detail = f"piece {piece.number} could not be made"
+        detail = f"piece {piece.number} could not be made: {failure.value}"
         refusal = not_run(Reason.UPSTREAM_FAILED, detail, const.MIN_RETRY_AFTER_MS)
         return [Failed(progress.job, refusal, self.drop(progress.job.id))]
 
@@ -294,7 +328,8 @@
             and domain != job.reader_domain
             and waited_ms < const.NEAR_WAIT_MS
         )
-        return (spare_ms < 0, not half_made, job.rank, far, spare_ms, job.id)
+        late = job.late or spare_ms < 0
+        return (late, not half_made, job.rank, far, spare_ms, job.id)
 
     def _able(self, servers: tuple[Server, ...], now_ms: int) -> list[Server]:
         able = [s for s in servers if self._state(s).penalty_until_ms <= now_ms]
@@ -308,5 +343,9 @@
         seen = (now_ms - call.started_ms) / self._call_ms(len(call.pieces))
         state.slowness += const.SPEED_WEIGHT * (seen - state.slowness)
 
+    def _slowness(self, server: Server) -> float:
+        state = self._servers.get(server.id)
+        return max(1.0, state.slowness) if state is not None else 1.0
+
     def _call_ms(self, pieces: int) -> float:
         return self._pool.call_ms + self._pool.piece_ms * pieces
--- a/packages/core/src/cowsliphitch/core/batching/room.py
+++ b/packages/core/src/cowsliphitch/core/batching/room.py
@@ -32,6 +32,11 @@
         self._results: dict[str, _Result] = {}
         self._used: dict[str, int] = {}
 
+    def set_figures(self, room_bytes: int, keep_ms: int) -> None:
+        """Take over new figures of a server."""
+        self._room_bytes = room_bytes
+        self._keep_ms = keep_ms
+
     def free_bytes(self, server_id: str) -> int:
         """Return the memory that is left at a server."""
         return self._room_bytes - self._used.get(server_id, 0)
--- a/packages/core/src/cowsliphitch/core/deployment/models.py
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -171,12 +171,49 @@
     limits: CallerLimits
     team_by_key: dict[str, Team]
     with_teams: bool
+    _groups: dict[str, str] | None = attrs.field(default=None, init=False, eq=False)
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
         found = (r for r in self.routes.get(host, ()) if path.startswith(r.prefix))
         return next(found, None)
 
+    def stage_group(self, route: Route) -> str:
+        """Return the name of the pools that a route shares with other routes.
+
+        Pools that occur together, directly or over a third one, have one name.
+        """
+        services = self._pools_of(route)
+        return self._stage_groups().get(min(services, default=""), route.name)
+
+    def _pools_of(self, route: Route) -> set[str]:
+        """Return the stage pools and the engines of a route."""
+        engines = {
+            target.service
+            for target in route.targets
+            if self.has_engines(target.service)
+        }
+        return engines | {stage.service for stage in route.stages}
+
+    def has_engines(self, service: str) -> bool:
+        """Tell whether a service consists of model engines."""
+        known = self.services.get(service)
+        return known is not None and known.engine_pool is not None
+
+    def _stage_groups(self) -> dict[str, str]:
+        """Return the group of each pool: the least name among its pools."""
+        if self._groups is None:
+            groups: dict[str, str] = {}
+            for route in self.all_routes():
+                found = self._pools_of(route)
+                merged = {groups.get(service, service) for service in found}
+                members = found | {s for s, g in groups.items() if g in merged}
+                name = min(merged | members, default="")
+                groups |= dict.fromkeys(members, name)
+            object.__setattr__(self, "_groups", groups)
+        assert self._groups is not None
+        return self._groups
+
     def all_routes(self) -> tuple[Route, ...]:
         """Return the routes of all hosts."""
         return tuple(itertools.chain.from_iterable(self.routes.values()))
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/servers/shares.py
@@ -0,0 +1,13 @@
+"""What one daemon has sent to a server, as its peers are told."""
+
+import attrs
+
+
+@attrs.frozen
+class ServerShare:
+    """Requests that one daemon has at a server.
+
+    :param running: requests without a whole answer
+    """
+
+    running: int = 0
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -12,6 +12,7 @@
 from cowsliphitch.core.budgets.retry import RetryAllowance
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
+from cowsliphitch.core.engines.board import Costs
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.peers.fleet.link import FleetLinks, make_server
 from cowsliphitch.peers.fleet.models import Services
@@ -77,7 +78,7 @@
         )
         self._links = FleetLinks()
         self._pool = ConnectionPool(names.REQUEST_ID, group, clock)
-        self._desk = StageDesk(state, self._pool, group)
+        self._desk = StageDesk(state, self._pool, _costs(cfg), group)
         self._fleet = FleetCoordinator(state, self._links, group)
         self._store = StoreCoordinator(
             self._kv, state, self._fleet.beat_soon, self._fleet.note_draining
@@ -101,7 +102,7 @@
 
     async def _listen(self, group: TaskGroup) -> None:
         cfg, clock = self._cfg, self._clock
-        services = Services(self._desk.run_stage, self._desk.free, self._document)
+        services = Services(self._desk.run_stages, self._desk.note, self._document)
         host, _, port = cfg.listen.peers.rpartition(":")
         self._peer_server = make_server(services)
         await self._peer_server.start(host, int(port))
@@ -189,7 +190,7 @@
             "cowsliphitch_stage_pieces_waiting",
             lambda: [
                 (queue.waiting_pieces, {"service": service})
-                for service, queue in self._desk.queues().items()
+                for service, queue in self._desk.planner.queues.items()
             ],
         )
         observe(
@@ -197,3 +198,7 @@
             lambda: [(self._pool.diagnostics.opened, {})],
         )
         observe("cowsliphitch_log_lines_dropped", lambda: [(self._logs.dropped, {})])
+
+
+def _costs(cfg: GatewaySettings) -> Costs:
+    return Costs(cfg.costs.read_again, cfg.costs.result_moved)
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -39,3 +39,15 @@
 
 # Time between two tries of a caller whose request met no settings yet.
 NO_SETTINGS_RETRY_MS: Final = 300
+
+# An answer of a stage server is a short list of handles.
+MAX_STAGE_ANSWER_BYTES: Final = 262_144
+
+# A call may take this many times as long as expected before it is given up.
+SLOW_CALL_FACTOR: Final = 6.0
+STAGE_CALL_TIMEOUT_MS: Final = 2_000
+FREE_TIMEOUT_MS: Final = 1_000
+
+# Owners that are asked one after the other for a request's stages.
+MAX_OWNERS: Final = 3
+OWNER_RETRY_MS: Final = 200
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -1,23 +1,39 @@
-"""The stage pools that this daemon owns: queues in, calls to servers out."""
+"""The stage pools that this daemon owns: orders in, calls to servers out."""
 
 import itertools
 import logging
+from collections.abc import Iterable
 
 import anyio
 import attrs
 from anyio.abc import TaskGroup
 
-from cowsliphitch.core.batching.models import Call, Failed, Job, JobOutcome, Made
-from cowsliphitch.core.batching.queue import StageQueue
+from cowsliphitch.core.batching.models import (
+    Call,
+    PieceFailed,
+    PieceFailure,
+    PieceOutcome,
+)
+from cowsliphitch.core.batching.pipeline import (
+    Command,
+    FreeResults,
+    StagePlanner,
+    StageRequest,
+    StagesDone,
+    StagesFailed,
+)
 from cowsliphitch.core.clock import seconds
-from cowsliphitch.core.deployment.models import StagePool
+from cowsliphitch.core.engines.board import Choice, Costs, EngineBoard
 from cowsliphitch.core.servers.models import Server
-from cowsliphitch.core.verdict import Reason, not_run
+from cowsliphitch.core.verdict import Reason, Refusal, not_run
 from cowsliphitch.peers.fleet.models import (
-    StageMade,
-    StageOrder,
-    StageRefused,
-    StageReply,
+    Progress,
+    ProgressNote,
+    Results,
+    StagesMade,
+    StagesOrder,
+    StagesRefused,
+    StagesReply,
 )
 from cowsliphitch.platform import servers as wire
 from cowsliphitch.telemetry.logs import event
@@ -29,128 +45,156 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# An answer of a stage server is a short list of handles.
-MAX_STAGE_ANSWER_BYTES = 262_144
-
-# A call may take this many times as long as expected before it is given up.
-SLOW_CALL_FACTOR = 6.0
-LEAST_CALL_TIMEOUT_MS = 2_000
-FREE_TIMEOUT_MS = 1_000
-
 
 @attrs.define
 class _Waiting:
-    """Who waits for a job."""
+    """Who waits for a request's stages."""
 
     done: anyio.Event = attrs.Factory(anyio.Event)
-    outcome: JobOutcome | None = None
+    outcome: StagesDone | StagesFailed | None = None
 
 
 class StageDesk:
-    """Make pieces for all daemons at the servers of the pools owned here."""
+    """Run the stages of all daemons' requests at the pools owned here."""
 
     def __init__(
-        self, state: GatewayState, pool: ConnectionPool, group: TaskGroup
+        self,
+        state: GatewayState,
+        pool: ConnectionPool,
+        costs: Costs,
+        group: TaskGroup,
     ) -> None:
-        """Own nothing yet; a pool's queue appears with its first job."""
+        """Own nothing yet."""
         self._state = state
         self._pool = pool
         self._group = group
-        self._queues: dict[str, StageQueue] = {}
-        self._figures: dict[str, StagePool] = {}
+        self.planner = StagePlanner(state.servers.ready)
+        self.board = EngineBoard(costs)
         self._waiting: dict[int, _Waiting] = {}
-        self._numbers = itertools.count(1)
+        self._version = 0
 
-    def queues(self) -> dict[str, StageQueue]:
-        """Return the queues by service, for metrics."""
-        return self._queues
-
-    async def run_stage(self, order: StageOrder) -> StageReply:
-        """Make the pieces of a stage; cancelling it gives them up."""
-        queue = self._queue_for(order.service)
-        if queue is None:
-            detail = f"{order.service} is no stage pool here"
-            return StageRefused(not_run(Reason.NOT_CONFIGURED, detail, 100))
+    async def run_stages(self, order: StagesOrder) -> StagesReply:
+        """Do the stages of a request and choose its engine; cancelling gives it up."""
+        self._take_settings()
         now = self._state.clock.now_ms()
-        job = self._job(order, now)
-        refusal = queue.offer(job, self._state.servers.ready(order.service), now)
-        if refusal is not None:
-            return StageRefused(refusal)
-        waiting = self._waiting[job.id] = _Waiting()
-        self._start_calls(order.service)
+        objective_ms = now + order.objective_left_ms
+        choice = self._choose(order, objective_ms, ())
+        if choice is None:
+            detail = f"no server of {order.engines} is ready"
+            refusal = not_run(Reason.NO_UPSTREAM, detail, const.OWNER_RETRY_MS)
+            return StagesRefused(refusal)
+        if not any(order.pieces):
+            return self._assign(order, choice, ())
+        admitted = self.planner.admit(_request(order, choice, now), now)
+        if isinstance(admitted, Refusal):
+            return StagesRefused(admitted)
+        waiting = self._waiting[admitted] = _Waiting()
+        self._start_calls()
         try:
             await waiting.done.wait()
         finally:
-            del self._waiting[job.id]
+            del self._waiting[admitted]
             if waiting.outcome is None:
-                self._free_soon(order.service, queue.drop(job.id))
+                self._carry_out(self.planner.cancel(admitted))
         match waiting.outcome:
-            case Made(_, handles):
-                return StageMade(handles)
-            case Failed(_, refusal, handles):
-                self._free_soon(order.service, handles)
-                return StageRefused(refusal)
-        raise AssertionError("a job that is done has an outcome")
+            case StagesDone(results=results):
+                choice = self._choose(order, objective_ms, results) or choice
+                return self._assign(order, choice, results)
+            case StagesFailed(stage=stage, refusal=refusal):
+                return StagesRefused(attrs.evolve(refusal, stage=str(stage)))
+        raise AssertionError("stages that ended have an outcome")
+
+    def note(self, note: ProgressNote) -> None:
+        """Take over what became of a request at its engine."""
+        match note.progress:
+            case Progress.BEGAN:
+                self.board.began(note.request, self._state.clock.now_ms())
+            case Progress.ENDED:
+                self.board.ended(note.request)
+            case Progress.FAILED:
+                self.board.failed(note.request, self._state.clock.now_ms())
+        self._carry_out(itertools.starmap(FreeResults, note.results))
+
+    def _choose(
+        self, order: StagesOrder, objective_ms: int, results: Results
+    ) -> Choice | None:
+        now = self._state.clock.now_ms()
+        return self.board.choose(
+            order.generation,
+            self._state.servers.ready(order.engines),
+            objective_ms - now,
+            self._bytes_by_domain(order, results),
+            now,
+            frozenset(order.avoid),
+        )
+
+    def _assign(
+        self, order: StagesOrder, choice: Choice, results: Results
+    ) -> StagesMade:
+        now = self._state.clock.now_ms()
+        self.board.sent(order.request, choice.server, order.generation, now)
+        return StagesMade(results, choice.server.id)
 
-    def free(self, service: str, handles: tuple[str, ...]) -> None:
-        """Give up results of a pool owned here."""
-        self._free_soon(service, handles)
+    def _bytes_by_domain(self, order: StagesOrder, results: Results) -> dict[str, int]:
+        """Return where the results lie that the engine will read."""
+        sizes = {stage.service: stage.result_bytes for stage in order.stages}
+        domains = {s.address: s.failure_domain for s in self._state.servers.all()}
+        found: dict[str, int] = {}
+        for service, handles in results:
+            for handle in handles:
+                domain = domains.get(wire.maker_of(handle), "")
+                found[domain] = found.get(domain, 0) + sizes[service]
+        return found
 
     def tick(self) -> None:
         """Drop what is late, and start what waited for room or a server."""
-        now = self._state.clock.now_ms()
-        for service, queue in self._queues.items():
-            queue.keep_servers(self._servers_known(service))
-            self._settle(queue.drop_late(now))
-            self._start_calls(service)
+        self._take_settings()
+        servers = self._state.servers.all()
+        self.planner.keep_servers(servers)
+        self.board.tick(servers, self._state.clock.now_ms())
+        self._carry_out(self.planner.tick(self._state.clock.now_ms()))
+        self._start_calls()
 
-    def _queue_for(self, service: str) -> StageQueue | None:
+    def _take_settings(self) -> None:
         deployment = self._state.deployment
-        known = deployment.services.get(service) if deployment else None
-        figures = known.stage_pool if known else None
-        if figures is None:
-            return self._queues.get(service)
-        if self._figures.get(service) != figures:
-            self._figures[service] = figures
-            self._queues[service] = StageQueue(figures)
-        return self._queues[service]
-
-    def _job(self, order: StageOrder, now_ms: int) -> Job:
-        return Job(
-            id=next(self._numbers),
-            request=order.request,
-            stage=order.stage,
-            pieces=order.pieces,
-            key=order.key,
-            inputs=order.inputs,
-            result_bytes=order.result_bytes,
-            deadline_ms=now_ms + order.left_ms,
-            objective_ms=now_ms + order.objective_left_ms,
-            rest_ms=order.rest_ms,
-            rank=order.rank,
-            team=order.team,
-            reader_domain=order.reader_domain,
-            queued_ms=now_ms,
+        if deployment is None or deployment.version == self._version:
+            return
+        self._version = deployment.version
+        self.planner.set_pools(
+            {
+                name: service.stage_pool
+                for name, service in deployment.services.items()
+                if service.stage_pool is not None
+            }
         )
 
-    def _start_calls(self, service: str) -> None:
-        queue = self._queues[service]
-        now = self._state.clock.now_ms()
-        for call in queue.plan(self._state.servers.ready(service), now):
-            self._group.start_soon(self._run_call, service, queue, call)
+    def _start_calls(self) -> None:
+        for call in self.planner.plan(self._state.clock.now_ms()):
+            self._group.start_soon(self._run_call, call)
 
-    async def _run_call(self, service: str, queue: StageQueue, call: Call) -> None:
-        handles = await self._ask(call)
+    async def _run_call(self, call: Call) -> None:
+        outcomes = await self._ask(call)
         now = self._state.clock.now_ms()
-        if handles is None:
-            self._settle(queue.fail(call, now))
+        if outcomes is None:
+            self._carry_out(self.planner.fail(call, now))
         else:
-            ended, unwanted = queue.finish(call, handles, now)
-            self._settle(ended)
-            self._free_soon(service, tuple(unwanted))
-        self._start_calls(service)
+            self._carry_out(self.planner.finish(call, outcomes, now))
+        self._start_calls()
 
-    async def _ask(self, call: Call) -> tuple[str | None, ...] | None:
+    def _carry_out(self, commands: Iterable[Command]) -> None:
+        for command in commands:
+            match command:
+                case StagesDone(run=run) | StagesFailed(run=run):
+                    waiting = self._waiting.get(run)
+                    if waiting is not None:
+                        waiting.outcome = command
+                        waiting.done.set()
+                    elif isinstance(command, StagesDone):
+                        self._carry_out(itertools.starmap(FreeResults, command.results))
+                case FreeResults(service, handles) if handles:
+                    self._group.start_soon(self._free, service, handles)
+
+    async def _ask(self, call: Call) -> tuple[PieceOutcome, ...] | None:
         """Send a call; ``None`` if no piece is known to be made."""
         now = self._state.clock.now_ms()
         items = [
@@ -158,49 +202,47 @@
                 request=piece.job.request,
                 stage=piece.job.stage,
                 piece=piece.number,
-                left_ms=piece.job.deadline_ms - now,
+                left_ms=max(1, piece.job.deadline_ms - now),
                 key=piece.job.key,
                 inputs=piece.job.inputs,
             )
             for piece in call.pieces
         ]
-        expected_ms = (call.due_ms - call.started_ms) * SLOW_CALL_FACTOR
-        timeout_ms = max(LEAST_CALL_TIMEOUT_MS, expected_ms)
-        request = wire.encode_pieces(call.server, items)
+        expected_ms = (call.due_ms - call.started_ms) * const.SLOW_CALL_FACTOR
+        timeout_ms = max(const.STAGE_CALL_TIMEOUT_MS, expected_ms)
         try:
             with anyio.fail_after(seconds(timeout_ms)):
-                content = await self._exchange(call.server, request)
+                content = await self._exchange(
+                    call.server, wire.encode_pieces(call.server, items)
+                )
         except (UpstreamError, TimeoutError) as exc:
-            event(
-                _LOGGER,
-                "stage.call_failed",
-                service=call.server.service,
-                server=call.server.id,
-                pieces=len(items),
-                requests=sorted({item.request for item in items}),
-                cause=str(exc) or "timeout",
-            )
+            self._log_failure(call, str(exc) or "timeout")
             return None
         outcomes = wire.decode_pieces(content, len(items))
         if outcomes is None:
-            event(_LOGGER, "stage.answer_unreadable", server=call.server.id)
+            self._log_failure(call, "the answer can't be read")
             return None
-        return tuple(self._handle(call, outcome) for outcome in outcomes)
+        failed = [o.failure for o in outcomes if isinstance(o, PieceFailed)]
+        if any(failure is not PieceFailure.ROOM for failure in failed):
+            self._log_failure(call, ",".join(f.value for f in failed))
+        return outcomes
 
-    def _handle(self, call: Call, outcome: wire.PieceOutcome) -> str | None:
-        match outcome:
-            case wire.PieceMade(handle):
-                return handle
-            case wire.PieceFailed(reason):
-                event(
-                    _LOGGER, "stage.piece_failed", server=call.server.id, cause=reason
-                )
-                return None
+    def _log_failure(self, call: Call, cause: str) -> None:
+        event(
+            _LOGGER,
+            "stage.call_failed",
+            service=call.server.service,
+            server=call.server.id,
+            requests=sorted({piece.job.request for piece in call.pieces}),
+            pieces=len(call.pieces),
+            took_ms=self._state.clock.now_ms() - call.started_ms,
+            cause=cause,
+        )
 
     async def _exchange(self, server: Server, request: OutgoingRequest) -> bytes:
         max_open = self._max_open(server.service)
         async with self._pool.exchange(server.address, request, max_open) as answer:
-            content = await answer.read(MAX_STAGE_ANSWER_BYTES)
+            content = await answer.read(const.MAX_STAGE_ANSWER_BYTES)
         if not wire.decode_head(answer.head).success:
             detail = f"{server.id} answered {answer.head.status}"
             raise UpstreamError(not_run(Reason.UPSTREAM_REFUSED, detail))
@@ -212,21 +254,13 @@
         limit = known.max_connections if known else 1
         return max(1, round(limit * const.CONNECTION_SHARE))
 
-    def _settle(self, outcomes: list[JobOutcome] | list[Failed]) -> None:
-        for outcome in outcomes:
-            waiting = self._waiting.get(outcome.job.id)
-            if waiting is not None:
-                waiting.outcome = outcome
-                waiting.done.set()
-
-    def _free_soon(self, service: str, handles: tuple[str, ...]) -> None:
-        if handles:
-            self._group.start_soon(self._free, service, handles)
-
     async def _free(self, service: str, handles: tuple[str, ...]) -> None:
         """Free results at their makers; what is not reached expires there."""
-        queue = self._queues.get(service)
-        makers = {server.address: server for server in self._servers_known(service)}
+        makers = {
+            server.address: server
+            for server in self._state.servers.all()
+            if server.service == service
+        }
         for address, group in itertools.groupby(
             sorted(handles, key=wire.maker_of), key=wire.maker_of
         ):
@@ -234,16 +268,13 @@
             maker = makers.get(address)
             if maker is not None:
                 await self._free_at(maker, freed)
-            if queue is not None:
-                for handle in freed:
-                    queue.room.free(handle)
-        if queue is not None:
-            self._start_calls(service)
+            self.planner.freed(service, freed)
+        self._start_calls()
 
     async def _free_at(self, maker: Server, handles: list[str]) -> None:
         request = wire.encode_free(maker, handles)
         try:
-            with anyio.fail_after(seconds(FREE_TIMEOUT_MS)):
+            with anyio.fail_after(seconds(const.FREE_TIMEOUT_MS)):
                 await self._exchange(maker, request)
         except (UpstreamError, TimeoutError) as exc:
             event(
@@ -254,5 +285,17 @@
                 cause=str(exc) or "timeout",
             )
 
-    def _servers_known(self, service: str) -> list[Server]:
-        return [s for s in self._state.servers.all() if s.service == service]
+
+def _request(order: StagesOrder, choice: Choice, now_ms: int) -> StageRequest:
+    return StageRequest(
+        request=order.request,
+        stages=order.stages,
+        pieces=order.pieces,
+        key=order.key,
+        deadline_ms=now_ms + order.left_ms,
+        objective_ms=now_ms + order.objective_left_ms,
+        engine_ms=round(choice.first_token_ms),
+        rank=order.rank,
+        team=order.team,
+        reader_domain=choice.server.failure_domain,
+    )
--- a/packages/gateway/src/cowsliphitch/gateway/fleet.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet.py
@@ -6,7 +6,6 @@
 from anyio.abc import TaskGroup
 
 from cowsliphitch.core.clock import seconds
-from cowsliphitch.core.engines.models import EngineShare
 from cowsliphitch.core.fleet.members import Member
 from cowsliphitch.peers.fleet import const as peer_const
 from cowsliphitch.peers.fleet.convert import server_checksum
@@ -83,10 +82,8 @@
             version=state.versions.version,
             leaving=state.stopping,
             draining=tuple(self._draining)[:MAX_DRAINING_NEWS],
-            engines={
-                server_checksum(server_id): EngineShare(
-                    max(0, share.running), max(0, share.waiting_tokens)
-                )
+            servers={
+                server_checksum(server_id): share
                 for server_id, share in state.placement.shares().items()
             },
             suspects={},
@@ -102,7 +99,7 @@
             beat.address,
             {
                 by_checksum[number]: share
-                for number, share in beat.engines.items()
+                for number, share in beat.servers.items()
                 if number in by_checksum
             },
         )
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -37,6 +37,10 @@
 PROMISES = frozenset({408, 421, 429, 503})
 
 
+# After these a server is left alone for a while.
+UNREACHABLE = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_LOST})
+
+
 @attrs.define
 class Passage:
     """One request on its way through this daemon.
@@ -44,6 +48,7 @@
     :param end_ms: monotonic time at which it has its final answer
     :param stage_results: handles that an engine reads before the prompt
     :param on_head: called when a server began its answer
+    :param on_failure: called when an attempt failed
     """
 
     request: CallerRequest
@@ -55,17 +60,12 @@
     first_server: Server | None = None
     stage_results: tuple[str, ...] = ()
     on_head: Callable[[], None] = lambda: None
+    on_failure: Callable[[], None] = lambda: None
     attempts: AttemptState = attrs.Factory(AttemptState)
     stream: StreamProgress = attrs.Factory(StreamProgress)
     server: str | None = None
     status: int | None = None
 
-    @property
-    def tokens(self) -> int:
-        """Return the prompt tokens that an engine has to read at most."""
-        generation = self.request.generation
-        return generation.prompt_tokens if generation else 0
-
 
 class Forwarder:
     """Choose servers, send requests, judge answers and repeat what may be repeated."""
@@ -82,7 +82,6 @@
     def choose(self, passage: Passage) -> Server | None:
         """Return the server that a request would be sent to now."""
         return self._state.placement.choose(
-            passage.request.generation,
             self._state.servers.ready(passage.service),
             self._state.clock.now_ms(),
             frozenset(passage.attempts.avoided),
@@ -119,8 +118,10 @@
 
     def _note_failure(self, passage: Passage, server: Server, refusal: Refusal) -> None:
         passage.attempts.note(server.id, refusal.verdict)
-        if refusal.reason is not Reason.QUEUE_FULL:
-            self._state.placement.failed(server.id, self._state.clock.now_ms())
+        unreachable = refusal.reason in UNREACHABLE
+        now = self._state.clock.now_ms()
+        self._state.placement.failed(server.id, now, unreachable)
+        passage.on_failure()
         event(
             _LOGGER,
             "attempt.failed",
@@ -154,18 +155,17 @@
             resume_after=passage.stream.last_event or passage.request.resume_after,
         )
         request = wire.encode_request(passage.request, server, forwarding)
-        placement, began = self._state.placement, False
+        placement = self._state.placement
         # From here on a cancelled request may have run.
         passage.attempts.ran_at.add(server.id)
-        placement.sent(server.id, passage.tokens)
+        placement.sent(server.id)
         try:
             async with self._pool.exchange(
                 server.address, request, self._max_open(passage.service)
             ) as answer:
                 facts = wire.decode_head(answer.head)
                 await self._check(answer, facts, passage)
-                placement.began(server.id, passage.tokens)
-                began = True
+                placement.answered(server.id, self._state.clock.now_ms() - now)
                 passage.on_head()
                 await self._relay(passage, answer, facts, reply)
         except UpstreamError as exc:
@@ -173,7 +173,7 @@
                 passage.attempts.ran_at.discard(server.id)
             raise
         finally:
-            placement.ended(server.id, passage.tokens, began)
+            placement.ended(server.id)
 
     def _engine_priority(self, passage: Passage) -> int | None:
         if passage.request.generation is None:
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -18,12 +18,13 @@
     may_have_run,
     not_run,
 )
+from cowsliphitch.peers.fleet.models import Progress, ProgressNote, Results
 from cowsliphitch.platform.callers import decode_request, encode_refusal
 from cowsliphitch.telemetry.logs import event
 
 from . import const
 from .forwarding import Forwarder, Passage
-from .stages import StageError, StageRun, StageRunner
+from .stages import StageError, StageNeeds, StageRunner
 from .state import GatewayState
 from .telemetry import RequestMetrics
 
@@ -42,6 +43,38 @@
     stages_ms: int | None = None
 
 
+class EngineReport:
+    """Tell the owner of the stages what becomes of a request at its engine."""
+
+    def __init__(self, stages: StageRunner, passage: Passage, results: Results) -> None:
+        """Hold the results until the engine has read them."""
+        self._stages = stages
+        self._passage = passage
+        self._results = results
+        self._told = False
+
+    def began(self) -> None:
+        """Report that the engine answers, so that the results are not needed."""
+        self._tell(Progress.BEGAN, keep=self._passage.route.resumable)
+
+    def failed(self) -> None:
+        """Report that the engine failed; another may still need the results."""
+        self._tell(Progress.FAILED, keep=True)
+
+    def close(self) -> None:
+        """Give up what is left when the request has ended."""
+        if self._results or not self._told:
+            self._tell(Progress.ENDED, keep=False)
+
+    def _tell(self, progress: Progress, keep: bool) -> None:
+        results = () if keep else self._results
+        if not keep:
+            self._results = ()
+        self._told = True
+        note = ProgressNote(self._passage.request.id, progress, results)
+        self._stages.note(self._passage.route, note)
+
+
 class RequestHandler:
     """Answer the requests of callers."""
 
@@ -140,31 +173,34 @@
     async def _run(
         self, passage: Passage, trace: _Trace, reply: Reply
     ) -> Refusal | None:
-        if not passage.route.stages:
-            return await self._forwarder.run(passage, reply)
         deployment = self._state.deployment
-        assert deployment is not None
-        passage.first_server = self._forwarder.choose(passage)
-        reader = passage.first_server
-        run = StageRun(
+        engines = deployment is not None and deployment.has_engines(passage.service)
+        if not engines and not passage.route.stages:
+            return await self._forwarder.run(passage, reply)
+        needs = StageNeeds(
             request=passage.request,
             route=passage.route,
             team=trace.team,
             rank=passage.rank,
             end_ms=passage.end_ms,
             objective_ms=passage.request.received_ms + passage.route.objective_ms,
-            reader_domain=reader.failure_domain if reader else "",
+            engines=passage.service,
         )
         started_ms = self._state.clock.now_ms()
         try:
-            passage.stage_results = await self._stages.run(run, deployment)
-            trace.stages_ms = self._state.clock.now_ms() - started_ms
-            passage.on_head = lambda: self._stages.free_all(run)
-            return await self._forwarder.run(passage, reply)
+            made = await self._stages.run(needs)
         except StageError as exc:
-            return attrs.evolve(exc.refusal, stage=str(exc.stage))
+            return exc.refusal
+        trace.stages_ms = self._state.clock.now_ms() - started_ms
+        passage.stage_results = tuple(h for _, handles in made.results for h in handles)
+        passage.first_server = self._state.servers.get(made.engine)
+        report = EngineReport(self._stages, passage, made.results)
+        passage.on_head = report.began
+        passage.on_failure = report.failed
+        try:
+            return await self._forwarder.run(passage, reply)
         finally:
-            self._stages.free_all(run)
+            report.close()
 
     async def _refuse(
         self, request: CallerRequest | None, refusal: Refusal, reply: Reply
--- a/packages/gateway/src/cowsliphitch/gateway/settings.py
+++ b/packages/gateway/src/cowsliphitch/gateway/settings.py
@@ -3,6 +3,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cowsliphitch.core.engines import const as engines
 from cowsliphitch.core.settings.schema import Problem, load_document
 from cowsliphitch.core.settings.units import Duration, Ratio
 
@@ -61,6 +62,18 @@
     grace: Duration = Duration(8_000)
 
 
+@attrs.frozen
+class CostSettings:
+    """What a choice costs besides time, in shares of a request's credit.
+
+    :param read_again: reading 1,000 prompt tokens that some engine has in its cache
+    :param result_moved: a MB of stage results that crosses failure domains
+    """
+
+    read_again: Ratio = Ratio(engines.READ_AGAIN_COST)
+    result_moved: Ratio = Ratio(engines.RESULT_MOVED_COST)
+
+
 @attrs.frozen
 class GatewaySettings:
     """Everything that a daemon can't learn from the store."""
@@ -71,6 +84,7 @@
     store: StoreSettings
     vm: VmSettings = attrs.Factory(VmSettings)
     retries: RetrySettings = attrs.Factory(RetrySettings)
+    costs: CostSettings = attrs.Factory(CostSettings)
     shutdown: ShutdownSettings = attrs.Factory(ShutdownSettings)
 
 
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -5,8 +5,8 @@
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.deployment.models import CallerLimits, Deployment
 from cowsliphitch.core.deployment.versions import VersionGuard
-from cowsliphitch.core.engines.placement import EnginePlacement
 from cowsliphitch.core.fleet.members import MemberTable
+from cowsliphitch.core.servers.placement import ServerPlacement
 from cowsliphitch.core.servers.registry import ServerRegistry
 
 
@@ -22,7 +22,7 @@
     members: MemberTable
     versions: VersionGuard = attrs.Factory(VersionGuard)
     servers: ServerRegistry = attrs.Factory(ServerRegistry)
-    placement: EnginePlacement = attrs.Factory(EnginePlacement)
+    placement: ServerPlacement = attrs.Factory(ServerPlacement)
     stopping: bool = False
 
     @property
--- a/packages/peers/src/cowsliphitch/peers/fleet/const.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/const.py
@@ -9,7 +9,7 @@
 PROBE_AFTER_S: Final = 1.0
 PROBE_TIMEOUT_S: Final = 1.0
 
-FREE_TIMEOUT_S: Final = 1.0
+NOTE_TIMEOUT_S: Final = 1.0
 FETCH_TIMEOUT_S: Final = 1.0
 
 # What a peer may need beyond the time that a job has left before its caller gives up.
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -1,12 +1,24 @@
 """Between the types of this package and the messages on the wire."""
 
 import zlib
+from collections.abc import Iterable
 
-from cowsliphitch.core.engines.models import EngineShare
+from cowsliphitch.core.deployment.models import StageSpec
+from cowsliphitch.core.requests.models import Generation, PromptPart
+from cowsliphitch.core.servers.shares import ServerShare
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
 
 from ..wire import fleet_pb2 as pb
-from .models import Heartbeat, StageMade, StageOrder, StageRefused, StageReply
+from .models import (
+    Heartbeat,
+    Progress,
+    ProgressNote,
+    Results,
+    StagesMade,
+    StagesOrder,
+    StagesRefused,
+    StagesReply,
+)
 
 
 def server_checksum(server_id: str) -> int:
@@ -24,13 +36,9 @@
         version=beat.version,
         leaving=beat.leaving,
         draining=beat.draining,
-        engines=[
-            pb.EngineShare(
-                server=server,
-                running=share.running,
-                waiting_tokens=share.waiting_tokens,
-            )
-            for server, share in beat.engines.items()
+        servers=[
+            pb.ServerShare(server=server, running=share.running)
+            for server, share in beat.servers.items()
         ],
         suspects=[
             pb.Suspect(fingerprint=bytes.fromhex(name), crashes=crashes)
@@ -61,77 +69,130 @@
         version=message.version,
         leaving=message.leaving,
         draining=tuple(message.draining),
-        engines={
-            row.server: EngineShare(row.running, row.waiting_tokens)
-            for row in message.engines
-        },
+        servers={row.server: ServerShare(row.running) for row in message.servers},
         suspects={row.fingerprint.hex(): row.crashes for row in message.suspects},
     )
 
 
-def order_to_wire(order: StageOrder) -> pb.StageJob:
-    """Encode a stage's order."""
-    return pb.StageJob(
-        service=order.service,
+def note_to_wire(note: ProgressNote) -> pb.ProgressNote:
+    """Encode what became of a request."""
+    return pb.ProgressNote(
+        request=note.request,
+        progress=pb.Progress.Name(note.progress.value),
+        results=_results_to_wire(note.results),
+    )
+
+
+def note_from_wire(message: pb.ProgressNote) -> ProgressNote:
+    """Decode what became of a request."""
+    return ProgressNote(
+        message.request,
+        Progress(message.progress),
+        _results_from_wire(message.results),
+    )
+
+
+def _results_to_wire(results: Results) -> list[pb.StageResults]:
+    return [
+        pb.StageResults(service=service, handles=handles)
+        for service, handles in results
+    ]
+
+
+def _results_from_wire(rows: Iterable[pb.StageResults]) -> Results:
+    return tuple((row.service, tuple(row.handles)) for row in rows)
+
+
+def order_to_wire(order: StagesOrder) -> pb.StagesOrder:
+    """Encode an order."""
+    return pb.StagesOrder(
         request=order.request,
-        stage=order.stage,
-        pieces=order.pieces,
+        stages=[
+            pb.Stage(
+                service=stage.service,
+                after=stage.after,
+                result_bytes=stage.result_bytes,
+                pieces=order.pieces[n] if n < len(order.pieces) else 0,
+            )
+            for n, stage in enumerate(order.stages)
+        ],
         key=order.key,
-        inputs=order.inputs,
-        result_bytes=order.result_bytes,
         left_ms=max(0, order.left_ms),
         objective_left_ms=order.objective_left_ms,
-        rest_ms=order.rest_ms,
         rank=order.rank,
         team=order.team,
-        reader_domain=order.reader_domain,
+        prompt=pb.Prompt(
+            model=order.generation.model,
+            tokens=order.generation.prompt_tokens,
+            output_tokens=order.generation.output_tokens,
+            parts=[
+                pb.PromptPart(id=part.id, tokens=part.tokens)
+                for part in order.generation.prompt
+            ],
+        ),
+        engines=order.engines,
+        avoid=order.avoid,
     )
 
 
-def order_from_wire(message: pb.StageJob) -> StageOrder:
-    """Decode a stage's order."""
-    return StageOrder(
-        service=message.service,
+def order_from_wire(message: pb.StagesOrder) -> StagesOrder:
+    """Decode an order.
+
+    :raises ValueError: a stage follows one that does not exist
+    """
+    stages = tuple(
+        StageSpec(row.service, tuple(row.after), row.result_bytes)
+        for row in message.stages
+    )
+    if any(n >= number for number, s in enumerate(stages) for n in s.after):
+        raise ValueError("a stage follows one that does not come before it")
+    return StagesOrder(
         request=message.request,
-        stage=message.stage,
-        pieces=message.pieces,
+        stages=stages,
+        pieces=tuple(row.pieces for row in message.stages),
         key=message.key,
-        inputs=tuple(message.inputs),
-        result_bytes=message.result_bytes,
         left_ms=message.left_ms,
         objective_left_ms=message.objective_left_ms,
-        rest_ms=message.rest_ms,
         rank=message.rank,
         team=message.team,
-        reader_domain=message.reader_domain,
+        generation=Generation(
+            model=message.prompt.model,
+            prompt_tokens=message.prompt.tokens,
+            output_tokens=message.prompt.output_tokens,
+            prompt=tuple(PromptPart(p.id, p.tokens) for p in message.prompt.parts),
+        ),
+        engines=message.engines,
+        avoid=tuple(message.avoid),
     )
 
 
-def reply_to_wire(reply: StageReply) -> pb.StageResult:
+def reply_to_wire(reply: StagesReply) -> pb.StagesReply:
     """Encode the outcome of an order."""
     match reply:
-        case StageMade(handles):
-            return pb.StageResult(handles=handles)
-        case StageRefused(refusal):
-            return pb.StageResult(
+        case StagesMade(results, engine):
+            return pb.StagesReply(results=_results_to_wire(results), engine=engine)
+        case StagesRefused(refusal):
+            return pb.StagesReply(
                 reason=refusal.reason.value,
                 detail=refusal.detail,
                 retry_after_ms=refusal.retry_after_ms or 0,
+                stage=refusal.stage or "",
             )
 
 
-def reply_from_wire(message: pb.StageResult) -> StageReply:
+def reply_from_wire(message: pb.StagesReply) -> StagesReply:
     """Decode the outcome of an order.
 
     :raises ValueError: the reason is not known here
     """
     if not message.reason:
-        return StageMade(tuple(message.handles))
-    return StageRefused(
+        return StagesMade(_results_from_wire(message.results), message.engine)
+    return StagesRefused(
         Refusal(
             Verdict.NOT_RUN,
             Reason(message.reason),
             message.detail,
+            stage=message.stage or None,
             retry_after_ms=message.retry_after_ms or None,
         )
     )
--- a/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
@@ -27,6 +27,7 @@
         self._address = address
         self._on_heartbeat = on_heartbeat
         self._socket: UDPSocket | None = None
+        self._sending = anyio.Lock()
         self.malformed = 0
 
     async def run(
@@ -60,5 +61,6 @@
             return
         for address in addresses:
             host, _, port = address.rpartition(":")
-            with suppress(OSError, anyio.BrokenResourceError):
-                await self._socket.sendto(content, host, int(port))
+            async with self._sending:
+                with suppress(OSError, anyio.BrokenResourceError):
+                    await self._socket.sendto(content, host, int(port))
--- a/packages/peers/src/cowsliphitch/peers/fleet/link.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/link.py
@@ -13,7 +13,7 @@
 from ..wire import fleet_pb2 as pb
 from ..wire.fleet_grpc import FleetBase, FleetStub
 from . import const, convert
-from .models import PeerLost, Services, StageOrder, StageReply
+from .models import PeerLost, ProgressNote, Services, StagesOrder, StagesReply
 
 _CONFIG = Configuration(
     _keepalive_time=const.PROBE_AFTER_S,
@@ -32,17 +32,20 @@
         """Use what this daemon does for its peers."""
         self._services = services
 
-    async def RunStage(self, stream: Any) -> None:
-        """Make the pieces of a stage."""
+    async def RunStages(self, stream: Any) -> None:
+        """Do the stages of a request."""
         message = await _receive(stream)
-        reply = await self._services.run_stage(convert.order_from_wire(message))
+        try:
+            order = convert.order_from_wire(message)
+        except ValueError as exc:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
+        reply = await self._services.run_stages(order)
         await stream.send_message(convert.reply_to_wire(reply))
 
-    async def Free(self, stream: Any) -> None:
-        """Give up results."""
-        message = await _receive(stream)
-        self._services.free(message.service, tuple(message.handles))
-        await stream.send_message(pb.FreeReply())
+    async def Note(self, stream: Any) -> None:
+        """Take over what became of a request at its engine."""
+        self._services.note(convert.note_from_wire(await _receive(stream)))
+        await stream.send_message(pb.ProgressReply())
 
     async def FetchDocument(self, stream: Any) -> None:
         """Hand over the operator's document if it is newer."""
@@ -78,25 +81,26 @@
         for address in self.addresses():
             self.drop(address)
 
-    async def run_stage(self, address: str, order: StageOrder) -> StageReply | PeerLost:
-        """Ask a peer for the pieces of a stage."""
+    async def run_stages(
+        self, address: str, order: StagesOrder
+    ) -> StagesReply | PeerLost:
+        """Ask a peer for the stages of a request."""
         timeout_s = seconds(max(0, order.left_ms)) + const.CALL_MARGIN_S
         message = convert.order_to_wire(order)
         try:
-            reply = await self._stub(address).RunStage(message, timeout=timeout_s)
+            reply = await self._stub(address).RunStages(message, timeout=timeout_s)
             return convert.reply_from_wire(reply)
         except ValueError as exc:
             return PeerLost(f"{address} gave an answer that can't be read: {exc}")
         except _FAILURES as exc:
             return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
 
-    async def free(
-        self, address: str, service: str, handles: tuple[str, ...]
-    ) -> PeerLost | None:
-        """Tell a peer that results are given up."""
-        message = pb.FreeRequest(service=service, handles=handles)
+    async def note(self, address: str, note: ProgressNote) -> PeerLost | None:
+        """Tell a peer what became of a request at its engine."""
         try:
-            await self._stub(address).Free(message, timeout=const.FREE_TIMEOUT_S)
+            await self._stub(address).Note(
+                convert.note_to_wire(note), timeout=const.NOTE_TIMEOUT_S
+            )
         except _FAILURES as exc:
             return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
         return None
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -1,10 +1,13 @@
 """What daemons tell each other."""
 
+import enum
 from collections.abc import Awaitable, Callable
 
 import attrs
 
-from cowsliphitch.core.engines.models import EngineShare
+from cowsliphitch.core.deployment.models import StageSpec
+from cowsliphitch.core.requests.models import Generation
+from cowsliphitch.core.servers.shares import ServerShare
 from cowsliphitch.core.verdict import Refusal
 
 
@@ -15,7 +18,7 @@
     :param number: grows with each heartbeat of a lifetime
     :param version: of the settings in force there
     :param draining: servers that it knows to be leaving
-    :param engines: what it has sent to servers, by checksum of their identifiers
+    :param servers: what it has at servers, by checksum of their identifiers
     :param suspects: crashes by fingerprint of the requests that caused them
     """
 
@@ -27,43 +30,79 @@
     version: int
     leaving: bool
     draining: tuple[str, ...]
-    engines: dict[int, EngineShare]
+    servers: dict[int, ServerShare]
     suspects: dict[str, int]
 
 
 @attrs.frozen
-class StageOrder:
-    """Pieces of one stage that a daemon asks an owner for; times are durations."""
+class StagesOrder:
+    """All stages of a request, as a daemon asks an owner for them.
+
+    Times are durations, since clocks differ.
+
+    :param pieces: by stage
+    :param left_ms: until the deadline
+    :param objective_left_ms: until the objective is missed
+    :param generation: what the request asks of a model engine
+    :param engines: service of the engines
+    :param avoid: engines that already failed the request
+    """
 
-    service: str
     request: str
-    stage: int
-    pieces: int
+    stages: tuple[StageSpec, ...]
+    pieces: tuple[int, ...]
     key: str
-    inputs: tuple[str, ...]
-    result_bytes: int
     left_ms: int
     objective_left_ms: int
-    rest_ms: int
     rank: int
     team: str
-    reader_domain: str
+    generation: Generation
+    engines: str
+    avoid: tuple[str, ...] = ()
+
+
+Results = tuple[tuple[str, tuple[str, ...]], ...]
 
 
 @attrs.frozen
-class StageMade:
-    """All pieces were made."""
+class StagesMade:
+    """All stages are done.
 
-    handles: tuple[str, ...]
+    :param results: service and handles of each final stage
+    :param engine: identifier of the engine that is to run the request
+    """
+
+    results: Results
+    engine: str
 
 
 @attrs.frozen
-class StageRefused:
-    """The owner won't make the pieces."""
+class StagesRefused:
+    """The owner won't do the stages."""
 
     refusal: Refusal
 
 
+class Progress(enum.Enum):
+    """How far a request got at its engine."""
+
+    BEGAN = 0
+    ENDED = 1
+    FAILED = 2
+
+
+@attrs.frozen
+class ProgressNote:
+    """What became of a request at its engine.
+
+    :param results: of stages, which are given up
+    """
+
+    request: str
+    progress: Progress
+    results: Results = ()
+
+
 @attrs.frozen
 class PeerLost:
     """The peer gave no answer."""
@@ -71,18 +110,18 @@
     detail: str
 
 
-StageReply = StageMade | StageRefused
+StagesReply = StagesMade | StagesRefused
 
 
 @attrs.frozen
 class Services:
     """What a daemon does for its peers.
 
-    :param run_stage: make the pieces of a stage
-    :param free: give up results
+    :param run_stages: do the stages of a request
+    :param note: take over what became of a request at its engine
     :param document: return the operator's document above a version
     """
 
-    run_stage: Callable[[StageOrder], Awaitable[StageReply]]
-    free: Callable[[str, tuple[str, ...]], None]
+    run_stages: Callable[[StagesOrder], Awaitable[StagesReply]]
+    note: Callable[[ProgressNote], None]
     document: Callable[[int], tuple[int, bytes]]
--- a/packages/peers/src/cowsliphitch/peers/wire/fleet_grpc.py
+++ b/packages/peers/src/cowsliphitch/peers/wire/fleet_grpc.py
@@ -15,11 +15,11 @@
 class FleetBase(abc.ABC):
 
     @abc.abstractmethod
-    async def RunStage(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.StageJob, cowsliphitch.peers.wire.fleet_pb2.StageResult]') -> None:
+    async def RunStages(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.StagesOrder, cowsliphitch.peers.wire.fleet_pb2.StagesReply]') -> None:
         pass
 
     @abc.abstractmethod
-    async def Free(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.FreeRequest, cowsliphitch.peers.wire.fleet_pb2.FreeReply]') -> None:
+    async def Note(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.ProgressNote, cowsliphitch.peers.wire.fleet_pb2.ProgressReply]') -> None:
         pass
 
     @abc.abstractmethod
@@ -28,17 +28,17 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/cowsliphitch.fleet.Fleet/RunStage': grpclib.const.Handler(
-                self.RunStage,
+            '/cowsliphitch.fleet.Fleet/RunStages': grpclib.const.Handler(
+                self.RunStages,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                cowsliphitch.peers.wire.fleet_pb2.StageJob,
-                cowsliphitch.peers.wire.fleet_pb2.StageResult,
+                cowsliphitch.peers.wire.fleet_pb2.StagesOrder,
+                cowsliphitch.peers.wire.fleet_pb2.StagesReply,
             ),
-            '/cowsliphitch.fleet.Fleet/Free': grpclib.const.Handler(
-                self.Free,
+            '/cowsliphitch.fleet.Fleet/Note': grpclib.const.Handler(
+                self.Note,
                 grpclib.const.Cardinality.UNARY_UNARY,
-                cowsliphitch.peers.wire.fleet_pb2.FreeRequest,
-                cowsliphitch.peers.wire.fleet_pb2.FreeReply,
+                cowsliphitch.peers.wire.fleet_pb2.ProgressNote,
+                cowsliphitch.peers.wire.fleet_pb2.ProgressReply,
             ),
             '/cowsliphitch.fleet.Fleet/FetchDocument': grpclib.const.Handler(
                 self.FetchDocument,
@@ -52,17 +52,17 @@
 class FleetStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.RunStage = grpclib.client.UnaryUnaryMethod(
+        self.RunStages = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/cowsliphitch.fleet.Fleet/RunStage',
-            cowsliphitch.peers.wire.fleet_pb2.StageJob,
-            cowsliphitch.peers.wire.fleet_pb2.StageResult,
+            '/cowsliphitch.fleet.Fleet/RunStages',
+            cowsliphitch.peers.wire.fleet_pb2.StagesOrder,
+            cowsliphitch.peers.wire.fleet_pb2.StagesReply,
         )
-        self.Free = grpclib.client.UnaryUnaryMethod(
+        self.Note = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/cowsliphitch.fleet.Fleet/Free',
-            cowsliphitch.peers.wire.fleet_pb2.FreeRequest,
-            cowsliphitch.peers.wire.fleet_pb2.FreeReply,
+            '/cowsliphitch.fleet.Fleet/Note',
+            cowsliphitch.peers.wire.fleet_pb2.ProgressNote,
+            cowsliphitch.peers.wire.fleet_pb2.ProgressReply,
         )
         self.FetchDocument = grpclib.client.UnaryUnaryMethod(
             channel,
