Leave out failure domains that are cut off, and make lost results again

Ruled out: waiting for server entries to lapse (they live on in the store); member silence alone (a daemon that is cut off by itself hears nobody but reaches the servers).

--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -28,6 +28,9 @@
 EARLY_START_FACTOR: Final = 1.3
 EARLY_START_MS: Final = 80
 
+# A request whose intermediate results were lost begins again at most this often.
+MAX_RESTARTS: Final = 1
+
 # Stands for "no server" where a time is expected.
 NO_SERVER_MS: Final = 60_000.0
 
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -95,6 +95,13 @@
     jobs: dict[int, int] = attrs.Factory(dict)
     handles: dict[int, tuple[str, ...]] = attrs.Factory(dict)
     late: bool = False
+    restarts: int = 0
+
+    def restart(self) -> None:
+        """Begin with the first stages again."""
+        self.restarts += 1
+        self.jobs.clear()
+        self.handles.clear()
 
     def done(self, stage: int) -> bool:
         return stage in self.handles or self.request.count(stage) == 0
@@ -299,6 +306,11 @@
                 case Made(_, handles):
                     run.handles[stage] = handles
                     commands.extend(self._advance(run, stage, now_ms))
+                case Failed(_, refusal, handles) if self._may_restart(run, refusal):
+                    run.handles[stage] = handles
+                    commands.extend(self._drop(run))
+                    run.restart()
+                    self._submit_ready(run, now_ms)
                 case Failed(_, refusal, handles):
                     run.handles[stage] = handles
                     del self._runs[run_id]
@@ -307,6 +319,11 @@
                     commands.extend(self._drop(run))
         return commands
 
+    def _may_restart(self, run: _Run, refusal: Refusal) -> bool:
+        """Tell whether results that were lost are worth making again."""
+        lost = refusal.reason is Reason.RESULT_LOST
+        return lost and run.restarts < const.MAX_RESTARTS
+
     def _advance(self, run: _Run, stage: int, now_ms: int) -> list[Command]:
         """Free what was read, and submit or end what is due after a stage."""
         commands: list[Command] = []
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -294,7 +294,9 @@
             progress.waiting.insert(0, piece.number)
             return []
         detail = f"piece {piece.number} could not be made: {failure.value}"
-        refusal = not_run(Reason.UPSTREAM_FAILED, detail, const.MIN_RETRY_AFTER_MS)
+        lost = failure is PieceFailure.INPUT_GONE
+        reason = Reason.RESULT_LOST if lost else Reason.UPSTREAM_FAILED
+        refusal = not_run(reason, detail, const.MIN_RETRY_AFTER_MS)
         return [Failed(progress.job, refusal, self.drop(progress.job.id))]
 
     def _done(self, progress: _Progress) -> list[JobOutcome]:
--- a/packages/core/src/cowsliphitch/core/engines/board.py
+++ b/packages/core/src/cowsliphitch/core/engines/board.py
@@ -4,8 +4,8 @@
 them again takes longer than all the rest; bursts of requests with different prompts
 meet at one engine while others idle.  The owner keeps account of what each engine was
 sent, so it knows what is in each cache and how long each engine is busy reading.  A
-request goes where its shared parts are if it is still answered in time there, else where it is
-answered soonest.
+request goes where its shared parts are if it is still answered in time there, else
+where it is answered soonest.
 """
 
 from collections import OrderedDict
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -77,12 +77,14 @@
     :param not_run: the server states that it did not run the request
     :param sealed: the server's proof of the answer is there
     :param wrong_server: another server has the address by now
+    :param results_lost: a stage's result that the request reads is gone
     """
 
     status: int
     not_run: bool
     sealed: bool
     wrong_server: bool
+    results_lost: bool
     load: Load | None
 
     @property
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -33,6 +33,7 @@
         self._lost_ms: int | None = None
         self._back_ms: int | None = None
         self._by_service: dict[str, tuple[Server, ...]] = {}
+        self._cut: frozenset[str] = frozenset()
         self.listed = False
 
     def store_lost(self, now_ms: int) -> None:
@@ -101,6 +102,12 @@
         self._by_service.clear()
         return True
 
+    def set_cut(self, domains: frozenset[str]) -> None:
+        """Leave out the servers of failure domains that are cut off."""
+        if domains != self._cut:
+            self._cut = domains
+            self._by_service.clear()
+
     def get(self, server_id: str) -> Server | None:
         """Return a server that is still listed or held."""
         known = self._known.get(server_id)
@@ -117,7 +124,7 @@
         )
 
     def ready(self, service: str) -> tuple[Server, ...]:
-        """Return the servers of a service that take new work."""
+        """Return the servers of a service that take new work and can be reached."""
         found = self._by_service.get(service)
         if found is None:
             found = tuple(
@@ -125,6 +132,7 @@
                 for known in self._known.values()
                 if known.server.service == service
                 and known.server.state is ServerState.READY
+                and known.server.failure_domain not in self._cut
             )
             self._by_service[service] = found
         return found
--- a/packages/core/src/cowsliphitch/core/verdict.py
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -27,11 +27,13 @@
     QUEUE_FULL = "queue-full"
     NO_UPSTREAM = "no-upstream"
     CONNECT_FAILED = "connect-failed"
+    CONNECT_TIMEOUT = "connect-timeout"
     CONNECTION_LOST = "connection-lost"
     UPSTREAM_REFUSED = "upstream-refused"
     UPSTREAM_FAILED = "upstream-failed"
     INVALID_ANSWER = "invalid-answer"
     STREAM_CUT = "stream-cut"
+    RESULT_LOST = "result-lost"
     KEY_REQUIRED = "idempotency-key-required"
     KEY_INVALID = "idempotency-key-invalid"
     KEY_EXPIRED = "idempotency-key-expired"
@@ -54,11 +56,13 @@
     Reason.QUEUE_FULL: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.CONNECT_FAILED: 502,
+    Reason.CONNECT_TIMEOUT: 502,
     Reason.CONNECTION_LOST: 502,
     Reason.UPSTREAM_REFUSED: 503,
     Reason.UPSTREAM_FAILED: 502,
     Reason.INVALID_ANSWER: 502,
     Reason.STREAM_CUT: 502,
+    Reason.RESULT_LOST: 503,
     Reason.KEY_REQUIRED: 400,
     Reason.KEY_INVALID: 400,
     Reason.KEY_EXPIRED: 409,
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -28,6 +28,7 @@
 from .fleet import FleetCoordinator
 from .forwarding import Forwarder
 from .handler import RequestHandler
+from .links import ServerLinks
 from .settings import GatewaySettings
 from .stages import StageRunner
 from .state import GatewayState
@@ -78,7 +79,8 @@
         )
         self._links = FleetLinks()
         self._pool = ConnectionPool(names.REQUEST_ID, group, clock)
-        self._desk = StageDesk(state, self._pool, _costs(cfg), group)
+        self._servers = ServerLinks(state, self._pool)
+        self._desk = StageDesk(state, self._servers, _costs(cfg), group)
         self._fleet = FleetCoordinator(state, self._links, group)
         self._store = StoreCoordinator(
             self._kv, state, self._fleet.beat_soon, self._fleet.note_draining
@@ -87,7 +89,7 @@
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
         )
-        forwarder = Forwarder(state, self._pool, allowance)
+        forwarder = Forwarder(state, self._servers, allowance)
         stages = StageRunner(state, self._desk, self._links, group)
         handler = RequestHandler(state, forwarder, stages, self._metrics)
         self._edge = EdgeServer(
@@ -98,6 +100,7 @@
         group.start_soon(self._store.run)
         group.start_soon(self._store.register)
         group.start_soon(self._fleet.run)
+        group.start_soon(self._servers.probe)
         group.start_soon(self._tick)
 
     async def _listen(self, group: TaskGroup) -> None:
@@ -127,6 +130,7 @@
             await anyio.sleep(seconds(const.TICK_MS))
             now = self._clock.now_ms()
             self._store.expire(now)
+            self._servers.update()
             self._desk.tick()
             servers = self._state.servers.all()
             self._state.placement.keep_servers({s.id for s in servers})
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -48,6 +48,9 @@
 STAGE_CALL_TIMEOUT_MS: Final = 2_000
 FREE_TIMEOUT_MS: Final = 1_000
 
+# A failure domain that is cut off is tried again this often.
+PROBE_INTERVAL_MS: Final = 400
+
 # Owners that are asked one after the other for a request's stages.
 MAX_OWNERS: Final = 3
 OWNER_RETRY_MS: Final = 200
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -38,9 +38,9 @@
 from cowsliphitch.platform import servers as wire
 from cowsliphitch.telemetry.logs import event
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
-from cowsliphitch.upstreams.http1.pool import ConnectionPool
 
 from . import const
+from .links import ServerLinks
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -60,13 +60,13 @@
     def __init__(
         self,
         state: GatewayState,
-        pool: ConnectionPool,
+        links: ServerLinks,
         costs: Costs,
         group: TaskGroup,
     ) -> None:
         """Own nothing yet."""
         self._state = state
-        self._pool = pool
+        self._links = links
         self._group = group
         self.planner = StagePlanner(state.servers.ready)
         self.board = EngineBoard(costs)
@@ -241,8 +241,9 @@
 
     async def _exchange(self, server: Server, request: OutgoingRequest) -> bytes:
         max_open = self._max_open(server.service)
-        async with self._pool.exchange(server.address, request, max_open) as answer:
-            content = await answer.read(const.MAX_STAGE_ANSWER_BYTES)
+        with self._links.until_cut(server):
+            async with self._links.exchange(server, request, max_open) as answer:
+                content = await answer.read(const.MAX_STAGE_ANSWER_BYTES)
         if not wire.decode_head(answer.head).success:
             detail = f"{server.id} answered {answer.head.status}"
             raise UpstreamError(not_run(Reason.UPSTREAM_REFUSED, detail))
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -1,7 +1,8 @@
 """Send a request to servers until one answers or nothing more may be tried."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, nullcontext
 
 import attrs
 
@@ -21,10 +22,11 @@
 from cowsliphitch.platform import servers as wire
 from cowsliphitch.platform.callers import answer_headers
 from cowsliphitch.telemetry.logs import event
-from cowsliphitch.upstreams.http1.models import UpstreamError
-from cowsliphitch.upstreams.http1.pool import Answer, ConnectionPool
+from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
+from cowsliphitch.upstreams.http1.pool import Answer
 
 from . import const
+from .links import ServerLinks
 from .relay import EventSplitter, StreamProgress, last_event_id, relay_whole
 from .state import GatewayState
 
@@ -38,7 +40,9 @@
 
 
 # After these a server is left alone for a while.
-UNREACHABLE = frozenset({Reason.CONNECT_FAILED, Reason.CONNECTION_LOST})
+UNREACHABLE = frozenset(
+    {Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT, Reason.CONNECTION_LOST}
+)
 
 
 @attrs.define
@@ -47,6 +51,7 @@
 
     :param end_ms: monotonic time at which it has its final answer
     :param stage_results: handles that an engine reads before the prompt
+    :param next_server: chooses a server, in place of the least loaded one
     :param on_head: called when a server began its answer
     :param on_failure: called when an attempt failed
     """
@@ -59,6 +64,7 @@
     end_ms: int
     first_server: Server | None = None
     stage_results: tuple[str, ...] = ()
+    next_server: Callable[[], Awaitable[Server | None]] | None = None
     on_head: Callable[[], None] = lambda: None
     on_failure: Callable[[], None] = lambda: None
     attempts: AttemptState = attrs.Factory(AttemptState)
@@ -71,11 +77,11 @@
     """Choose servers, send requests, judge answers and repeat what may be repeated."""
 
     def __init__(
-        self, state: GatewayState, pool: ConnectionPool, allowance: RetryAllowance
+        self, state: GatewayState, links: ServerLinks, allowance: RetryAllowance
     ) -> None:
         """Start with full budgets."""
         self._state = state
-        self._pool = pool
+        self._links = links
         self._allowance = allowance
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -92,10 +98,7 @@
         budget = self._budget(passage.service)
         budget.request(self._state.clock.now_ms())
         while True:
-            server = passage.first_server or self.choose(passage)
-            passage.first_server = None
-            if server is None or not self._state.servers.usable(server):
-                server = self.choose(passage)
+            server = await self._next_server(passage)
             if server is None:
                 detail = f"no server of {passage.service} is ready"
                 return self._refusal(
@@ -110,12 +113,22 @@
             if reply.started and not passage.route.resumable:
                 return self._refusal(passage, refusal)
             now = self._state.clock.now_ms()
+            if refusal.reason is Reason.RESULT_LOST:
+                return self._refusal(passage, refusal)
             if not may_repeat(passage.route, passage.attempts):
                 return self._refusal(passage, refusal)
             if not budget.take(self._state.members.counted(now), now):
                 event(_LOGGER, "retry.denied", request=passage.request.id)
                 return self._refusal(passage, refusal)
 
+    async def _next_server(self, passage: Passage) -> Server | None:
+        server, passage.first_server = passage.first_server, None
+        if server is not None and self._state.servers.usable(server):
+            return server
+        if passage.next_server is not None:
+            return await passage.next_server()
+        return self.choose(passage)
+
     def _note_failure(self, passage: Passage, server: Server, refusal: Refusal) -> None:
         passage.attempts.note(server.id, refusal.verdict)
         unreachable = refusal.reason in UNREACHABLE
@@ -160,9 +173,7 @@
         passage.attempts.ran_at.add(server.id)
         placement.sent(server.id)
         try:
-            async with self._pool.exchange(
-                server.address, request, self._max_open(passage.service)
-            ) as answer:
+            async with self._exchange(passage, server, request) as answer:
                 facts = wire.decode_head(answer.head)
                 await self._check(answer, facts, passage)
                 placement.answered(server.id, self._state.clock.now_ms() - now)
@@ -175,6 +186,18 @@
         finally:
             placement.ended(server.id)
 
+    @asynccontextmanager
+    async def _exchange(
+        self, passage: Passage, server: Server, request: OutgoingRequest
+    ) -> AsyncIterator[Answer]:
+        """Exchange a request; give it up on a cut only if it may be repeated."""
+        max_open = self._max_open(passage.service)
+        repeatable = passage.route.kind is RouteKind.IDEMPOTENT
+        repeatable = repeatable or passage.route.resumable
+        with self._links.until_cut(server) if repeatable else nullcontext():
+            async with self._links.exchange(server, request, max_open) as answer:
+                yield answer
+
     def _engine_priority(self, passage: Passage) -> int | None:
         if passage.request.generation is None:
             return None
@@ -189,7 +212,7 @@
         """
         if facts.not_run:
             await answer.read(const.MAX_ANSWER_BYTES)
-            reason = Reason.CONNECT_FAILED if facts.wrong_server else Reason.QUEUE_FULL
+            reason = _reason_not_run(facts)
             detail = f"the server refused with {facts.status}"
             raise UpstreamError(not_run(reason, detail, RETRY_AFTER_MS))
         if facts.success and not facts.sealed:
@@ -257,3 +280,10 @@
         daemons = self._state.members.counted(self._state.clock.now_ms())
         part = known.max_connections * const.CONNECTION_SHARE / daemons
         return max(1, round(part))
+
+
+def _reason_not_run(facts: AnswerFacts) -> Reason:
+    """Return why a server did not run a request."""
+    if facts.wrong_server:
+        return Reason.CONNECT_FAILED
+    return Reason.RESULT_LOST if facts.results_lost else Reason.QUEUE_FULL
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -11,6 +11,7 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.models import Deployment, Route, Team
 from cowsliphitch.core.requests.models import CallerRequest
+from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import (
     Reason,
     Refusal,
@@ -186,6 +187,17 @@
             objective_ms=passage.request.received_ms + passage.route.objective_ms,
             engines=passage.service,
         )
+        refusal = await self._run_at_engine(passage, needs, trace, reply)
+        lost = refusal is not None and refusal.reason is Reason.RESULT_LOST
+        if lost and passage.attempts.verdict is Verdict.NOT_RUN:
+            event(_LOGGER, "stages.again", request=passage.request.id)
+            refusal = await self._run_at_engine(passage, needs, trace, reply)
+        return refusal
+
+    async def _run_at_engine(
+        self, passage: Passage, needs: StageNeeds, trace: _Trace, reply: Reply
+    ) -> Refusal | None:
+        """Have the stages done, then let the engine answer."""
         started_ms = self._state.clock.now_ms()
         try:
             made = await self._stages.run(needs)
@@ -194,6 +206,17 @@
         trace.stages_ms = self._state.clock.now_ms() - started_ms
         passage.stage_results = tuple(h for _, handles in made.results for h in handles)
         passage.first_server = self._state.servers.get(made.engine)
+
+        async def next_engine() -> Server | None:
+            avoid = tuple(passage.attempts.avoided)
+            again = attrs.evolve(needs, stages_done=True, avoid=avoid)
+            try:
+                chosen = await self._stages.run(again)
+            except StageError:
+                return None
+            return self._state.servers.get(chosen.engine)
+
+        passage.next_server = next_engine
         report = EngineReport(self._stages, passage, made.results)
         passage.on_head = report.began
         passage.on_failure = report.failed
--- a/packages/gateway/src/cowsliphitch/gateway/stages.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stages.py
@@ -45,6 +45,8 @@
     :param end_ms: monotonic time of the request's deadline
     :param objective_ms: monotonic time of its objective
     :param engines: service of the engines
+    :param stages_done: only an engine is needed
+    :param avoid: engines that already failed the request
     """
 
     request: CallerRequest
@@ -54,6 +56,7 @@
     end_ms: int
     objective_ms: int
     engines: str
+    stages_done: bool = False
     avoid: tuple[str, ...] = ()
 
 
@@ -123,7 +126,7 @@
         return StagesOrder(
             request=needs.request.id,
             stages=needs.route.stages,
-            pieces=needs.request.pieces,
+            pieces=() if needs.stages_done else needs.request.pieces,
             key=needs.request.piece_key,
             left_ms=needs.end_ms - now,
             objective_left_ms=needs.objective_ms - now,
--- a/packages/telemetry/src/cowsliphitch/telemetry/logs.py
+++ b/packages/telemetry/src/cowsliphitch/telemetry/logs.py
@@ -20,7 +20,7 @@
 
 FLUSH_INTERVAL_MS: Final = 100
 
-_QUIET: Final = ("httpx", "httpcore", "hpack", "h2", "hypercorn.access")
+_QUIET: Final = ("httpx", "httpcore", "hpack", "h2", "hypercorn.access", "grpclib")
 
 
 class BoundedHandler(logging.Handler):
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
@@ -166,7 +166,10 @@
     try:
         with anyio.fail_after(seconds(const.CONNECT_TIMEOUT_MS)):
             stream = await anyio.connect_tcp(host, int(port))
-    except (TimeoutError, OSError) as exc:
+    except TimeoutError as exc:
+        detail = f"{address} does not answer"
+        raise UpstreamError(not_run(Reason.CONNECT_TIMEOUT, detail)) from exc
+    except OSError as exc:
         detail = f"{address} can't be reached: {type(exc).__name__}"
         raise UpstreamError(not_run(Reason.CONNECT_FAILED, detail)) from exc
     sock: socket.socket = stream.extra(SocketAttribute.raw_socket)
