Run calls of the peers' library in tasks of their own

Ruled out: the bound on callers' connections (2,170, never reached); descriptors (72).

Also: stages now end when callers of a stream stop waiting for the first event, and a listener that ends ends the process.

--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -55,6 +55,8 @@
         task_status.started()
         async with listener:
             await listener.serve(self._serve)
+        # A daemon that is deaf but looks alive is worse than one that restarts.
+        raise RuntimeError(f"the listener of {self._address} has ended")
 
     async def _serve(self, stream: SocketStream) -> None:
         diagnostics = self.diagnostics
--- a/packages/core/src/cowsliphitch/core/deployment/models.py
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -12,6 +12,12 @@
 
 MAX_PRIORITY: Final = 9
 
+# Callers give up a stream after a pause of this length, this many objectives or this
+# many of the longest pauses that are on time, whichever is longest.
+LEAST_PATIENCE_MS: Final = 2_000
+PATIENCE_OBJECTIVES: Final = 4
+PATIENCE_GAPS: Final = 8
+
 
 class RouteKind(enum.Enum):
     """What kind of calls a route carries, and so what may be repeated."""
@@ -71,10 +77,13 @@
     max_gap_ms: int = 0
 
     @property
-    def final_stages(self) -> tuple[int, ...]:
-        """Return the stages that no other stage follows."""
-        read = set(itertools.chain.from_iterable(s.after for s in self.stages))
-        return tuple(n for n in range(len(self.stages)) if n not in read)
+    def first_event_patience_ms(self) -> int:
+        """Return how long callers of a stream wait for its first event."""
+        return max(
+            LEAST_PATIENCE_MS,
+            PATIENCE_OBJECTIVES * self.objective_ms,
+            PATIENCE_GAPS * self.max_gap_ms,
+        )
 
     def service_for(self, request: str) -> str:
         """Return the service of a request, divided by weight over its identifier."""
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -178,12 +178,14 @@
         engines = deployment is not None and deployment.has_engines(passage.service)
         if not engines and not passage.route.stages:
             return await self._forwarder.run(passage, reply)
+        patience_ms = passage.route.first_event_patience_ms
+        first_event_ms = passage.request.received_ms + patience_ms
         needs = StageNeeds(
             request=passage.request,
             route=passage.route,
             team=trace.team,
             rank=passage.rank,
-            end_ms=passage.end_ms,
+            end_ms=min(passage.end_ms, first_event_ms),
             objective_ms=passage.request.received_ms + passage.route.objective_ms,
             engines=passage.service,
         )
--- a/packages/peers/src/cowsliphitch/peers/fleet/link.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/link.py
@@ -1,6 +1,8 @@
 """Calls between daemons, and the server that answers them."""
 
-from typing import Any
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
@@ -22,6 +24,8 @@
     _http2_min_sent_ping_interval_without_data=const.PROBE_AFTER_S,
 )
 
+T = TypeVar("T")
+
 _FAILURES = (TimeoutError, OSError, GRPCError, StreamTerminatedError)
 
 
@@ -88,7 +92,9 @@
         timeout_s = seconds(max(0, order.left_ms)) + const.CALL_MARGIN_S
         message = convert.order_to_wire(order)
         try:
-            reply = await self._stub(address).RunStages(message, timeout=timeout_s)
+            reply = await _apart(
+                self._stub(address).RunStages(message, timeout=timeout_s)
+            )
             return convert.reply_from_wire(reply)
         except ValueError as exc:
             return PeerLost(f"{address} gave an answer that can't be read: {exc}")
@@ -98,8 +104,10 @@
     async def note(self, address: str, note: ProgressNote) -> PeerLost | None:
         """Tell a peer what became of a request at its engine."""
         try:
-            await self._stub(address).Note(
-                convert.note_to_wire(note), timeout=const.NOTE_TIMEOUT_S
+            await _apart(
+                self._stub(address).Note(
+                    convert.note_to_wire(note), timeout=const.NOTE_TIMEOUT_S
+                )
             )
         except _FAILURES as exc:
             return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
@@ -111,8 +119,10 @@
         """Read a peer's operator document if it is above a version."""
         message = pb.DocumentRequest(above_version=above_version)
         try:
-            reply = await self._stub(address).FetchDocument(
-                message, timeout=const.FETCH_TIMEOUT_S
+            reply = await _apart(
+                self._stub(address).FetchDocument(
+                    message, timeout=const.FETCH_TIMEOUT_S
+                )
             )
         except _FAILURES as exc:
             return PeerLost(f"{address} gave no answer: {type(exc).__name__}")
@@ -127,6 +137,24 @@
         return FleetStub(channel)
 
 
+async def _apart(call: Coroutine[Any, Any, T]) -> T:
+    """Await a call of the library in a task of its own.
+
+    The library ends a call whose connection is lost by cancelling its task.  In a task
+    of a group that would look like a cancellation of the group.
+
+    :raises StreamTerminatedError: the call was ended
+    """
+    task = asyncio.get_running_loop().create_task(call)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        own = asyncio.current_task()
+        if task.cancelled() and own is not None and not own.cancelling():
+            raise StreamTerminatedError("the call was ended") from None
+        raise
+
+
 async def _receive(stream: Any) -> Any:
     message = await stream.recv_message()
     if message is None:
