Keep duties with their holder, probe silent domains, refuse what can't end in time

Duties moved whenever a higher ranked daemon came back, links to a leaving owner were cut with its calls, and a domain whose daemons were all restarting was taken to be cut off (90 times) although its servers answered.

--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -13,15 +13,30 @@
 # A server without room is asked again after this time, or once a result is freed.
 FULL_FOR_MS: Final = 150
 
+# The pieces of a call that takes this many times as long as expected are made again
+# elsewhere; whichever result comes first is used.
+HEDGE_FACTOR: Final = 1.8
+HEDGE_LEAST_MS: Final = 150
+
+# A server that is slower than this gets no piece that misses its objective for it.
+SLOW_SERVER: Final = 1.6
+
 # A piece is made at most this many times before its job fails.
 MAX_MAKES: Final = 3
 
 # A job waits this long for a server near its reader while others are idle or busy.
 NEAR_WAIT_MS: Final = 120
 
-# A late request is admitted if it is expected within this share of its time: what is
-# expected leaves out the requests that will come and go before it.
-LATE_ADMISSION_SHARE: Final = 0.5
+# A late request is admitted if it is expected within this share of its time.
+LATE_ADMISSION_SHARE: Final = 0.7
+
+# Time over which the demand of requests that can be on time is smoothed.
+DEMAND_WINDOW_MS: Final = 1_500.0
+
+# Late requests are taken to get at least this share of a pool, and any pool to make at
+# least this many pieces a ms.
+LEAST_LEFT_OVER: Final = 0.05
+LEAST_RATE: Final = 0.0001
 
 # A stage whose results would only wait is begun when the rest takes less than its own
 # time, times this factor and plus this margin.
--- a/packages/core/src/cowsliphitch/core/batching/models.py
+++ b/packages/core/src/cowsliphitch/core/batching/models.py
@@ -25,6 +25,7 @@
     """
 
     id: int
+    service: str
     request: str
     stage: int
     pieces: int
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -138,6 +139,7 @@
         self._figures: dict[str, StagePool] = {}
         self._runs: dict[int, _Run] = {}
         self._stage_of_job: dict[int, tuple[int, int]] = {}
+        self._demand: dict[str, tuple[float, int]] = {}
         self._numbers = itertools.count(1)
         self.diagnostics = Diagnostics()
 
@@ -174,6 +176,7 @@
             return not_run(Reason.NOT_CONFIGURED, detail, const.MIN_RETRY_AFTER_MS)
         done_ms = self.predicted_ms(request, now_ms, with_late=False)
         late = done_ms > request.objective_ms - now_ms
+        self._note_demand(request, late, now_ms)
         if late:
             done_ms = self.predicted_ms(request, now_ms, with_late=True)
             refusal = self._check_late(request, done_ms, now_ms)
@@ -206,7 +209,8 @@
 
         :param with_late: behind the requests that miss their objective, too
         """
-        ahead = self._pieces_ahead(with_late)
+        ahead = self._pieces_ahead(with_late=False)
+        behind = self._pieces_ahead(with_late=True) if with_late else ahead
         ready: dict[int, float] = {}
         for number, stage in enumerate(request.stages):
             arrives = max((ready[n] for n in stage.after), default=0.0)
@@ -216,12 +220,36 @@
                 continue
             queue = self._queues[stage.service]
             servers = self._servers(stage.service)
-            free_ms = queue.clear_ms(ahead.get(stage.service, 0), servers, now_ms)
+            first = ahead.get(stage.service, 0)
+            free_ms = queue.clear_ms(first, servers, now_ms)
+            if with_late:
+                # Late pieces get what the newcomers leave over.
+                rest = behind.get(stage.service, 0) - first + count
+                rate = queue.rate(servers, now_ms)
+                taken = self._demand_of(stage.service, now_ms)
+                left_over = max(rate - taken, rate * const.LEAST_LEFT_OVER)
+                free_ms += rest / max(left_over, const.LEAST_RATE)
             starts = max(arrives, free_ms)
             ready[number] = starts + queue.job_ms(count, servers, now_ms)
         last = max((ready[n] for n in request.final), default=0.0)
         return last + request.engine_ms
 
+    def _note_demand(self, request: StageRequest, late: bool, now_ms: int) -> None:
+        """Count what requests that can be on time ask of each pool."""
+        if late:
+            return
+        for number, stage in enumerate(request.stages):
+            count = request.count(number)
+            if count:
+                rate = self._demand_of(stage.service, now_ms)
+                rate += count / const.DEMAND_WINDOW_MS
+                self._demand[stage.service] = (rate, now_ms)
+
+    def _demand_of(self, service: str, now_ms: int) -> float:
+        """Return the pieces a ms that on-time requests ask, smoothed."""
+        rate, as_of_ms = self._demand.get(service, (0.0, now_ms))
+        return float(rate * math.exp((as_of_ms - now_ms) / const.DEMAND_WINDOW_MS))
+
     def _pieces_ahead(self, with_late: bool) -> dict[str, int]:
         """Return the pieces that admitted requests still need, by pool."""
         ahead: dict[str, int] = {}
@@ -297,9 +325,11 @@
         """Go on with the requests whose jobs ended."""
         commands: list[Command] = []
         for outcome in ended:
-            run_id, stage = self._stage_of_job.pop(outcome.job.id)
+            # A job of a request that ended in the same round is known no more.
+            run_id, stage = self._stage_of_job.pop(outcome.job.id, (0, 0))
             run = self._runs.get(run_id)
             if run is None:
+                commands.append(FreeResults(outcome.job.service, outcome.handles))
                 continue
             del run.jobs[stage]
             match outcome:
@@ -402,6 +432,7 @@
         inputs = tuple(h for n in stage.after for h in run.handles.get(n, ()))
         job = Job(
             id=next(self._numbers),
+            service=stage.service,
             request=request.request,
             stage=number,
             pieces=request.count(number),
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -41,6 +41,20 @@
     handles: dict[int, str] = attrs.Factory(dict)
     makes: int = 0
 
+    def take(self, number: int, handle: str) -> bool:
+        """Keep a piece's result; ``False`` if there is one already."""
+        if number in self.handles:
+            return False
+        self.handles[number] = handle
+        if number in self.waiting:
+            self.waiting.remove(number)
+        return True
+
+    def wait_again(self, number: int) -> None:
+        """Put a piece that was not made back, before the others."""
+        if number not in self.waiting and number not in self.handles:
+            self.waiting.insert(0, number)
+
     @property
     def half_made(self) -> bool:
         return bool(self.handles) or len(self.waiting) < self.job.pieces
@@ -82,6 +96,7 @@
         self._pool = pool
         self._jobs: dict[int, _Progress] = {}
         self._calls: dict[int, Call] = {}
+        self._hedged: set[int] = set()
         self._servers: dict[str, _ServerState] = {}
         self._numbers = itertools.count(1)
         self.room = RoomLedger(pool.room_bytes, pool.keep_ms)
@@ -125,8 +140,7 @@
         able = self._able(servers, now_ms)
         if not able:
             return const.NO_SERVER_MS
-        batch = self._pool.batch
-        rate = sum(batch / (self._call_ms(batch) * self._slowness(s)) for s in able)
+        rate = self.rate(servers, now_ms)
         left = [0.0] * len(able)
         for index, server in enumerate(able):
             due = [c.due_ms for c in self._calls.values() if c.server.id == server.id]
@@ -135,6 +149,14 @@
             return min(left)
         return sum(left) / len(left) + ahead / rate
 
+    def rate(self, servers: tuple[Server, ...], now_ms: int) -> float:
+        """Return the pieces a ms that the servers make in full calls."""
+        batch = self._pool.batch
+        return sum(
+            batch / (self._call_ms(batch) * self._slowness(server, now_ms))
+            for server in self._able(servers, now_ms)
+        )
+
     def job_ms(self, pieces: int, servers: tuple[Server, ...], now_ms: int) -> float:
         """Return how long the calls of a job take once they start."""
         able = self._able(servers, now_ms)
@@ -142,7 +164,7 @@
             return 0.0
         if not able:
             return const.NO_SERVER_MS
-        speeds = sorted(self._slowness(server) for server in able)
+        speeds = sorted(self._slowness(server, now_ms) for server in able)
         rounds = math.ceil(pieces / (self._pool.batch * len(able)))
         full_ms = self._call_ms(min(pieces, self._pool.batch))
         return rounds * full_ms * speeds[len(speeds) // 2]
@@ -162,7 +184,8 @@
             if running.get(server.id, 0) < self._pool.slots
             and self._state(server).full_until_ms <= now_ms
         ]
-        idle.sort(key=lambda server: self._state(server).slowness)
+        idle.sort(key=lambda server: self._slowness(server, now_ms))
+        self._hedge(now_ms)
         calls: list[Call] = []
         for server in idle:
             pieces = self._fill(server, now_ms)
@@ -170,11 +193,40 @@
                 calls.append(self._start(server, pieces, now_ms))
         return calls
 
+    def _suits(self, progress: _Progress, slowness: float, now_ms: int) -> bool:
+        """Tell whether a slow server may have a job's pieces.
+
+        One that would miss its objective just for this server waits for another.
+        """
+        if slowness < const.SLOW_SERVER or progress.job.late:
+            return True
+        job = progress.job
+        spare_ms = job.objective_ms - job.rest_ms - now_ms
+        return not self._call_ms(1) <= spare_ms < self._call_ms(1) * slowness
+
+    def _hedge(self, now_ms: int) -> None:
+        """Let the pieces of overdue calls be made elsewhere, too."""
+        for call in self._calls.values():
+            needed_ms = call.due_ms - call.started_ms
+            late_ms = max(const.HEDGE_LEAST_MS, needed_ms * (const.HEDGE_FACTOR - 1))
+            if call.id in self._hedged or now_ms < call.due_ms + late_ms:
+                continue
+            self._hedged.add(call.id)
+            for piece in call.pieces:
+                progress = self._jobs.get(piece.job.id)
+                if progress is not None:
+                    progress.waiting.append(piece.number)
+
     def _fill(self, server: Server, now_ms: int) -> tuple[Piece, ...]:
         """Choose the pieces of one call, the most urgent first."""
         free = self.room.free_bytes(server.id)
         chosen: list[Piece] = []
-        waiting = [p for p in self._jobs.values() if p.waiting]
+        slowness = self._slowness(server, now_ms)
+        waiting = [
+            progress
+            for progress in self._jobs.values()
+            if progress.waiting and self._suits(progress, slowness, now_ms)
+        ]
         waiting.sort(key=lambda p: self._order(p, now_ms, server.failure_domain))
         for progress in waiting:
             job = progress.job
@@ -207,6 +259,7 @@
         :returns: the jobs that ended, and handles that nobody wants any more
         """
         del self._calls[call.id]
+        self._hedged.discard(call.id)
         pairs = tuple(zip(call.pieces, outcomes, strict=True))
         made = {
             outcome.handle: piece.job.result_bytes
@@ -222,19 +275,18 @@
         for piece, outcome in pairs:
             progress = self._jobs.get(piece.job.id)
             match outcome:
-                case PieceMade(handle) if progress is None:
-                    unwanted.append(handle)
                 case PieceMade(handle):
-                    assert progress is not None
-                    progress.handles[piece.number] = handle
-                    ended.extend(self._done(progress))
+                    if progress is None or not progress.take(piece.number, handle):
+                        unwanted.append(handle)
+                    else:
+                        ended.extend(self._done(progress))
                 case PieceFailed(PieceFailure.ROOM):
                     # Results are larger than stated at times; nothing was tried.
                     self.diagnostics.no_room += 1
                     state = self._state(call.server)
                     state.full_until_ms = now_ms + const.FULL_FOR_MS
                     if progress is not None:
-                        progress.waiting.insert(0, piece.number)
+                        progress.wait_again(piece.number)
                 case PieceFailed(failure) if progress is not None:
                     ended.extend(self._again(progress, piece, failure))
                 case PieceFailed():
@@ -250,6 +302,7 @@
     def fail(self, call: Call, now_ms: int) -> list[JobOutcome]:
         """Put the pieces of a call that got no answer back into the queue."""
         del self._calls[call.id]
+        self._hedged.discard(call.id)
         self.room.settle(call.id, {}, now_ms)
         self.diagnostics.failed_calls += 1
         self._state(call.server).penalty_until_ms = now_ms + const.PENALTY_MS
@@ -290,8 +343,10 @@
     ) -> list[JobOutcome]:
         """Let a piece be made once more, unless that can't help."""
         progress.makes += 1
+        if piece.number in progress.handles:
+            return []
         if failure is PieceFailure.ERROR and progress.makes < const.MAX_MAKES:
-            progress.waiting.insert(0, piece.number)
+            progress.wait_again(piece.number)
             return []
         detail = f"piece {piece.number} could not be made: {failure.value}"
         lost = failure is PieceFailure.INPUT_GONE
@@ -345,9 +400,16 @@
         seen = (now_ms - call.started_ms) / self._call_ms(len(call.pieces))
         state.slowness += const.SPEED_WEIGHT * (seen - state.slowness)
 
-    def _slowness(self, server: Server) -> float:
+    def _slowness(self, server: Server, now_ms: int) -> float:
+        """Return the time of a server's calls against the pool's figures."""
         state = self._servers.get(server.id)
-        return max(1.0, state.slowness) if state is not None else 1.0
+        slowness = max(1.0, state.slowness) if state is not None else 1.0
+        running = [c for c in self._calls.values() if c.server.id == server.id]
+        overdue = (
+            (now_ms - call.started_ms) / self._call_ms(len(call.pieces))
+            for call in running
+        )
+        return max([slowness, *overdue])
 
     def _call_ms(self, pieces: int) -> float:
         return self._pool.call_ms + self._pool.piece_ms * pieces
--- a/packages/core/src/cowsliphitch/core/deployment/models.py
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -192,8 +192,11 @@
 
         Pools that occur together, directly or over a third one, have one name.
         """
-        services = self._pools_of(route)
-        return self._stage_groups().get(min(services, default=""), route.name)
+        return self.pool_group(min(self._pools_of(route), default=route.name))
+
+    def pool_group(self, service: str) -> str:
+        """Return the name of the pools that belong together with one of them."""
+        return self._stage_groups().get(service, service)
 
     def _pools_of(self, route: Route) -> set[str]:
         """Return the stage pools and the engines of a route."""
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -5,7 +5,10 @@
 wrong suspicion costs a duty, never safety.
 """
 
-from collections.abc import Iterable
+import itertools
+import zlib
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import attrs
@@ -26,6 +29,14 @@
 OWN_PAUSE_MS: Final = 600
 
 
+NO_CLAIMS: Final[Mapping[int, int]] = MappingProxyType({})
+
+
+def duty_number(duty: str) -> int:
+    """Return the short form of a duty's name."""
+    return zlib.crc32(duty.encode())
+
+
 @attrs.frozen
 class Member:
     """Another daemon.
@@ -46,6 +57,7 @@
     heard_ms: int | None = None
     listed: bool = False
     leaving: bool = False
+    claims: Mapping[int, int] = attrs.Factory(dict)
     number: int = 0
     seen_ms: int = 0
 
@@ -56,6 +68,7 @@
     def __init__(self, own: Member, now_ms: int) -> None:
         """Start alone."""
         self.own = own
+        self.claims: dict[int, int] = {}
         self._known: dict[str, _Known] = {}
         self._ticked_ms = now_ms
         self._was_listed = False
@@ -83,8 +96,18 @@
         self._was_listed = True
         self._forget(now_ms)
 
-    def hear(self, member: Member, number: int, leaving: bool, now_ms: int) -> bool:
-        """Take over a heartbeat; tell whether the member was not live before."""
+    def hear(
+        self,
+        member: Member,
+        number: int,
+        leaving: bool,
+        now_ms: int,
+        claims: Mapping[int, int] = NO_CLAIMS,
+    ) -> bool:
+        """Take over a heartbeat; tell whether the member was not live before.
+
+        :param claims: term by duty that the member holds
+        """
         if member.address == self.own.address:
             return False
         known = self._known.setdefault(member.address, _Known(member))
@@ -98,6 +121,8 @@
         known.member = member
         known.number = number
         known.leaving = leaving
+        known.claims = claims
+        self._yield_to(claims, member.address)
         known.heard_ms = known.seen_ms = now_ms
         return not was_live and not leaving
 
@@ -110,15 +135,70 @@
         others = [k.member for k in self._known.values() if self._is_live(k, now_ms)]
         return [self.own, *others]
 
+    def silent_for_ms(self, address: str, now_ms: int) -> int | None:
+        """Return how long a member was not heard; ``None`` if that says nothing.
+
+        A member that left, or that was never heard, may be silent for good reason.
+        """
+        known = self._known.get(address)
+        if known is None or known.leaving or known.heard_ms is None:
+            return None
+        return now_ms - known.heard_ms
+
+    def is_leaving(self, address: str) -> bool:
+        """Tell whether a member said that it leaves."""
+        known = self._known.get(address)
+        return known is not None and known.leaving
+
     def is_live(self, address: str, now_ms: int) -> bool:
         """Tell whether a daemon may hold duties."""
         known = self._known.get(address)
         return known is not None and self._is_live(known, now_ms)
 
     def owners(self, duty: str, now_ms: int) -> list[Member]:
-        """Return the live daemons in order of preference for a duty."""
+        """Return the live daemons in order of preference for a duty.
+
+        Whoever holds a duty keeps it while it lives, since it alone knows what runs.
+        Of two holders, which a cut may leave behind, the one with the higher term wins.
+        """
         by_address = {member.address: member for member in self.live(now_ms)}
-        return [by_address[address] for address in rank(duty, by_address)]
+        number = duty_number(duty)
+        holders = sorted(
+            (a for a in by_address if self._term(a, number)),
+            key=lambda a: (self._term(a, number), a),
+            reverse=True,
+        )
+        others = (a for a in rank(duty, by_address) if a not in holders)
+        return [by_address[address] for address in itertools.chain(holders, others)]
+
+    def take(self, duty: str, now_ms: int) -> bool:
+        """Hold a duty if nobody else does and it falls to this daemon.
+
+        :returns: whether the duty was taken now
+        """
+        number = duty_number(duty)
+        first = self.owners(duty, now_ms)[0]
+        if number in self.claims or first.address != self.own.address:
+            return False
+        terms = (known.claims.get(number, 0) for known in self._known.values())
+        self.claims[number] = 1 + max(terms, default=0)
+        return True
+
+    def release_all(self) -> None:
+        """Give up all duties, since this daemon leaves."""
+        self.claims.clear()
+
+    def _term(self, address: str, number: int) -> int:
+        if address == self.own.address:
+            return self.claims.get(number, 0)
+        return self._known[address].claims.get(number, 0)
+
+    def _yield_to(self, claims: Mapping[int, int], address: str) -> None:
+        """Give up the duties that another daemon holds with a higher term."""
+        for number, term in claims.items():
+            own = self.claims.get(number)
+            if own is not None and (term, address) > (own, self.own.address):
+                del self.claims[number]
 
     def counted(self, now_ms: int) -> int:
         """Return how many daemons may spend fleet-wide allowances, at the most."""
--- a/packages/core/src/cowsliphitch/core/fleet/reachability.py
+++ b/packages/core/src/cowsliphitch/core/fleet/reachability.py
@@ -2,15 +2,19 @@
 
 Load pattern: a failure domain is cut off without a sign.  Open connections to its
 servers hang, and each new one costs a timeout, while this side still has servers of its
-own.  Silent daemons are the first hint, a connection that timed out the second.
+own.  Silent daemons make a domain suspect, which is probed at once; only connections
+that time out make it cut off, since daemons may be gone while their servers live.
 """
 
-from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
 
-from .members import Member, MemberTable
+from .members import MemberTable
+
+# Daemons that were not heard for so long make their domain suspect; three heartbeats
+# are missed by then.
+SILENT_AFTER_MS: Final = 700
 
 # Connections that time out in a row before a domain is taken to be cut off although its
 # daemons are heard, or none is known there.
@@ -55,44 +59,36 @@
         state.timeout_ms = None
         state.cut = False
 
+    def suspects(self, members: MemberTable, now_ms: int) -> frozenset[str]:
+        """Return the domains that should be probed: cut off, or all daemons silent."""
+        return self.cut | self._silent_domains(members, now_ms)
+
     def update(self, members: MemberTable, now_ms: int) -> frozenset[str]:
         """Weigh the evidence anew; return the domains that are cut off."""
         silent = self._silent_domains(members, now_ms)
-        near = self._hears_own_domain(members, now_ms)
-        for name in set(self._domains) | silent:
-            if name == self._own_domain:
-                continue
-            state = self._state(name)
+        for name, state in self._domains.items():
             age_ms = HINT_FOR_MS
             if state.timeout_ms is not None:
                 age_ms = now_ms - state.timeout_ms
-            hinted = age_ms < HINT_FOR_MS
-            unheard = name in silent and (near or hinted)
-            if unheard or (state.timeouts >= TIMEOUTS_TO_CUT and hinted):
-                state.cut = True
-            elif name not in silent:
+            needed = 1 if name in silent else TIMEOUTS_TO_CUT
+            if name != self._own_domain and age_ms < HINT_FOR_MS:
+                state.cut = state.cut or state.timeouts >= needed
+            elif age_ms >= HINT_FOR_MS:
                 state.cut = False
         return self.cut
 
     def _silent_domains(self, members: MemberTable, now_ms: int) -> set[str]:
-        by_domain = _by_domain(members.peers())
+        """Return the domains whose daemons were heard once, and none is now."""
+        by_domain: dict[str, list[int]] = {}
+        for member in members.peers():
+            silent_ms = members.silent_for_ms(member.address, now_ms)
+            if silent_ms is not None:
+                by_domain.setdefault(member.failure_domain, []).append(silent_ms)
         return {
             domain
             for domain, found in by_domain.items()
-            if not any(members.is_live(member.address, now_ms) for member in found)
+            if domain != self._own_domain and min(found) >= SILENT_AFTER_MS
         }
 
-    def _hears_own_domain(self, members: MemberTable, now_ms: int) -> bool:
-        """Tell whether a daemon of the own domain is heard: the cut is not here."""
-        found = _by_domain(members.peers()).get(self._own_domain, [])
-        return any(members.is_live(member.address, now_ms) for member in found)
-
     def _state(self, domain: str) -> _Domain:
         return self._domains.setdefault(domain, _Domain())
-
-
-def _by_domain(members: Iterable[Member]) -> Mapping[str, list[Member]]:
-    found: dict[str, list[Member]] = {}
-    for member in members:
-        found.setdefault(member.failure_domain, []).append(member)
-    return found
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -141,13 +141,15 @@
         end_ms = self._clock.now_ms() + self._cfg.shutdown.grace - const.EXIT_MARGIN_MS
         event(_LOGGER, "daemon.stop", active=self._edge.diagnostics.active)
         self._state.stopping = True
+        self._state.stopping_since_ms = self._clock.now_ms()
+        self._state.members.release_all()
         self._edge.begin_close()
         await self._fleet.beat()
         with anyio.move_on_after(seconds(const.STORE_TIMEOUT_MS)):
             await self._store.unregister()
         notice_ms = self._clock.now_ms() + const.BALANCER_NOTICE_MS
         while self._clock.now_ms() < end_ms:
-            idle = self._edge.diagnostics.active == 0
+            idle = not self._edge.diagnostics.active and not self._desk.active
             if idle and self._clock.now_ms() >= notice_ms:
                 break
             await anyio.sleep(seconds(const.TICK_MS))
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -30,6 +30,11 @@
 # connections arrive until it was refused twice.
 BALANCER_NOTICE_MS: Final = 2_500
 
+# After this time a stopping daemon refuses streams, which could last longer than the
+# rest of its grace; kept connections still bring requests then.
+STOPPING_STREAMS_MS: Final = 2_500
+STOPPING_REQUESTS_MS: Final = 5_000
+
 # Before the platform's SIGKILL.
 EXIT_MARGIN_MS: Final = 300
 
@@ -48,8 +53,8 @@
 STAGE_CALL_TIMEOUT_MS: Final = 2_000
 FREE_TIMEOUT_MS: Final = 1_000
 
-# A failure domain that is cut off is tried again this often.
-PROBE_INTERVAL_MS: Final = 400
+# A failure domain that is suspect or cut off is tried this often.
+PROBE_INTERVAL_MS: Final = 250
 
 # Owners that are asked one after the other for a request's stages.
 MAX_OWNERS: Final = 3
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -73,10 +73,16 @@
         self._waiting: dict[int, _Waiting] = {}
         self._version = 0
 
+    @property
+    def active(self) -> int:
+        """Return the requests whose stages are on their way."""
+        return len(self._waiting)
+
     async def run_stages(self, order: StagesOrder) -> StagesReply:
         """Do the stages of a request and choose its engine; cancelling gives it up."""
         self._take_settings()
         now = self._state.clock.now_ms()
+        self._take_duty(order, now)
         objective_ms = now + order.objective_left_ms
         choice = self._choose(order, objective_ms, ())
         if choice is None:
@@ -104,6 +110,12 @@
                 return StagesRefused(attrs.evolve(refusal, stage=str(stage)))
         raise AssertionError("stages that ended have an outcome")
 
+    def _take_duty(self, order: StagesOrder, now_ms: int) -> None:
+        deployment = self._state.deployment
+        group = deployment.pool_group(order.engines) if deployment else ""
+        if not self._state.stopping and self._state.members.take(duty(group), now_ms):
+            event(_LOGGER, "duty.taken", duty=duty(group))
+
     def note(self, note: ProgressNote) -> None:
         """Take over what became of a request at its engine."""
         match note.progress:
@@ -287,6 +299,11 @@
             )
 
 
+def duty(group: str) -> str:
+    """Return the name of the duty to run a group of pools."""
+    return f"stages/{group}"
+
+
 def _request(order: StagesOrder, choice: Choice, now_ms: int) -> StageRequest:
     return StageRequest(
         request=order.request,
--- a/packages/gateway/src/cowsliphitch/gateway/fleet.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet.py
@@ -87,13 +87,14 @@
                 for server_id, share in state.placement.shares().items()
             },
             suspects={},
+            duties=dict(state.members.claims),
         )
 
     async def _receive(self, beat: Heartbeat) -> None:
         state = self._state
         now = state.clock.now_ms()
         member = Member(beat.address, beat.name, beat.failure_domain, beat.lifetime)
-        state.members.hear(member, beat.number, beat.leaving, now)
+        state.members.hear(member, beat.number, beat.leaving, now, beat.duties)
         by_checksum = {server_checksum(s.id): s.id for s in state.servers.all()}
         state.placement.set_peer(
             beat.address,
@@ -127,13 +128,19 @@
                 self.store.offer_document(content, address)
 
     def _note_live(self, now_ms: int) -> None:
-        """Log each change of who lives, and cut the links to the silent."""
-        live = {member.address for member in self._state.members.live(now_ms)}
-        live.discard(self._state.members.own.address)
+        """Log each change of who lives, and cut the links to the silent.
+
+        One that is leaving still answers what it was asked.
+        """
+        members = self._state.members
+        live = {member.address for member in members.live(now_ms)}
+        live.discard(members.own.address)
         for address in live - self._live:
             event(_LOGGER, "member.live", member=address)
         for address in self._live - live:
-            event(_LOGGER, "member.silent", member=address)
+            leaving = members.is_leaving(address)
+            event(_LOGGER, "member.lost", member=address, leaving=leaving)
             self._state.placement.forget_peer(address)
-            self._links.drop(address)
+            if not leaving:
+                self._links.drop(address)
         self._live = live
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -9,7 +9,7 @@
 
 from cowsliphitch.callers.edge.models import EdgeRequest, Reply
 from cowsliphitch.core.clock import seconds
-from cowsliphitch.core.deployment.models import Deployment, Route, Team
+from cowsliphitch.core.deployment.models import Deployment, Route, RouteKind, Team
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import (
@@ -33,6 +33,9 @@
 
 ENGINE_RESTART_MS = 300
 
+# Another daemon can be asked at once.
+STOPPING_RETRY_MS = 20
+
 
 @attrs.define
 class _Trace:
@@ -132,6 +135,9 @@
             detail = f"no route of {request.host} begins {request.path}"
             return not_run(Reason.UNKNOWN_ROUTE, detail)
         trace.route = route.name
+        if self._is_too_late(route):
+            detail = "this daemon is stopping and could not finish in time"
+            return not_run(Reason.SHUTTING_DOWN, detail, STOPPING_RETRY_MS)
         team = self._team(deployment, route, request)
         if isinstance(team, Refusal):
             return team
@@ -149,6 +155,15 @@
             end_ms=request.received_ms + timeout_ms,
         )
 
+    def _is_too_late(self, route: Route) -> bool:
+        """Tell whether a request might not end before this daemon does."""
+        if not self._state.stopping:
+            return False
+        since_ms = self._state.clock.now_ms() - self._state.stopping_since_ms
+        stream = route.kind is RouteKind.STREAM
+        last = const.STOPPING_STREAMS_MS if stream else const.STOPPING_REQUESTS_MS
+        return since_ms > last
+
     def _team(
         self, deployment: Deployment, route: Route, request: CallerRequest
     ) -> Team | Refusal | None:
--- a/packages/gateway/src/cowsliphitch/gateway/links.py
+++ b/packages/gateway/src/cowsliphitch/gateway/links.py
@@ -81,22 +81,28 @@
             event(_LOGGER, "domain.back", domain=domain)
 
     async def probe(self) -> None:
-        """Try a connection to each domain that is cut off, for ever."""
+        """Try a connection to each domain that is suspect, for ever."""
         for turn in itertools.count():
             await anyio.sleep(seconds(const.PROBE_INTERVAL_MS))
-            for domain in self._reach.cut:
-                servers = [
-                    s for s in self._state.servers.all() if s.failure_domain == domain
-                ]
-                if servers:
-                    await self._probe(servers[turn % len(servers)])
+            now = self._state.clock.now_ms()
+            async with anyio.create_task_group() as group:
+                for domain in self._reach.suspects(self._state.members, now):
+                    servers = [
+                        server
+                        for server in self._state.servers.all()
+                        if server.failure_domain == domain
+                    ]
+                    if servers:
+                        group.start_soon(self._probe, servers[turn % len(servers)])
 
     async def _probe(self, server: Server) -> None:
         now = self._state.clock.now_ms()
         try:
             connection = await connect(server.address, b"", self._state.clock)
-        except UpstreamError:
-            self._reach.timed_out(server.failure_domain, now)
+        except UpstreamError as exc:
+            if exc.refusal.reason is Reason.CONNECT_TIMEOUT:
+                self._reach.timed_out(server.failure_domain, now)
+                self.update()
             return
         await connection.close()
         self._reach.answered(server.failure_domain)
--- a/packages/gateway/src/cowsliphitch/gateway/stages.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stages.py
@@ -21,7 +21,7 @@
 from cowsliphitch.telemetry.logs import event
 
 from . import const
-from .desk import StageDesk
+from .desk import StageDesk, duty
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -143,7 +143,7 @@
         Routes that share a pool share its owner.
         """
         deployment = self._state.deployment
-        duty = deployment.stage_group(route) if deployment else route.name
+        group = deployment.stage_group(route) if deployment else route.name
         now = self._state.clock.now_ms()
-        members = self._state.members.owners(f"stages/{duty}", now)
+        members = self._state.members.owners(duty(group), now)
         return [member.address for member in members]
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -24,6 +24,7 @@
     servers: ServerRegistry = attrs.Factory(ServerRegistry)
     placement: ServerPlacement = attrs.Factory(ServerPlacement)
     stopping: bool = False
+    stopping_since_ms: int = 0
 
     @property
     def deployment(self) -> Deployment | None:
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -44,6 +44,7 @@
             pb.Suspect(fingerprint=bytes.fromhex(name), crashes=crashes)
             for name, crashes in beat.suspects.items()
         ],
+        duties=[pb.Duty(duty=duty, term=term) for duty, term in beat.duties.items()],
     )
     return bytes(message.SerializeToString())
 
@@ -70,6 +71,7 @@
         leaving=message.leaving,
         draining=tuple(message.draining),
         servers={row.server: ServerShare(row.running) for row in message.servers},
+        duties={row.duty: row.term for row in message.duties},
         suspects={row.fingerprint.hex(): row.crashes for row in message.suspects},
     )
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -19,6 +19,7 @@
     :param version: of the settings in force there
     :param draining: servers that it knows to be leaving
     :param servers: what it has at servers, by checksum of their identifiers
+    :param duties: term by checksum of the duties that it holds
     :param suspects: crashes by fingerprint of the requests that caused them
     """
 
@@ -32,6 +33,7 @@
     draining: tuple[str, ...]
     servers: dict[int, ServerShare]
     suspects: dict[str, int]
+    duties: dict[int, int]
 
 
 @attrs.frozen
