--- /dev/null
+++ b/features/core/fleet.feature
@@ -0,0 +1,50 @@
+Feature: Daemons that act together
+
+  Scenario: A duty stays with its holder when a higher ranked daemon comes back
+    Given the first daemon in rank for a duty leaves and the second takes it
+    When the first daemon comes back
+    Then the second daemon still holds the duty
+
+  Scenario: Of two holders after a cut the one that took the duty last keeps it
+    Given a holder with term 4 that hears another holder with term 5
+    Then it has given up the duty
+
+  Scenario: A daemon that says it leaves holds no duty
+    Given the first daemon in rank for a duty leaves and the second takes it
+    Then the first daemon is not among the owners
+
+  Scenario: A daemon that restarts with an earlier clock is heard again
+    Given a daemon that was heard with lifetime 5000
+    When it is silent for 2000 ms and heard with lifetime 3000
+    Then it is live
+
+  Scenario: Allowances are divided by all that may live, not by those that are heard
+    Given a daemon that listed 9 members and hears none of them for 30000 ms
+    Then it divides fleet-wide allowances by 9
+
+  Scenario: Before a list was read the allowances are divided by many
+    Given a daemon that knows nobody
+    Then it divides fleet-wide allowances by 16
+
+  Scenario: A domain whose daemons all leave is not cut off
+    Given a daemon that hears the daemons of another domain leave
+    When 3000 ms go by
+    Then no domain is suspect
+
+  Scenario: Silent daemons alone do not cut a domain off
+    Given a daemon that stops hearing another domain
+    When 1500 ms go by
+    Then the other domain is suspect but not cut off
+
+  Scenario: Silent daemons and a connection that times out do
+    Given a daemon that stops hearing another domain
+    When 1500 ms go by
+    And a connection to the other domain times out
+    Then the other domain is cut off
+    When a server of the other domain answers
+    Then the other domain is not cut off
+
+  Scenario: One connection that times out does not cut a domain off whose daemons are heard
+    Given a daemon that hears another domain
+    When a connection to the other domain times out
+    Then the other domain is not cut off
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -22,6 +22,7 @@
 
     server: Server
     missing_until_ms: int | None = None
+    misdirected: bool = False
 
 
 class ServerRegistry:
@@ -54,7 +55,12 @@
 
     def put(self, server: Server) -> None:
         """Take over an entry."""
-        self._known[server.id] = _Known(server)
+        before = self._known.get(server.id)
+        known = self._known[server.id] = _Known(server)
+        if before is not None and before.server.address == server.address:
+            known.misdirected = (
+                before.misdirected and before.server.born_ms == server.born_ms
+            )
         self._by_service.clear()
 
     def remove(self, server_id: str, now_ms: int) -> None:
@@ -102,6 +108,13 @@
         self._by_service.clear()
         return True
 
+    def misdirected(self, server_id: str) -> None:
+        """Leave out a server at whose address another one answered."""
+        known = self._known.get(server_id)
+        if known is not None:
+            known.misdirected = True
+            self._by_service.clear()
+
     def set_cut(self, domains: frozenset[str]) -> None:
         """Leave out the servers of failure domains that are cut off."""
         if domains != self._cut:
@@ -115,12 +128,13 @@
 
     def usable(self, server: Server) -> bool:
         """Tell whether new work may still go to a server."""
-        known = self.get(server.id)
+        known = self._known.get(server.id)
         return (
             known is not None
-            and known.state is ServerState.READY
-            and known.address == server.address
-            and known.born_ms == server.born_ms
+            and not known.misdirected
+            and known.server.state is ServerState.READY
+            and known.server.address == server.address
+            and known.server.born_ms == server.born_ms
         )
 
     def ready(self, service: str) -> tuple[Server, ...]:
@@ -133,6 +147,7 @@
                 if known.server.service == service
                 and known.server.state is ServerState.READY
                 and known.server.failure_domain not in self._cut
+                and not known.misdirected
             )
             self._by_service[service] = found
         return found
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -256,7 +256,10 @@
         with self._links.until_cut(server):
             async with self._links.exchange(server, request, max_open) as answer:
                 content = await answer.read(const.MAX_STAGE_ANSWER_BYTES)
-        if not wire.decode_head(answer.head).success:
+        facts = wire.decode_head(answer.head)
+        if facts.wrong_server:
+            self._state.servers.misdirected(server.id)
+        if not facts.success:
             detail = f"{server.id} answered {answer.head.status}"
             raise UpstreamError(not_run(Reason.UPSTREAM_REFUSED, detail))
         return content
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -213,6 +213,8 @@
         if facts.not_run:
             await answer.read(const.MAX_ANSWER_BYTES)
             reason = _reason_not_run(facts)
+            if facts.wrong_server and passage.server is not None:
+                self._state.servers.misdirected(passage.server)
             detail = f"the server refused with {facts.status}"
             raise UpstreamError(not_run(reason, detail, RETRY_AFTER_MS))
         if facts.success and not facts.sealed:
