--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -19,15 +19,15 @@
     Given servers "s1, s2" of a service
     When the store is away for 5000 ms and the entry of "s1" lapses
     Then the ready servers are "s1, s2"
-    When 2400 ms pass
+    When the registry waits 2400 ms
     Then the ready servers are "s2"
 
   Scenario: A server that registers again after an outage was never left out
     Given servers "s1, s2" of a service
     When the store is away for 5000 ms and the entry of "s1" lapses
-    And 1500 ms pass
+    And the registry waits 1500 ms
     And "s1" registers again
-    And 3000 ms pass
+    And the registry waits 3000 ms
     Then the ready servers are "s1, s2"
 
   Scenario: A server whose address belongs to another process is left out
--- /dev/null
+++ b/features/steps/batching_steps.py
@@ -0,0 +1,317 @@
+"""Steps on stages: replayed loads, and single cases against the planner."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from cowsliphitch.core.batching.models import (
+    PieceFailed,
+    PieceFailure,
+    PieceMade,
+    PieceOutcome,
+)
+from cowsliphitch.core.batching.pipeline import (
+    FreeResults,
+    StagePlanner,
+    StageRequest,
+    StagesDone,
+    StagesFailed,
+)
+from cowsliphitch.core.deployment.models import StagePool, StageSpec
+from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.standins.emulator.loads import (
+    four_each,
+    three_each,
+    with_bursts,
+    with_troubles,
+)
+from cowsliphitch.standins.emulator.stages import Burst, StageEmulator, Trouble
+
+WORST = (
+    Burst("", 1.7, 25_000, 29_000),
+    Burst("diagnosis", 2.5, 4_000, 10_000),
+    Burst("draft", 2.5, 4_000, 10_000),
+    Burst("summary", 2.5, 14_000, 20_000),
+    Burst("verse", 2.5, 14_000, 20_000),
+)
+LOADS = {
+    "three, calm": three_each(),
+    "three, diagnosis burst": with_bursts(
+        three_each(), Burst("diagnosis", 2.4, 6_000, 12_000)
+    ),
+    "three, one server dark": with_troubles(
+        three_each(), Trouble("encode-0", 0, 6_000, 12_000)
+    ),
+    "three, worst": with_troubles(
+        with_bursts(three_each(), *WORST), Trouble("encode-0", 0, 12_000, 18_000)
+    ),
+    "four, calm": four_each(),
+    "four, draft burst": with_bursts(four_each(), Burst("draft", 2.4, 6_000, 12_000)),
+    "four, worst": with_troubles(
+        with_bursts(four_each(), *WORST), Trouble("retrieve-0", 0, 12_000, 18_000)
+    ),
+}
+FIGURES = StagePool(
+    slots=1,
+    queue=2,
+    batch=4,
+    call_ms=150.0,
+    piece_ms=10.0,
+    room_bytes=1_000,
+    keep_ms=4_000,
+)
+ROUNDS = 60
+
+
+class CheckedEmulator(StageEmulator):
+    """An emulator that checks each call when it starts."""
+
+    def _start(self, now: int) -> None:
+        before = {
+            service: set(queue.calls) for service, queue in self.planner.queues.items()
+        }
+        super()._start(now)
+        for service, queue in self.planner.queues.items():
+            pool = self._scenario.pools[service]
+            for number in set(queue.calls) - before[service]:
+                call = queue.calls[number]
+                assert len(call.pieces) <= pool.batch, call
+                assert queue.room.free_bytes(call.server.id) >= 0, call
+
+
+@when('the load "{load}" is replayed with seeds {first:d} to {last:d}')
+def replay(context: Any, load: str, first: int, last: int) -> None:
+    context.reports = [
+        CheckedEmulator(LOADS[load], seed).run() for seed in range(first, last + 1)
+    ]
+
+
+@then("the mean credit is at least {credit:g}")
+def mean_credit(context: Any, credit: float) -> None:
+    found = [report.earned for report in context.reports]
+    assert sum(found) / len(found) >= credit, found
+
+
+@then("at most {held:d} requests in 100 are held and then refused")
+def little_held(context: Any, held: int) -> None:
+    outcomes = [o for report in context.reports for o in report.kinds.values()]
+    asked, failed = sum(o.asked for o in outcomes), sum(o.failed for o in outcomes)
+    assert failed * 100 <= held * asked, (failed, asked)
+
+
+@then("every call kept to its batch and to the memory of its server")
+def kept(context: Any) -> None:
+    assert all(report.calls > 100 for report in context.reports)
+
+
+class Bench:
+    """A planner with servers whose answers a step decides."""
+
+    def __init__(self, servers: int = 1, services: tuple[str, ...] = ("s",)) -> None:
+        self.now = 0
+        self.servers = {
+            service: tuple(
+                Server(
+                    f"{service}{n}",
+                    service,
+                    f"{service}{n}:1",
+                    "domain",
+                    ServerState.READY,
+                    1,
+                )
+                for n in range(servers)
+            )
+            for service in services
+        }
+        self.planner = StagePlanner(self.servers.__getitem__)
+        self.planner.set_pools(dict.fromkeys(services, FIGURES))
+        self.commands: list[Any] = []
+        self.calls: list[Any] = []
+        self.made = 0
+
+    def admit(self, stages: tuple[StageSpec, ...], pieces: tuple[int, ...]) -> int:
+        request = StageRequest(
+            "request", stages, pieces, "key", 8_000, 4_000, 50, 1, "team", "domain"
+        )
+        admitted = self.planner.admit(request, self.now)
+        assert isinstance(admitted, int), admitted
+        return admitted
+
+    def play(self, answer: Any, rounds: int = ROUNDS) -> None:
+        """Start calls and answer them at once, round after round."""
+        for _ in range(rounds):
+            for call in self.planner.plan(self.now):
+                self.calls.append(call)
+                outcomes = tuple(answer(piece) for piece in call.pieces)
+                self.now += 150
+                self.commands += self.planner.finish(call, outcomes, self.now)
+            self.now += 100
+            self.commands += self.planner.tick(self.now)
+
+    def result(self, _piece: Any = None) -> PieceOutcome:
+        self.made += 1
+        return PieceMade(f"s0:1/{self.made}")
+
+    def ended(self) -> list[Any]:
+        return [c for c in self.commands if isinstance(c, StagesDone | StagesFailed)]
+
+    def freed(self) -> list[str]:
+        found = [c.handles for c in self.commands if isinstance(c, FreeResults)]
+        return [handle for handles in found for handle in handles]
+
+
+ONE = (StageSpec("s", (), 100),)
+
+
+@given("a pool of one server that refuses pieces for want of room {count:d} times")
+def no_room(context: Any, count: int) -> None:
+    context.bench = Bench()
+    context.refusals = count
+
+    def answer(piece: Any) -> PieceOutcome:
+        if context.refusals > 0:
+            context.refusals -= 1
+            return PieceFailed(PieceFailure.ROOM)
+        return context.bench.result()
+
+    context.answer = answer
+
+
+@given("a pool of one server that fails the second piece always")
+def fails_second(context: Any) -> None:
+    context.bench = Bench()
+    context.answer = lambda piece: (
+        PieceFailed(PieceFailure.ERROR) if piece.number else context.bench.result()
+    )
+
+
+@when("a job of {pieces:d} pieces is done there")
+def job(context: Any, pieces: int) -> None:
+    context.bench.admit(ONE, (pieces,))
+    context.bench.play(context.answer)
+
+
+@then("the job is made")
+def made(context: Any) -> None:
+    ended = context.bench.ended()
+    assert len(ended) == 1 and isinstance(ended[0], StagesDone), ended
+    assert context.refusals == 0
+
+
+@then("the job has failed and the result of its first piece is freed")
+def failed(context: Any) -> None:
+    ended = context.bench.ended()
+    assert len(ended) == 1 and isinstance(ended[0], StagesFailed), ended
+    assert context.bench.freed() == ["s0:1/1"]
+
+
+@given("a request with two parallel stages that both become late")
+def both_late(context: Any) -> None:
+    context.bench = Bench(services=("s", "t"))
+    stages = (StageSpec("s", (), 100), StageSpec("t", (), 100))
+    context.bench.admit(stages, (1, 1))
+    for queue in context.bench.planner.queues.values():
+        assert queue.waiting_pieces == 1
+
+
+@when("the planner gives up what is late")
+def give_up(context: Any) -> None:
+    context.bench.commands += context.bench.planner.tick(7_950)
+
+
+@then("the request has failed once and nothing is left behind")
+def failed_once(context: Any) -> None:
+    assert len(context.bench.ended()) == 1, context.bench.commands
+    planner = context.bench.planner
+    assert planner.requests == 0
+    assert all(queue.waiting_pieces == 0 for queue in planner.queues.values())
+
+
+@given("a request whose first results are lost before its second stage reads them")
+def lost_results(context: Any) -> None:
+    context.bench = Bench(services=("s", "t"))
+    context.lost = False
+    context.bench.admit((StageSpec("s", (), 100), StageSpec("t", (0,), 100)), (1, 1))
+
+    def answer(piece: Any) -> PieceOutcome:
+        if piece.job.stage == 1 and not context.lost:
+            context.lost = True
+            return PieceFailed(PieceFailure.INPUT_GONE)
+        return context.bench.result()
+
+    context.answer = answer
+
+
+@when("its stages are planned on")
+def planned_on(context: Any) -> None:
+    context.bench.play(context.answer)
+
+
+@then("all its stages are done")
+def all_done(context: Any) -> None:
+    ended = context.bench.ended()
+    assert context.lost and len(ended) == 1, ended
+    assert isinstance(ended[0], StagesDone)
+    stages = [call.pieces[0].job.stage for call in context.bench.calls]
+    assert stages == [0, 1, 0, 1], stages
+
+
+@given("a pool of two servers of which one hangs")
+def one_hangs(context: Any) -> None:
+    context.bench = Bench(servers=2)
+
+
+@when("a job of {pieces:d} pieces waits for {ms:d} ms")
+def waits(context: Any, pieces: int, ms: int) -> None:
+    bench = context.bench
+    bench.admit(ONE, (pieces,))
+    (context.hanging,) = bench.planner.plan(0)
+    bench.now = ms
+    bench.play(bench.result, rounds=2)
+
+
+@then("the other server has made its pieces")
+def other_made(context: Any) -> None:
+    bench = context.bench
+    assert isinstance(bench.ended()[0], StagesDone)
+    assert {c.server.id for c in bench.calls} != {context.hanging.server.id}
+    late = tuple(bench.result() for _ in context.hanging.pieces)
+    commands = bench.planner.finish(context.hanging, late, bench.now)
+    freed = [c for c in commands if isinstance(c, FreeResults)]
+    assert sum(len(c.handles) for c in freed) == len(late), commands
+
+
+@given("a request that is cancelled between its stages")
+def cancelled(context: Any) -> None:
+    bench = context.bench = Bench(services=("s", "t"))
+    run = bench.admit((StageSpec("s", (), 100), StageSpec("t", (0,), 100)), (2, 1))
+    bench.play(bench.result, rounds=1)
+    bench.commands += bench.planner.cancel(run)
+
+
+@then("its results are freed and no job waits")
+def nothing_waits(context: Any) -> None:
+    assert sorted(context.bench.freed()) == ["s0:1/1", "s0:1/2"]
+    assert context.bench.planner.requests == 0
+    assert not context.bench.planner.plan(context.bench.now)
+
+
+@given("a request with a short branch of large results and a long branch")
+def branches(context: Any) -> None:
+    bench = context.bench = Bench(services=("s", "t", "u", "v"))
+    stages = (
+        StageSpec("s", (), 900),
+        StageSpec("t", (), 10),
+        StageSpec("u", (1,), 10),
+        StageSpec("v", (2,), 10),
+    )
+    bench.admit(stages, (1, 1, 4, 4))
+    bench.play(bench.result)
+
+
+@then("the short branch is begun after the long one")
+def short_later(context: Any) -> None:
+    stages = [call.pieces[0].job.stage for call in context.bench.calls]
+    assert sorted(stages) == [0, 1, 2, 3]
+    assert stages[0] == 1 and stages.index(0) > stages.index(1), stages
+    assert isinstance(context.bench.ended()[0], StagesDone)
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -21,14 +21,14 @@
     options = {"leaving": False} | fields
     lifetime = options.pop("lifetime", 1_000)
     domain = options.pop("domain", OWN)
-    context.table.hear(
+    context.daemons.hear(
         member(name, domain, lifetime), context.number, now_ms=context.now, **options
     )
 
 
 def new_table(context: Any) -> None:
     context.now, context.number = 10_000, 0
-    context.table = MemberTable(member("self"), context.now)
+    context.daemons = MemberTable(member("self"), context.now)
 
 
 @given("the first daemon in rank for a duty leaves and the second takes it")
@@ -36,11 +36,11 @@
     new_table(context)
     for name in ("a", "b", "c"):
         hear(context, name)
-    ranked = [m.name for m in context.table.owners(DUTY, context.now)]
+    ranked = [m.name for m in context.daemons.owners(DUTY, context.now)]
     others = [name for name in ranked if name != "self"]
     context.first, context.second = others[:2]
     hear(context, context.first, claims={NUMBER: 1})
-    assert context.table.owners(DUTY, context.now)[0].name == context.first
+    assert context.daemons.owners(DUTY, context.now)[0].name == context.first
     hear(context, context.first, leaving=True)
     hear(context, context.second, claims={NUMBER: 2})
 
@@ -52,28 +52,28 @@
 
 @then("the second daemon still holds the duty")
 def still_holds(context: Any) -> None:
-    owners = [m.name for m in context.table.owners(DUTY, context.now)]
+    owners = [m.name for m in context.daemons.owners(DUTY, context.now)]
     assert owners[0] == context.second, owners
-    assert not context.table.take(DUTY, context.now)
+    assert not context.daemons.take(DUTY, context.now)
 
 
 @then("the first daemon is not among the owners")
 def not_owner(context: Any) -> None:
-    owners = [m.name for m in context.table.owners(DUTY, context.now)]
+    owners = [m.name for m in context.daemons.owners(DUTY, context.now)]
     assert context.first not in owners, owners
 
 
 @given("a holder with term {own:d} that hears another holder with term {other:d}")
 def two_holders(context: Any, own: int, other: int) -> None:
     new_table(context)
-    context.table.claims[NUMBER] = own
+    context.daemons.claims[NUMBER] = own
     hear(context, "a", claims={NUMBER: other})
 
 
 @then("it has given up the duty")
 def given_up(context: Any) -> None:
-    assert NUMBER not in context.table.claims
-    assert context.table.owners(DUTY, context.now)[0].name == "a"
+    assert NUMBER not in context.daemons.claims
+    assert context.daemons.owners(DUTY, context.now)[0].name == "a"
 
 
 @given("a daemon that was heard with lifetime {lifetime:d}")
@@ -90,18 +90,18 @@
 
 @then("it is live")
 def is_live(context: Any) -> None:
-    assert context.table.is_live("a:1", context.now)
+    assert context.daemons.is_live("a:1", context.now)
 
 
 @given("a daemon that listed {count:d} members and hears none of them for {ms:d} ms")
 def listed(context: Any, count: int, ms: int) -> None:
     new_table(context)
     names = [f"m{n}" for n in range(count - 1)]
-    context.table.set_listed([member(name) for name in names], context.now)
+    context.daemons.set_listed([member(name) for name in names], context.now)
     for name in names:
         hear(context, name)
     context.now += ms
-    context.table.set_listed([], context.now)
+    context.daemons.set_listed([], context.now)
 
 
 @given("a daemon that knows nobody")
@@ -111,7 +111,7 @@
 
 @then("it divides fleet-wide allowances by {count:d}")
 def divides(context: Any, count: int) -> None:
-    assert context.table.counted(context.now) == count
+    assert context.daemons.counted(context.now) == count
 
 
 def two_domains(context: Any) -> None:
@@ -139,13 +139,13 @@
 def go_by(context: Any, ms: int) -> None:
     context.now += ms
     hear(context, "near")
-    context.reach.update(context.table, context.now)
+    context.reach.update(context.daemons, context.now)
 
 
 @when("a connection to the other domain times out")
 def times_out(context: Any) -> None:
     context.reach.timed_out(OTHER, context.now)
-    context.reach.update(context.table, context.now)
+    context.reach.update(context.daemons, context.now)
 
 
 @when("a server of the other domain answers")
@@ -155,12 +155,12 @@
 
 @then("no domain is suspect")
 def no_suspect(context: Any) -> None:
-    assert not context.reach.suspects(context.table, context.now)
+    assert not context.reach.suspects(context.daemons, context.now)
 
 
 @then("the other domain is suspect but not cut off")
 def suspect(context: Any) -> None:
-    assert context.reach.suspects(context.table, context.now) == {OTHER}
+    assert context.reach.suspects(context.daemons, context.now) == {OTHER}
     assert not context.reach.cut
 
 
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -55,7 +55,7 @@
     context.registry.remove(name, context.now)
 
 
-@when("{ms:d} ms pass")
+@when("the registry waits {ms:d} ms")
 def passes(context: Any, ms: int) -> None:
     context.now += ms
     context.registry.expire(context.now)
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -31,8 +31,8 @@
 }
 
 
-class _Malformed(Exception):
-    """A request that can't be read; it is answered with an error and a close."""
+class _EndWithStatus(Exception):
+    """The connection is to end with an error of this status."""
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
@@ -84,7 +84,7 @@
                 pass
         except (_Left, ReplyError):
             self._diagnostics.left += 1
-        except _Malformed as exc:
+        except _EndWithStatus as exc:
             self._diagnostics.malformed += 1
             _LOGGER.info("Request refused: status=%d cause=%s", exc.status, exc)
             await self._refuse(exc.status)
@@ -133,7 +133,7 @@
 
     async def _handle(self, req: EdgeRequest) -> None:
         """Run the handler, and cancel it as soon as the caller has left."""
-        left = False
+        left = failed = False
 
         async def watch(scope: anyio.CancelScope) -> None:
             nonlocal left
@@ -145,23 +145,26 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(watch, group.cancel_scope)
-                await self._run_handler(req)
+                failed = await self._run_handler(req)
                 group.cancel_scope.cancel()
         finally:
             self._diagnostics.active -= 1
         if left:
             raise _Left
+        if failed and not self._started:
+            # An error of this program says nothing about what ran.
+            raise _EndWithStatus(502, "the handler raised an error")
 
-    async def _run_handler(self, req: EdgeRequest) -> None:
-        """Let the handler answer; an error of ours says nothing about what ran."""
+    async def _run_handler(self, req: EdgeRequest) -> bool:
+        """Let the handler answer; tell whether it raised an error."""
         try:
             await self._handler(req, self)
         except ReplyError:
             self._diagnostics.left += 1
         except Exception:
             _LOGGER.exception("A request ended with an error of this program")
-            if not self._started:
-                await self._refuse(502)
+            return True
+        return False
 
     async def _wait_until_left(self) -> bool:
         """Buffer what the caller sends on; return once it is gone."""
@@ -180,7 +183,7 @@
     async def _read_request(self) -> EdgeRequest | None:
         """Read a whole request; ``None`` if the connection ended between two.
 
-        :raises _Malformed: it can't be served
+        :raises _EndWithStatus: it can't be served
         :raises _Left: the caller closed in the middle of it
         """
         limits = self._limits()
@@ -192,7 +195,7 @@
             with anyio.fail_after(seconds(max(0, left_ms))):
                 event = await self._next_event()
         except TimeoutError:
-            raise _Malformed(408, "the head did not arrive in time") from None
+            raise _EndWithStatus(408, "the head did not arrive in time") from None
         if not isinstance(event, h11.Request):
             return None
         host = _check_head(event, limits)
@@ -235,12 +238,12 @@
                 with anyio.fail_after(seconds(const.BODY_STALL_MS)):
                     event = await self._next_event()
             except TimeoutError:
-                raise _Malformed(408, "the body stalled") from None
+                raise _EndWithStatus(408, "the body stalled") from None
             match event:
                 case h11.Data(data=data):
                     size += len(data)
                     if size > limits.body_bytes:
-                        raise _Malformed(413, f"the body has over {size} bytes")
+                        raise _EndWithStatus(413, f"the body has over {size} bytes")
                     parts.append(bytes(data))
                 case h11.EndOfMessage():
                     return b"".join(parts)
@@ -252,7 +255,7 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as exc:
-                raise _Malformed(exc.error_status_hint, str(exc)) from exc
+                raise _EndWithStatus(exc.error_status_hint, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
             try:
@@ -269,7 +272,7 @@
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as exc:
-            raise _Malformed(exc.error_status_hint, str(exc)) from exc
+            raise _EndWithStatus(exc.error_status_hint, str(exc)) from exc
 
     async def _write(self, data: bytes | None) -> None:
         if not data:
@@ -316,23 +319,23 @@
 def _check_head(head: h11.Request, limits: CallerLimits) -> str:
     """Return the host of a request whose framing leaves no doubt.
 
-    :raises _Malformed: it could be read in two ways, or is too large
+    :raises _EndWithStatus: it could be read in two ways, or is too large
     """
     names = [name for name, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
-        raise _Malformed(400, "both content-length and transfer-encoding are given")
+        raise _EndWithStatus(400, "both content-length and transfer-encoding are given")
     if names.count(b"host") != 1:
-        raise _Malformed(400, "there must be one host header")
+        raise _EndWithStatus(400, "there must be one host header")
     if not head.target.startswith(b"/"):
-        raise _Malformed(400, "the target must be a path")
+        raise _EndWithStatus(400, "the target must be a path")
     if (
         sum(len(name) + len(value) for name, value in head.headers)
         > limits.header_bytes
     ):
-        raise _Malformed(431, f"the head has over {limits.header_bytes} bytes")
+        raise _EndWithStatus(431, f"the head has over {limits.header_bytes} bytes")
     headers = dict(head.headers)
     length = headers.get(b"content-length")
     if length is not None and int(length) > limits.body_bytes:
-        raise _Malformed(413, f"the body has over {limits.body_bytes} bytes")
+        raise _EndWithStatus(413, f"the body has over {limits.body_bytes} bytes")
     host = headers[b"host"].decode("latin-1").lower()
     return host.partition(":")[0]
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -8,7 +8,7 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -108,9 +108,9 @@
         return self.waiting(with_late=True)
 
     @property
-    def running_calls(self) -> int:
-        """Return the calls that have no answer yet."""
-        return len(self._calls)
+    def calls(self) -> Mapping[int, Call]:
+        """Return the calls that have no answer yet, by number."""
+        return self._calls
 
     def set_pool(self, pool: StagePool) -> None:
         """Take over new figures of a server."""
