Make pieces where their inputs lie and their results are read

Every piece reads all its inputs, so a rerank stage of 16 pieces pulls its 480 KB of inputs 16 times; until now only the last reader's domain was considered.

--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -24,8 +24,17 @@
 # A piece is made at most this many times before its job fails.
 MAX_MAKES: Final = 3
 
+# A piece that moves this much between failure domains is worth a wait for a near
+# server, if the objective is still met with this margin.
+LARGE_BYTES: Final = 200_000
+NEAR_MARGIN_MS: Final = 250
+
+# No piece waits for a near server while more than this share of the servers' next calls
+# is asked for: capacity is scarcer than the links then.
+LOADED_SHARE: Final = 0.4
+
 # A job waits this long for a server near its reader while others are idle or busy.
-NEAR_WAIT_MS: Final = 120
+NEAR_WAIT_MS: Final = 60
 
 # A late request is admitted if it is expected within this share of its time.
 LATE_ADMISSION_SHARE: Final = 0.7
--- a/packages/core/src/cowsliphitch/core/batching/models.py
+++ b/packages/core/src/cowsliphitch/core/batching/models.py
@@ -20,7 +20,8 @@
     :param objective_ms: monotonic time until which the answer earns full credit
     :param rest_ms: expected time of what follows this stage
     :param rank: urgency of the request, 0 goes first
-    :param reader_domain: failure domain of the server that will read the results
+    :param near_domain: failure domain in which its pieces are best made
+    :param far_bytes: what crosses failure domains for each piece made elsewhere
     :param late: the request was admitted although it misses its objective
     """
 
@@ -37,7 +38,8 @@
     rest_ms: int
     rank: int
     team: str
-    reader_domain: str
+    near_domain: str
+    far_bytes: int
     queued_ms: int
     late: bool = False
 
@@ -95,10 +97,12 @@
     """A job is done.
 
     :param handles: of its results, in the order of the pieces
+    :param domains: failure domains in which these lie
     """
 
     job: Job
     handles: tuple[str, ...]
+    domains: tuple[str, ...]
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -9,6 +9,7 @@
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -95,6 +96,7 @@
     request: StageRequest
     jobs: dict[int, int] = attrs.Factory(dict)
     handles: dict[int, tuple[str, ...]] = attrs.Factory(dict)
+    domains: dict[int, tuple[str, ...]] = attrs.Factory(dict)
     late: bool = False
     restarts: int = 0
 
@@ -103,6 +105,7 @@
         self.restarts += 1
         self.jobs.clear()
         self.handles.clear()
+        self.domains.clear()
 
     def done(self, stage: int) -> bool:
         return stage in self.handles or self.request.count(stage) == 0
@@ -333,8 +336,9 @@
                 continue
             del run.jobs[stage]
             match outcome:
-                case Made(_, handles):
+                case Made(_, handles, domains):
                     run.handles[stage] = handles
+                    run.domains[stage] = domains
                     commands.extend(self._advance(run, stage, now_ms))
                 case Failed(_, refusal, handles) if self._may_restart(run, refusal):
                     run.handles[stage] = handles
@@ -444,7 +448,8 @@
             rest_ms=round(self._rest_ms(run, number, now_ms)),
             rank=request.rank,
             team=request.team,
-            reader_domain=request.reader_domain,
+            near_domain=self._near_domain(run, number),
+            far_bytes=self._far_bytes(run, number),
             queued_ms=now_ms,
             late=run.late,
         )
@@ -452,6 +457,32 @@
         self._stage_of_job[job.id] = (run.id, number)
         self._queues[stage.service].add(job)
 
+    def _near_domain(self, run: _Run, number: int) -> str:
+        """Return where most of a stage's inputs lie, or where its results are read."""
+        found = Counter(
+            domain
+            for before in run.request.stages[number].after
+            for domain in run.domains.get(before, ())
+        )
+        most = found.most_common(1)
+        return most[0][0] if most else run.request.reader_domain
+
+    def _far_bytes(self, run: _Run, number: int) -> int:
+        """Return what crosses domains for a piece made away from its near domain.
+
+        Every piece reads all its inputs, and every result is read by every piece of
+        the stages that follow.
+        """
+        request = run.request
+        stage = request.stages[number]
+        read = sum(
+            request.stages[before].result_bytes * request.count(before)
+            for before in stage.after
+        )
+        followers = [n for n, s in enumerate(request.stages) if number in s.after]
+        readers = sum(request.count(n) for n in followers) if followers else 1
+        return read + stage.result_bytes * readers
+
     def _rest_ms(self, run: _Run, number: int, now_ms: int) -> float:
         """Return the least time of everything that follows a stage."""
         request = run.request
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -39,13 +39,15 @@
     job: Job
     waiting: list[int]
     handles: dict[int, str] = attrs.Factory(dict)
+    domains: dict[int, str] = attrs.Factory(dict)
     makes: int = 0
 
-    def take(self, number: int, handle: str) -> bool:
+    def take(self, number: int, handle: str, domain: str) -> bool:
         """Keep a piece's result; ``False`` if there is one already."""
         if number in self.handles:
             return False
         self.handles[number] = handle
+        self.domains[number] = domain
         if number in self.waiting:
             self.waiting.remove(number)
         return True
@@ -188,21 +190,51 @@
         self._hedge(now_ms)
         calls: list[Call] = []
         for server in idle:
-            pieces = self._fill(server, now_ms)
+            pieces = self._fill(server, servers, now_ms)
             if pieces:
                 calls.append(self._start(server, pieces, now_ms))
         return calls
 
-    def _suits(self, progress: _Progress, slowness: float, now_ms: int) -> bool:
-        """Tell whether a slow server may have a job's pieces.
+    def _suits(
+        self,
+        progress: _Progress,
+        server: Server,
+        servers: tuple[Server, ...],
+        now_ms: int,
+    ) -> bool:
+        """Tell whether a server may have a job's pieces.
 
-        One that would miss its objective just for this server waits for another.
+        One that would miss its objective just for a slow server waits for another, and
+        one with large results waits for a server near its reader while time allows.
         """
-        if slowness < const.SLOW_SERVER or progress.job.late:
-            return True
         job = progress.job
+        if job.late:
+            return True
         spare_ms = job.objective_ms - job.rest_ms - now_ms
-        return not self._call_ms(1) <= spare_ms < self._call_ms(1) * slowness
+        slowness = self._slowness(server, now_ms)
+        if slowness >= const.SLOW_SERVER:
+            needed_ms = self._call_ms(1)
+            if needed_ms <= spare_ms < needed_ms * slowness:
+                return False
+        if server.failure_domain == job.near_domain:
+            return True
+        if job.far_bytes < const.LARGE_BYTES or self._is_loaded(servers):
+            return True
+        near = tuple(s for s in servers if s.failure_domain == job.near_domain)
+        if not near:
+            return True
+        ahead = sum(
+            len(other.waiting)
+            for other in self._jobs.values()
+            if other.job.near_domain == job.near_domain
+        )
+        near_ms = self.clear_ms(ahead, near, now_ms) + self._call_ms(job.pieces)
+        return near_ms + const.NEAR_MARGIN_MS > spare_ms
+
+    def _is_loaded(self, servers: tuple[Server, ...]) -> bool:
+        """Tell whether more waits than the servers' next calls can take."""
+        room = self._pool.batch * len(servers) * const.LOADED_SHARE
+        return self.waiting_pieces > room
 
     def _hedge(self, now_ms: int) -> None:
         """Let the pieces of overdue calls be made elsewhere, too."""
@@ -215,17 +247,18 @@
             for piece in call.pieces:
                 progress = self._jobs.get(piece.job.id)
                 if progress is not None:
-                    progress.waiting.append(piece.number)
+                    progress.wait_again(piece.number)
 
-    def _fill(self, server: Server, now_ms: int) -> tuple[Piece, ...]:
+    def _fill(
+        self, server: Server, servers: tuple[Server, ...], now_ms: int
+    ) -> tuple[Piece, ...]:
         """Choose the pieces of one call, the most urgent first."""
         free = self.room.free_bytes(server.id)
         chosen: list[Piece] = []
-        slowness = self._slowness(server, now_ms)
         waiting = [
             progress
             for progress in self._jobs.values()
-            if progress.waiting and self._suits(progress, slowness, now_ms)
+            if progress.waiting and self._suits(progress, server, servers, now_ms)
         ]
         waiting.sort(key=lambda p: self._order(p, now_ms, server.failure_domain))
         for progress in waiting:
@@ -276,7 +309,9 @@
             progress = self._jobs.get(piece.job.id)
             match outcome:
                 case PieceMade(handle):
-                    if progress is None or not progress.take(piece.number, handle):
+                    if progress is None or not progress.take(
+                        piece.number, handle, call.server.failure_domain
+                    ):
                         unwanted.append(handle)
                     else:
                         ended.extend(self._done(progress))
@@ -360,7 +395,8 @@
             return []
         del self._jobs[job.id]
         handles = tuple(progress.handles[n] for n in range(job.pieces))
-        return [Made(job, handles)]
+        domains = tuple(progress.domains[n] for n in range(job.pieces))
+        return [Made(job, handles, domains)]
 
     def _order(
         self, progress: _Progress, now_ms: int, domain: str | None = None
@@ -382,7 +418,7 @@
         waited_ms = now_ms - job.queued_ms
         far = (
             domain is not None
-            and domain != job.reader_domain
+            and domain != job.near_domain
             and waited_ms < const.NEAR_WAIT_MS
         )
         late = job.late or spare_ms < 0
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -124,19 +124,21 @@
         """Close idle connections to other addresses and those that got too old."""
         wanted = set(addresses)
         now = self._clock.now_ms()
+        stale: list[Connection] = []
         for address, origin in list(self._origins.items()):
-            keep_all = address in wanted
-            stale = [
+            kept = deque(
                 connection
                 for connection in origin.idle
-                if not keep_all or connection.reusable_until_ms <= now
-            ]
-            for connection in stale:
-                origin.idle.remove(connection)
-                origin.open -= 1
-                await connection.close()
-            if not keep_all and origin.open == 0:
+                if address in wanted and connection.reusable_until_ms > now
+            )
+            stale.extend(c for c in origin.idle if c not in kept)
+            origin.open -= len(origin.idle) - len(kept)
+            origin.idle = kept
+            if address not in wanted and origin.open == 0:
                 del self._origins[address]
+        # Closing may wait, so that requests come and go meanwhile.
+        for connection in stale:
+            await connection.close()
 
     def open_to(self, address: str) -> int:
         """Return the number of open connections to an address."""
