--- a/packages/daemon/src/cowsliphitch/daemon/cli.py
+++ b/packages/daemon/src/cowsliphitch/daemon/cli.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from cowsliphitch.core.clock import Clock
+from cowsliphitch.gateway.cli import run as run_gateway
 
 from .app import Daemon
 from .logs import set_up_logs
@@ -24,7 +25,13 @@
     parser = argparse.ArgumentParser(prog="cowsliphitchd", description=__doc__)
     parser.add_argument("--settings", required=True, help="YAML file of this daemon")
     parser.add_argument("--check", action="store_true", help="check the file and exit")
+    parser.add_argument(
+        "--platform", action="store_true", help="serve callers on the platform"
+    )
     args = parser.parse_args()
+    if args.platform:
+        run_gateway(args.settings, args.check)
+        return
     match load_daemon_settings(args.settings):
         case Err(problems):
             for problem in problems:
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -1,5 +1,6 @@
 """A daemon that serves callers on the platform: its parts, its start and its end."""
 
+import json
 import logging
 import os
 import time
@@ -24,6 +25,7 @@
 
 from . import const
 from .desk import StageDesk
+from .diagnostics import diagnostics
 from .discovery import StoreCoordinator
 from .fleet import FleetCoordinator
 from .forwarding import Forwarder
@@ -37,6 +39,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 SMALL_EDGE_CONNECTIONS = 64
+STATE_PATH = "/state"
 
 
 class Gateway:
@@ -174,8 +177,11 @@
         await reply.start(status, (), 0)
         await reply.end()
 
-    async def _scrape(self, _req: EdgeRequest, reply: Reply) -> None:
+    async def _scrape(self, req: EdgeRequest, reply: Reply) -> None:
         content, media_type = self._metrics.scrape()
+        if req.path == STATE_PATH:
+            found = diagnostics(self._state, self._store, self._desk)
+            content, media_type = json.dumps(found).encode(), "application/json"
         await reply.start(200, ((b"content-type", media_type.encode()),), len(content))
         await reply.send(content)
         await reply.end()
--- a/packages/operators/src/cowsliphitch/operators/cli/__init__.py
+++ b/packages/operators/src/cowsliphitch/operators/cli/__init__.py
@@ -10,6 +10,7 @@
     ConfigReadCommand,
     ConfigStoreCommand,
 )
+from .platform import DeploymentCheckCommand, ExplainCommand, StateCommand
 from .requests import RequestCommand, TokenCommand
 from .status import (
     AuditCommand,
@@ -31,6 +32,9 @@
     DiagnosticsCommand,
     RequestCommand,
     TokenCommand,
+    ExplainCommand,
+    DeploymentCheckCommand,
+    StateCommand,
 )
 
 
