--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -2,7 +2,7 @@
 
   Scenario Outline: A request that can't be read is refused, and nothing of it runs
     Given an edge whose limits are 2000 bytes of head and 1000 bytes of body
-    When a caller sends <request>
+    When an edge is sent <request>
     Then the caller gets <status> and the end of the connection
     And the edge handed on 0 requests
 
@@ -21,12 +21,12 @@
 
   Scenario: A chunked body arrives whole and unchanged
     Given an edge whose limits are 2000 bytes of head and 1000 bytes of body
-    When a caller sends a body of 900 bytes in chunks
+    When an edge is sent a body of 900 bytes in chunks
     Then the caller gets 200 with the body that it sent
 
   Scenario: Requests that are sent at once are answered in order
     Given an edge whose limits are 2000 bytes of head and 1000 bytes of body
-    When a caller sends 3 requests at once
+    When an edge is sent 3 requests at once
     Then the caller gets 3 answers in order
 
   Scenario Outline: A caller that leaves is noticed while its request is served
@@ -42,17 +42,17 @@
 
   Scenario: An answer that breaks off does not look complete
     Given an edge whose handler stops in the middle of its answer
-    When a caller sends a request
+    When an edge is sent a request
     Then the caller sees that the answer is not whole
 
   Scenario: An error of the program promises nothing
     Given an edge whose handler raises an error
-    When a caller sends a request
+    When an edge is sent a request
     Then the caller gets 502 and the end of the connection
 
   Scenario: A daemon that stops ends connections with their answers
     Given an edge whose limits are 2000 bytes of head and 1000 bytes of body
-    When the edge begins to close and a caller sends a request
+    When a request arrives at an edge that begins to close
     Then the caller is told that the connection ends
 
   Scenario: An idle connection is closed after the idle timeout, not before
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -149,7 +149,7 @@
     context.edge = Edge(raises, CallerLimits())
 
 
-@when("a caller sends {request}")
+@when("an edge is sent {request}")
 def sends(context: Any, request: str) -> None:
     async def call(stream: SocketStream) -> bytes:
         if request.endswith("requests at once"):
@@ -220,10 +220,10 @@
     assert b"half" in context.answer and not context.answer.endswith(b"0\r\n\r\n")
 
 
-@when("the edge begins to close and a caller sends a request")
+@when("a request arrives at an edge that begins to close")
 def closing(context: Any) -> None:
     context.edge.server.begin_close()
-    context.execute_steps("when a caller sends a request")
+    context.execute_steps("when an edge is sent a request")
 
 
 @then("the caller is told that the connection ends")
