Count failed tries by piece, and none for a server that was not reached

Failures were counted by job, so one failed call with three pieces ended it, and each refused connection counted as a try: 126 calls went to one dead server as fast as they failed.

Ruled out: more tries (the loop would only be longer); the penalty alone (it is passed over when no other server is left).

--- a/features/core/batching.feature
+++ b/features/core/batching.feature
@@ -27,6 +27,12 @@
     When a job of 2 pieces is done there
     Then the job is made
 
+  Scenario: A server that can't be reached uses up neither tries nor time
+    Given a pool of two servers of which one refuses connections for 2000 ms
+    And the other one failed a call a moment ago
+    When a job of 2 pieces is done there
+    Then the job is made and the dead server was tried at most 6 times
+
   Scenario: A piece that fails three times fails its job, and its results are freed
     Given a pool of one server that fails the second piece always
     When a job of 2 pieces is done there
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -177,6 +177,40 @@
     context.answer = answer
 
 
+@given("a pool of two servers of which one refuses connections for {ms:d} ms")
+def refuses_connections(context: Any, ms: int) -> None:
+    context.bench = Bench(servers=2)
+    context.dead, context.dead_until_ms = context.bench.servers["s"][0], ms
+    context.tries = 0
+
+
+@given("the other one failed a call a moment ago")
+def other_failed(context: Any) -> None:
+    bench = context.bench
+    bench.admit(ONE, (8,))
+    for call in bench.planner.plan(bench.now):
+        reached = call.server != context.dead
+        bench.commands += bench.planner.fail(call, bench.now, reached)
+
+
+@then("the job is made and the dead server was tried at most {count:d} times")
+def dead_tried(context: Any, count: int) -> None:
+    bench = context.bench
+    while bench.now < 6_000 and bench.planner.requests:
+        for call in bench.planner.plan(bench.now):
+            if call.server == context.dead and bench.now < context.dead_until_ms:
+                context.tries += 1
+                bench.commands += bench.planner.fail(call, bench.now, reached=False)
+            else:
+                bench.now += 150
+                made = tuple(bench.result() for _ in call.pieces)
+                bench.commands += bench.planner.finish(call, made, bench.now)
+        bench.now += 10
+    assert all(isinstance(c, StagesDone) for c in bench.ended()), bench.commands
+    assert len(bench.ended()) == 2, bench.commands
+    assert context.tries <= count, context.tries
+
+
 @given("a pool of one server that fails the second piece always")
 def fails_second(context: Any) -> None:
     context.bench = Bench()
@@ -188,7 +222,8 @@
 @when("a job of {pieces:d} pieces is done there")
 def job(context: Any, pieces: int) -> None:
     context.bench.admit(ONE, (pieces,))
-    context.bench.play(context.answer)
+    if "dead" not in context:
+        context.bench.play(context.answer)
 
 
 @then("the job is made")
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -13,6 +13,10 @@
 # A server without room is asked again after this time, or once a result is freed.
 FULL_FOR_MS: Final = 150
 
+# A server that could not be reached gets nothing for so long; trying it more often
+# would only use up the time of what waits.
+UNREACHABLE_MS: Final = 400
+
 # The pieces of a call that takes this many times as long as expected are made again
 # elsewhere; whichever result comes first is used.
 HEDGE_FACTOR: Final = 1.8
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -290,9 +290,12 @@
             commands.append(FreeResults(service, tuple(unwanted)))
         return commands
 
-    def fail(self, call: Call, now_ms: int) -> list[Command]:
-        """Take over that a call got no answer."""
-        ended = self._queues[call.server.service].fail(call, now_ms)
+    def fail(self, call: Call, now_ms: int, reached: bool) -> list[Command]:
+        """Take over that a call got no answer.
+
+        :param reached: the call may have been worked on
+        """
+        ended = self._queues[call.server.service].fail(call, now_ms, reached)
         return self._follow(ended, now_ms)
 
     def cancel(self, run_id: int) -> list[Command]:
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -8,6 +8,7 @@
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
@@ -40,7 +41,7 @@
     waiting: list[int]
     handles: dict[int, str] = attrs.Factory(dict)
     domains: dict[int, str] = attrs.Factory(dict)
-    makes: int = 0
+    failures: Counter[int] = attrs.Factory(Counter)
 
     def take(self, number: int, handle: str, domain: str) -> bool:
         """Keep a piece's result; ``False`` if there is one already."""
@@ -67,12 +68,15 @@
     """What calls to a server have shown.
 
     :param slowness: time of its calls against the pool's figures
+    :param penalty_until_ms: until then others are preferred
+    :param unreachable_until_ms: until then it gets nothing at all
     :param full_until_ms: until then it is taken to have no room, unless a result
         is freed there
     """
 
     slowness: float = 1.0
     penalty_until_ms: int = 0
+    unreachable_until_ms: int = 0
     full_until_ms: int = 0
 
 
@@ -334,18 +338,28 @@
         if server_id is not None and server_id in self._servers:
             self._servers[server_id].full_until_ms = 0
 
-    def fail(self, call: Call, now_ms: int) -> list[JobOutcome]:
-        """Put the pieces of a call that got no answer back into the queue."""
+    def fail(self, call: Call, now_ms: int, reached: bool) -> list[JobOutcome]:
+        """Put the pieces of a call that got no answer back into the queue.
+
+        :param reached: the call may have been worked on
+        """
         del self._calls[call.id]
         self._hedged.discard(call.id)
         self.room.settle(call.id, {}, now_ms)
         self.diagnostics.failed_calls += 1
-        self._state(call.server).penalty_until_ms = now_ms + const.PENALTY_MS
+        state = self._state(call.server)
+        state.penalty_until_ms = now_ms + const.PENALTY_MS
+        if not reached:
+            state.unreachable_until_ms = now_ms + const.UNREACHABLE_MS
         ended: list[JobOutcome] = []
         for piece in call.pieces:
             progress = self._jobs.get(piece.job.id)
-            if progress is not None:
+            if progress is None:
+                continue
+            if reached:
                 ended.extend(self._again(progress, piece, PieceFailure.ERROR))
+            else:
+                progress.wait_again(piece.number)
         return ended
 
     def drop(self, job_id: int) -> tuple[str, ...]:
@@ -377,10 +391,11 @@
         self, progress: _Progress, piece: Piece, failure: PieceFailure
     ) -> list[JobOutcome]:
         """Let a piece be made once more, unless that can't help."""
-        progress.makes += 1
+        progress.failures[piece.number] += 1
         if piece.number in progress.handles:
             return []
-        if failure is PieceFailure.ERROR and progress.makes < const.MAX_MAKES:
+        tries = progress.failures[piece.number]
+        if failure is PieceFailure.ERROR and tries < const.MAX_MAKES:
             progress.wait_again(piece.number)
             return []
         detail = f"piece {piece.number} could not be made: {failure.value}"
@@ -425,8 +440,9 @@
         return (late, not half_made, job.rank, far, spare_ms, job.id)
 
     def _able(self, servers: tuple[Server, ...], now_ms: int) -> list[Server]:
-        able = [s for s in servers if self._state(s).penalty_until_ms <= now_ms]
-        return able or list(servers)
+        reached = [s for s in servers if self._state(s).unreachable_until_ms <= now_ms]
+        able = [s for s in reached if self._state(s).penalty_until_ms <= now_ms]
+        return able or reached
 
     def _state(self, server: Server) -> _ServerState:
         return self._servers.setdefault(server.id, _ServerState())
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -25,7 +25,7 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.engines.board import Choice, Costs, EngineBoard
 from cowsliphitch.core.servers.models import Server
-from cowsliphitch.core.verdict import Reason, Refusal, not_run
+from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
 from cowsliphitch.peers.fleet.models import (
     Progress,
     ProgressNote,
@@ -54,6 +54,16 @@
     outcome: StagesDone | StagesFailed | None = None
 
 
+@attrs.frozen
+class CallFailed:
+    """A call to a stage server got no answer that can be used.
+
+    :param reached: it may have been worked on
+    """
+
+    reached: bool
+
+
 class StageDesk:
     """Run the stages of all daemons' requests at the pools owned here."""
 
@@ -187,10 +197,11 @@
     async def _run_call(self, call: Call) -> None:
         outcomes = await self._ask(call)
         now = self._state.clock.now_ms()
-        if outcomes is None:
-            self._carry_out(self.planner.fail(call, now))
-        else:
-            self._carry_out(self.planner.finish(call, outcomes, now))
+        match outcomes:
+            case CallFailed(reached):
+                self._carry_out(self.planner.fail(call, now, reached))
+            case _:
+                self._carry_out(self.planner.finish(call, outcomes, now))
         self._start_calls()
 
     def _carry_out(self, commands: Iterable[Command]) -> None:
@@ -206,8 +217,8 @@
                 case FreeResults(service, handles) if handles:
                     self._group.start_soon(self._free, service, handles)
 
-    async def _ask(self, call: Call) -> tuple[PieceOutcome, ...] | None:
-        """Send a call; ``None`` if no piece is known to be made."""
+    async def _ask(self, call: Call) -> tuple[PieceOutcome, ...] | CallFailed:
+        """Send a call and read what became of its pieces."""
         now = self._state.clock.now_ms()
         items = [
             wire.PieceItem(
@@ -229,11 +240,11 @@
                 )
         except (UpstreamError, TimeoutError) as exc:
             self._log_failure(call, str(exc) or "timeout")
-            return None
+            return CallFailed(_was_reached(exc))
         outcomes = wire.decode_pieces(content, len(items))
         if outcomes is None:
             self._log_failure(call, "the answer can't be read")
-            return None
+            return CallFailed(reached=True)
         failed = [o.failure for o in outcomes if isinstance(o, PieceFailed)]
         if any(failure is not PieceFailure.ROOM for failure in failed):
             self._log_failure(call, ",".join(f.value for f in failed))
@@ -302,6 +313,12 @@
             )
 
 
+def _was_reached(exc: UpstreamError | TimeoutError) -> bool:
+    if isinstance(exc, TimeoutError):
+        return True
+    return exc.refusal.verdict is not Verdict.NOT_RUN
+
+
 def duty(group: str) -> str:
     """Return the name of the duty to run a group of pools."""
     return f"stages/{group}"
--- a/packages/standins/src/cowsliphitch/standins/emulator/stages.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/stages.py
@@ -253,7 +253,7 @@
 
     def _lose(self, call: Call) -> Callable[[int], None]:
         def lose(now: int) -> None:
-            self._carry_out(self.planner.fail(call, now), now)
+            self._carry_out(self.planner.fail(call, now, reached=True), now)
             self._start(now)
 
         return lose
