Divide the planner's files, drop a heartbeat field that nothing used

Cause: reading the change as a newcomer: queue.py and pipeline.py had grown to 467 and 499 lines, the heartbeat carried crash suspects that no code read, and two modules were called telemetry.

What: batching/progress.py and batching/requests.py hold the types; gateway/metrics.py.

No decision was changed.

--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -10,9 +10,9 @@
     PieceMade,
     PieceOutcome,
 )
-from cowsliphitch.core.batching.pipeline import (
+from cowsliphitch.core.batching.pipeline import StagePlanner
+from cowsliphitch.core.batching.requests import (
     FreeResults,
-    StagePlanner,
     StageRequest,
     StagesDone,
     StagesFailed,
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -14,110 +14,25 @@
 
 import attrs
 
-from cowsliphitch.core.deployment.models import StagePool, StageSpec
+from cowsliphitch.core.deployment.models import StagePool
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
 from . import const
 from .models import Call, Failed, Job, JobOutcome, Made, PieceOutcome
 from .queue import StageQueue
+from .requests import (
+    Command,
+    FreeResults,
+    Run,
+    StageRequest,
+    StagesDone,
+    StagesFailed,
+)
 
 Servers = Callable[[str], tuple[Server, ...]]
 
 
-@attrs.frozen
-class StageRequest:
-    """What a request needs of its stages.
-
-    :param pieces: by stage, 0 where a stage is left out
-    :param deadline_ms: monotonic time after which nobody wants the answer
-    :param objective_ms: monotonic time until which the answer earns full credit
-    :param engine_ms: expected time from the last result to the first token
-    """
-
-    request: str
-    stages: tuple[StageSpec, ...]
-    pieces: tuple[int, ...]
-    key: str
-    deadline_ms: int
-    objective_ms: int
-    engine_ms: int
-    rank: int
-    team: str
-    reader_domain: str
-
-    def count(self, stage: int) -> int:
-        """Return the pieces of a stage."""
-        return self.pieces[stage] if stage < len(self.pieces) else 0
-
-    @property
-    def final(self) -> tuple[int, ...]:
-        """Return the stages that no other stage follows."""
-        read = set(itertools.chain.from_iterable(s.after for s in self.stages))
-        return tuple(n for n in range(len(self.stages)) if n not in read)
-
-
-@attrs.frozen
-class StagesDone:
-    """All stages of a request are done.
-
-    :param results: service and handles, in the order of the final stages
-    """
-
-    run: int
-    results: tuple[tuple[str, tuple[str, ...]], ...]
-
-
-@attrs.frozen
-class StagesFailed:
-    """A request's stages won't be done."""
-
-    run: int
-    stage: int
-    refusal: Refusal
-
-
-@attrs.frozen
-class FreeResults:
-    """Results that nobody needs any more."""
-
-    service: str
-    handles: tuple[str, ...]
-
-
-Command = StagesDone | StagesFailed | FreeResults
-
-
-@attrs.define
-class _Run:
-    """A request on its way through its stages."""
-
-    id: int
-    request: StageRequest
-    jobs: dict[int, int] = attrs.Factory(dict)
-    handles: dict[int, tuple[str, ...]] = attrs.Factory(dict)
-    domains: dict[int, tuple[str, ...]] = attrs.Factory(dict)
-    late: bool = False
-    restarts: int = 0
-
-    def restart(self) -> None:
-        """Begin with the first stages again."""
-        self.restarts += 1
-        self.jobs.clear()
-        self.handles.clear()
-        self.domains.clear()
-
-    def done(self, stage: int) -> bool:
-        return stage in self.handles or self.request.count(stage) == 0
-
-    def waits(self, stage: int) -> bool:
-        """Tell whether a stage is neither submitted nor done."""
-        return not self.done(stage) and stage not in self.jobs
-
-    def ready(self, stage: int) -> bool:
-        return all(self.done(before) for before in self.request.stages[stage].after)
-
-
 @attrs.define
 class Diagnostics:
     """Counters of a planner, for metrics."""
@@ -140,7 +55,7 @@
         self._servers = servers
         self._queues: dict[str, StageQueue] = {}
         self._figures: dict[str, StagePool] = {}
-        self._runs: dict[int, _Run] = {}
+        self._runs: dict[int, Run] = {}
         self._stage_of_job: dict[int, tuple[int, int]] = {}
         self._demand: dict[str, tuple[float, int]] = {}
         self._numbers = itertools.count(1)
@@ -188,7 +103,7 @@
                 return refusal
             self.diagnostics.admitted_late += 1
         self.diagnostics.admitted += 1
-        run = _Run(next(self._numbers), request, late=late)
+        run = Run(next(self._numbers), request, late=late)
         self._runs[run.id] = run
         self._submit_ready(run, now_ms)
         return run.id
@@ -356,12 +271,12 @@
                     commands.extend(self._drop(run))
         return commands
 
-    def _may_restart(self, run: _Run, refusal: Refusal) -> bool:
+    def _may_restart(self, run: Run, refusal: Refusal) -> bool:
         """Tell whether results that were lost are worth making again."""
         lost = refusal.reason is Reason.RESULT_LOST
         return lost and run.restarts < const.MAX_RESTARTS
 
-    def _advance(self, run: _Run, stage: int, now_ms: int) -> list[Command]:
+    def _advance(self, run: Run, stage: int, now_ms: int) -> list[Command]:
         """Free what was read, and submit or end what is due after a stage."""
         commands: list[Command] = []
         stages = run.request.stages
@@ -381,7 +296,7 @@
             commands.append(StagesDone(run.id, results))
         return commands
 
-    def _drop(self, run: _Run) -> list[Command]:
+    def _drop(self, run: Run) -> list[Command]:
         """Free everything that a request holds."""
         stages = run.request.stages
         freed: list[Command] = [
@@ -397,7 +312,7 @@
                 freed.append(FreeResults(service, handles))
         return freed
 
-    def _submit_ready(self, run: _Run, now_ms: int) -> None:
+    def _submit_ready(self, run: Run, now_ms: int) -> None:
         """Submit the stages whose inputs are there and whose time has come."""
         for number in range(len(run.request.stages)):
             if run.waits(number) and run.ready(number):
@@ -405,7 +320,7 @@
                     continue
                 self._submit(run, number, now_ms)
 
-    def _may_wait(self, run: _Run, number: int, now_ms: int) -> bool:
+    def _may_wait(self, run: Run, number: int, now_ms: int) -> bool:
         """Tell whether a final stage is better begun later.
 
         Its results would lie in a server's scarce memory until a longer branch ends.
@@ -422,7 +337,7 @@
         own_ms += queue.job_ms(request.count(number), servers, now_ms)
         return own_ms * const.EARLY_START_FACTOR + const.EARLY_START_MS < rest_ms
 
-    def _branch_ms(self, run: _Run, number: int, now_ms: int) -> float:
+    def _branch_ms(self, run: Run, number: int, now_ms: int) -> float:
         """Return the least time until a stage that is not done will be."""
         stage = run.request.stages[number]
         before = max(
@@ -433,7 +348,7 @@
         servers = self._servers(stage.service)
         return before + queue.job_ms(run.request.count(number), servers, now_ms)
 
-    def _submit(self, run: _Run, number: int, now_ms: int) -> None:
+    def _submit(self, run: Run, number: int, now_ms: int) -> None:
         request = run.request
         stage = request.stages[number]
         inputs = tuple(h for n in stage.after for h in run.handles.get(n, ()))
@@ -460,7 +375,7 @@
         self._stage_of_job[job.id] = (run.id, number)
         self._queues[stage.service].add(job)
 
-    def _near_domain(self, run: _Run, number: int) -> str:
+    def _near_domain(self, run: Run, number: int) -> str:
         """Return where most of a stage's inputs lie, or where its results are read."""
         found = Counter(
             domain
@@ -470,7 +385,7 @@
         most = found.most_common(1)
         return most[0][0] if most else run.request.reader_domain
 
-    def _far_bytes(self, run: _Run, number: int) -> int:
+    def _far_bytes(self, run: Run, number: int) -> int:
         """Return what crosses domains for a piece made away from its near domain.
 
         Every piece reads all its inputs, and every result is read by every piece of
@@ -486,7 +401,7 @@
         readers = sum(request.count(n) for n in followers) if followers else 1
         return read + stage.result_bytes * readers
 
-    def _rest_ms(self, run: _Run, number: int, now_ms: int) -> float:
+    def _rest_ms(self, run: Run, number: int, now_ms: int) -> float:
         """Return the least time of everything that follows a stage."""
         request = run.request
         rests = []
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -8,7 +8,6 @@
 
 import itertools
 import math
-from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
@@ -30,56 +29,10 @@
     PieceMade,
     PieceOutcome,
 )
+from .progress import Progress, ServerState
 from .room import RoomLedger
 
 
-@attrs.define
-class _Progress:
-    """What is known of a job that is not done."""
-
-    job: Job
-    waiting: list[int]
-    handles: dict[int, str] = attrs.Factory(dict)
-    domains: dict[int, str] = attrs.Factory(dict)
-    failures: Counter[int] = attrs.Factory(Counter)
-
-    def take(self, number: int, handle: str, domain: str) -> bool:
-        """Keep a piece's result; ``False`` if there is one already."""
-        if number in self.handles:
-            return False
-        self.handles[number] = handle
-        self.domains[number] = domain
-        if number in self.waiting:
-            self.waiting.remove(number)
-        return True
-
-    def wait_again(self, number: int) -> None:
-        """Put a piece that was not made back, before the others."""
-        if number not in self.waiting and number not in self.handles:
-            self.waiting.insert(0, number)
-
-    @property
-    def half_made(self) -> bool:
-        return bool(self.handles) or len(self.waiting) < self.job.pieces
-
-
-@attrs.define
-class _ServerState:
-    """What calls to a server have shown.
-
-    :param slowness: time of its calls against the pool's figures
-    :param penalty_until_ms: until then others are preferred
-    :param unreachable_until_ms: until then it gets nothing at all
-    :param full_until_ms: until then it is taken to have no room, unless a result
-        is freed there
-    """
-
-    slowness: float = 1.0
-    penalty_until_ms: int = 0
-    unreachable_until_ms: int = 0
-    full_until_ms: int = 0
-
-
 @attrs.define
 class Diagnostics:
     """Counters of a queue, for metrics."""
@@ -100,10 +53,10 @@
     def __init__(self, pool: StagePool) -> None:
         """Start without jobs."""
         self._pool = pool
-        self._jobs: dict[int, _Progress] = {}
+        self._jobs: dict[int, Progress] = {}
         self._calls: dict[int, Call] = {}
         self._hedged: set[int] = set()
-        self._servers: dict[str, _ServerState] = {}
+        self._servers: dict[str, ServerState] = {}
         self._numbers = itertools.count(1)
         self.room = RoomLedger(pool.room_bytes, pool.keep_ms)
         self.diagnostics = Diagnostics()
@@ -125,7 +78,7 @@
 
     def add(self, job: Job) -> None:
         """Take a job that was admitted."""
-        self._jobs[job.id] = _Progress(job, list(range(job.pieces)))
+        self._jobs[job.id] = Progress(job, list(range(job.pieces)))
 
     def waiting(self, with_late: bool) -> int:
         """Return the pieces that wait.
@@ -201,7 +154,7 @@
 
     def _suits(
         self,
-        progress: _Progress,
+        progress: Progress,
         server: Server,
         servers: tuple[Server, ...],
         now_ms: int,
@@ -388,7 +341,7 @@
             self.room.forget_server(gone)
 
     def _again(
-        self, progress: _Progress, piece: Piece, failure: PieceFailure
+        self, progress: Progress, piece: Piece, failure: PieceFailure
     ) -> list[JobOutcome]:
         """Let a piece be made once more, unless that can't help."""
         progress.failures[piece.number] += 1
@@ -404,7 +357,7 @@
         refusal = not_run(reason, detail, const.MIN_RETRY_AFTER_MS)
         return [Failed(progress.job, refusal, self.drop(progress.job.id))]
 
-    def _done(self, progress: _Progress) -> list[JobOutcome]:
+    def _done(self, progress: Progress) -> list[JobOutcome]:
         job = progress.job
         if len(progress.handles) < job.pieces:
             return []
@@ -414,7 +367,7 @@
         return [Made(job, handles, domains)]
 
     def _order(
-        self, progress: _Progress, now_ms: int, domain: str | None = None
+        self, progress: Progress, now_ms: int, domain: str | None = None
     ) -> tuple[object, ...]:
         return self._order_of(progress.job, now_ms, progress.half_made, domain)
 
@@ -444,8 +397,8 @@
         able = [s for s in reached if self._state(s).penalty_until_ms <= now_ms]
         return able or reached
 
-    def _state(self, server: Server) -> _ServerState:
-        return self._servers.setdefault(server.id, _ServerState())
+    def _state(self, server: Server) -> ServerState:
+        return self._servers.setdefault(server.id, ServerState())
 
     def _note_speed(self, call: Call, now_ms: int) -> None:
         state = self._state(call.server)
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -31,10 +31,10 @@
 from .forwarding import Forwarder
 from .handler import RequestHandler
 from .links import ServerLinks
+from .metrics import RequestMetrics
 from .settings import GatewaySettings
 from .stages import StageRunner
 from .state import GatewayState
-from .telemetry import RequestMetrics
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -14,10 +14,10 @@
     PieceFailure,
     PieceOutcome,
 )
-from cowsliphitch.core.batching.pipeline import (
+from cowsliphitch.core.batching.pipeline import StagePlanner
+from cowsliphitch.core.batching.requests import (
     Command,
     FreeResults,
-    StagePlanner,
     StageRequest,
     StagesDone,
     StagesFailed,
--- a/packages/gateway/src/cowsliphitch/gateway/fleet.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet.py
@@ -86,7 +86,6 @@
                 server_checksum(server_id): share
                 for server_id, share in state.placement.shares().items()
             },
-            suspects={},
             duties=dict(state.members.claims),
         )
 
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -25,9 +25,9 @@
 
 from . import const
 from .forwarding import Forwarder, Passage
+from .metrics import RequestMetrics
 from .stages import StageError, StageNeeds, StageRunner
 from .state import GatewayState
-from .telemetry import RequestMetrics
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -40,10 +40,6 @@
             pb.ServerShare(server=server, running=share.running)
             for server, share in beat.servers.items()
         ],
-        suspects=[
-            pb.Suspect(fingerprint=bytes.fromhex(name), crashes=crashes)
-            for name, crashes in beat.suspects.items()
-        ],
         duties=[pb.Duty(duty=duty, term=term) for duty, term in beat.duties.items()],
     )
     return bytes(message.SerializeToString())
@@ -72,7 +68,6 @@
         draining=tuple(message.draining),
         servers={row.server: ServerShare(row.running) for row in message.servers},
         duties={row.duty: row.term for row in message.duties},
-        suspects={row.fingerprint.hex(): row.crashes for row in message.suspects},
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -20,7 +20,6 @@
     :param draining: servers that it knows to be leaving
     :param servers: what it has at servers, by checksum of their identifiers
     :param duties: term by checksum of the duties that it holds
-    :param suspects: crashes by fingerprint of the requests that caused them
     """
 
     name: str
@@ -32,7 +31,6 @@
     leaving: bool
     draining: tuple[str, ...]
     servers: dict[int, ServerShare]
-    suspects: dict[str, int]
     duties: dict[int, int]
 
 
--- a/packages/standins/src/cowsliphitch/standins/emulator/stages.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/stages.py
@@ -13,10 +13,10 @@
 import attrs
 
 from cowsliphitch.core.batching.models import Call, PieceMade
-from cowsliphitch.core.batching.pipeline import (
+from cowsliphitch.core.batching.pipeline import StagePlanner
+from cowsliphitch.core.batching.requests import (
     Command,
     FreeResults,
-    StagePlanner,
     StageRequest,
     StagesDone,
     StagesFailed,
