Log admissions, engine choices and stage calls

Cause: of a slow request one saw only the total time of its stages; the admission, the engine's choice and the calls that carried its pieces left no line, though the users ask for one for each decision. Ruled out: a line for each piece (16 of them a request).

--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -12,6 +12,7 @@
 )
 from cowsliphitch.core.batching.pipeline import StagePlanner
 from cowsliphitch.core.batching.requests import (
+    Admitted,
     FreeResults,
     StageRequest,
     StagesDone,
@@ -134,8 +135,8 @@
             "request", stages, pieces, "key", 8_000, 4_000, 50, 1, "team", "domain"
         )
         admitted = self.planner.admit(request, self.now)
-        assert isinstance(admitted, int), admitted
-        return admitted
+        assert isinstance(admitted, Admitted), admitted
+        return admitted.run
 
     def play(self, answer: Any, rounds: int = ROUNDS) -> None:
         """Start calls and answer them at once, round after round."""
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -22,6 +22,7 @@
 from .models import Call, Failed, Job, JobOutcome, Made, PieceOutcome
 from .queue import StageQueue
 from .requests import (
+    Admitted,
     Command,
     FreeResults,
     Run,
@@ -82,8 +83,8 @@
             else:
                 self._queues[service] = StageQueue(figures)
 
-    def admit(self, request: StageRequest, now_ms: int) -> int | Refusal:
-        """Take a request and return its number, or say at once why not."""
+    def admit(self, request: StageRequest, now_ms: int) -> Admitted | Refusal:
+        """Take a request, or say at once why not."""
         unknown = [
             s.service
             for n, s in enumerate(request.stages)
@@ -106,7 +107,7 @@
         run = Run(next(self._numbers), request, late=late)
         self._runs[run.id] = run
         self._submit_ready(run, now_ms)
-        return run.id
+        return Admitted(run.id, late, round(done_ms))
 
     def _check_late(
         self, request: StageRequest, done_ms: float, now_ms: int
--- a/packages/core/src/cowsliphitch/core/batching/requests.py
+++ b/packages/core/src/cowsliphitch/core/batching/requests.py
@@ -40,6 +40,19 @@
         return tuple(n for n in range(len(self.stages)) if n not in read)
 
 
+@attrs.frozen
+class Admitted:
+    """A request was taken.
+
+    :param late: it is expected to miss its objective
+    :param expected_ms: time to its first token
+    """
+
+    run: int
+    late: bool
+    expected_ms: int
+
+
 @attrs.frozen
 class StagesDone:
     """All stages of a request are done.
--- a/packages/core/src/cowsliphitch/core/engines/board.py
+++ b/packages/core/src/cowsliphitch/core/engines/board.py
@@ -136,6 +136,15 @@
         steps_ms = engine.running * const.STEP_MS_PER_RUNNING
         return (const.FIRST_STEP_MS + read_ms + steps_ms) * engine.slowness
 
+    def load(self, server: Server) -> dict[str, float]:
+        """Return what the expected time of an engine is worked out from."""
+        engine = self._engine(server)
+        return {
+            "waiting_tokens": engine.waiting_tokens,
+            "running": engine.running,
+            "slowness": round(engine.slowness, 2),
+        }
+
     def sent(
         self, request: str, server: Server, generation: Generation, now_ms: int
     ) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -16,6 +16,7 @@
 )
 from cowsliphitch.core.batching.pipeline import StagePlanner
 from cowsliphitch.core.batching.requests import (
+    Admitted,
     Command,
     FreeResults,
     StageRequest,
@@ -104,14 +105,15 @@
         admitted = self.planner.admit(_request(order, choice, now), now)
         if isinstance(admitted, Refusal):
             return StagesRefused(admitted)
-        waiting = self._waiting[admitted] = _Waiting()
+        _log_admission(order, admitted)
+        waiting = self._waiting[admitted.run] = _Waiting()
         self._start_calls()
         try:
             await waiting.done.wait()
         finally:
-            del self._waiting[admitted]
+            del self._waiting[admitted.run]
             if waiting.outcome is None:
-                self._carry_out(self.planner.cancel(admitted))
+                self._carry_out(self.planner.cancel(admitted.run))
         match waiting.outcome:
             case StagesDone(results=results):
                 choice = self._choose(order, objective_ms, results) or choice
@@ -154,6 +156,15 @@
         self, order: StagesOrder, choice: Choice, results: Results
     ) -> StagesMade:
         now = self._state.clock.now_ms()
+        event(
+            _LOGGER,
+            "engine.chosen",
+            request=order.request,
+            server=choice.server.id,
+            expected_ms=round(choice.first_token_ms),
+            read_again=choice.read_again,
+            engine=self.board.load(choice.server),
+        )
         self.board.sent(order.request, choice.server, order.generation, now)
         return StagesMade(results, choice.server.id)
 
@@ -201,6 +212,7 @@
             case CallFailed(reached):
                 self._carry_out(self.planner.fail(call, now, reached))
             case _:
+                self._log_call(call, now)
                 self._carry_out(self.planner.finish(call, outcomes, now))
         self._start_calls()
 
@@ -250,6 +262,21 @@
             self._log_failure(call, ",".join(f.value for f in failed))
         return outcomes
 
+    def _log_call(self, call: Call, now_ms: int) -> None:
+        event(
+            _LOGGER,
+            "stage.called",
+            service=call.server.service,
+            server=call.server.id,
+            requests=sorted({piece.job.request for piece in call.pieces}),
+            pieces=len(call.pieces),
+            late=sum(piece.job.late for piece in call.pieces),
+            waited_ms=call.started_ms - min(p.job.queued_ms for p in call.pieces),
+            took_ms=now_ms - call.started_ms,
+            expected_ms=call.due_ms - call.started_ms,
+            waiting=self.planner.queues[call.server.service].waiting_pieces,
+        )
+
     def _log_failure(self, call: Call, cause: str) -> None:
         event(
             _LOGGER,
@@ -313,6 +340,19 @@
             )
 
 
+def _log_admission(order: StagesOrder, admitted: Admitted) -> None:
+    event(
+        _LOGGER,
+        "stages.admitted",
+        request=order.request,
+        pieces=order.pieces,
+        late=admitted.late,
+        expected_ms=admitted.expected_ms,
+        objective_left_ms=order.objective_left_ms,
+        left_ms=order.left_ms,
+    )
+
+
 def _was_reached(exc: UpstreamError | TimeoutError) -> bool:
     if isinstance(exc, TimeoutError):
         return True
--- a/packages/standins/src/cowsliphitch/standins/emulator/stages.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/stages.py
@@ -214,7 +214,7 @@
             if isinstance(admitted, Refusal):
                 outcome.refused += 1
                 return
-            self._arrived[admitted] = (kind, now)
+            self._arrived[admitted.run] = (kind, now)
             self._start(now)
 
         return arrive
