Let holders without a majority yield; keep results of streams no longer than needed

One was cut off from all others for 5 s, took the duty with the next term and so won it from the daemon that had gone on for everybody. Beside it, notes on results went to the daemon that owns the duty now, not to the one that counts the results, and the results of resumable streams were held to their end though the memory of the last pool binds. Ruled out: too few servers (three of three were called), late admissions (none before 16 s). Conclusion: a side without a majority takes duties with the lowest term; a resumed stream has its stages made again; refusals of two servers and silent daemons cut a domain off.

--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -9,6 +9,23 @@
     Given a holder with term 4 that hears another holder with term 5
     Then it has given up the duty
 
+  Scenario: A daemon that was cut off alone does not win over the holder that went on
+    Given a holder with term 4 among 5 daemons that hear each other
+    And one more daemon that heard the holder and now hears nobody
+    When the lonely daemon takes the duty and the cut ends
+    Then the lonely daemon has given up the duty
+    And the holder among the 5 daemons still holds the duty
+
+  Scenario: The larger side of a cut takes the duty of a holder on the smaller side
+    Given 6 daemons of which 2 are cut off with the holder of a duty with term 4
+    When the larger side takes the duty and the cut ends
+    Then the holder of the smaller side has given up the duty
+
+  Scenario: Of two lonely holders one keeps the duty
+    Given two daemons that each hear nobody and take the duty
+    When they hear each other
+    Then exactly one of them holds the duty
+
   Scenario: A daemon that says it leaves holds no duty
     Given the first daemon in rank for a duty leaves and the second takes it
     Then the first daemon is not among the owners
@@ -48,3 +65,26 @@
     Given a daemon that hears another domain
     When a connection to the other domain times out
     Then the other domain is not cut off
+
+  Scenario: Servers that refuse connections and silent daemons cut a domain off
+    Given a daemon that stops hearing another domain
+    When 1500 ms go by
+    And server "one" of the other domain refuses a connection
+    Then the other domain is not cut off
+    When server "two" of the other domain refuses a connection
+    Then the other domain is cut off
+    When a server of the other domain answers
+    Then the other domain is not cut off
+
+  Scenario: One server that refuses again and again does not cut a domain off
+    Given a daemon that stops hearing another domain
+    When 1500 ms go by
+    And server "one" of the other domain refuses a connection
+    And server "one" of the other domain refuses a connection
+    Then the other domain is not cut off
+
+  Scenario: Servers that refuse do not cut a domain off whose daemons are heard
+    Given a daemon that hears another domain
+    When server "one" of the other domain refuses a connection
+    And server "two" of the other domain refuses a connection
+    Then the other domain is not cut off
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,5 +1,6 @@
 """Steps on daemons that act together, without a network."""
 
+import itertools
 from typing import Any
 
 from behave import given, then, when
@@ -172,3 +173,144 @@
 @then("the other domain is not cut off")
 def is_not_cut(context: Any) -> None:
     assert not context.reach.cut
+
+
+@when('server "{name}" of the other domain refuses a connection')
+def refuses(context: Any, name: str) -> None:
+    context.reach.refused(OTHER, name, context.now)
+    context.reach.update(context.daemons, context.now)
+
+
+def tables(names: tuple[str, ...], heard: tuple[str, ...], now: int) -> "Tables":
+    """Return the tables of daemons that know all names and heard some just now."""
+    return {
+        own: Table(own, names, tuple(n for n in heard if n != own), now)
+        for own in names
+    }
+
+
+class Table:
+    """One daemon's table, and the heartbeats that it sends."""
+
+    def __init__(
+        self, own: str, known: tuple[str, ...], heard: tuple[str, ...], now: int
+    ) -> None:
+        self.own, self.now, self.number = own, now, 0
+        self.table = MemberTable(member(own), now)
+        self.table.set_listed([member(name) for name in known], now)
+        for name in heard:
+            self.hear(name, {}, now)
+
+    def hear(self, name: str, claims: dict[int, int], now: int) -> None:
+        self.number += 1
+        self.table.hear(member(name), self.number, False, now, claims)
+
+    @property
+    def term(self) -> int | None:
+        return self.table.claims.get(NUMBER)
+
+
+Tables = dict[str, Table]
+
+
+def exchange(found: Tables, names: tuple[str, ...], now: int) -> None:
+    """Let the named daemons hear each other twice, so that claims settle."""
+    for _ in range(2):
+        for listener, speaker in itertools.permutations(names, 2):
+            claims = dict(found[speaker].table.claims)
+            found[listener].hear(speaker, claims, now)
+
+
+def cut_and_heal(context: Any, sides: tuple[tuple[str, ...], ...]) -> None:
+    """Let the sides of a cut take the duty, then hear each other again."""
+    found: Tables = context.tables
+    for name in found:
+        found[name].table.tick(context.now)
+    for step in range(8):
+        context.now += 250
+        for side in sides:
+            exchange(found, side, context.now)
+            for name in side:
+                found[name].table.tick(context.now)
+                if step > 4:
+                    found[name].table.take(DUTY, context.now)
+    exchange(found, tuple(found), context.now + 10)
+    context.now += 10
+
+
+def holders(context: Any) -> list[str]:
+    return [name for name, t in context.tables.items() if t.term is not None]
+
+
+def start_tables(context: Any, names: tuple[str, ...], holder: str, term: int) -> None:
+    context.now = 10_000
+    context.tables = tables(names, names, context.now)
+    context.tables[holder].table.claims[NUMBER] = term
+    exchange(context.tables, names, context.now)
+
+
+@given("a holder with term {term:d} among {count:d} daemons that hear each other")
+def holder_among(context: Any, term: int, count: int) -> None:
+    context.many = tuple(f"many{n}" for n in range(count))
+    context.term = term
+
+
+@given("one more daemon that heard the holder and now hears nobody")
+def one_more(context: Any) -> None:
+    names = (*context.many, "lonely")
+    start_tables(context, names, context.many[0], context.term)
+
+
+@when("the lonely daemon takes the duty and the cut ends")
+def lonely_takes(context: Any) -> None:
+    cut_and_heal(context, (context.many, ("lonely",)))
+
+
+@then("the lonely daemon has given up the duty")
+def lonely_gave_up(context: Any) -> None:
+    assert "lonely" not in holders(context), holders(context)
+
+
+@then("the holder among the {count:d} daemons still holds the duty")
+def holder_holds(context: Any, count: int) -> None:
+    assert holders(context) == [context.many[0]], (count, holders(context))
+
+
+@given(
+    "{count:d} daemons of which {few:d} are cut off with the holder of a duty "
+    "with term {term:d}"
+)
+def cut_with_holder(context: Any, count: int, few: int, term: int) -> None:
+    names = tuple(f"daemon{n}" for n in range(count))
+    context.few, context.many = names[:few], names[few:]
+    start_tables(context, names, names[0], term)
+
+
+@when("the larger side takes the duty and the cut ends")
+def larger_takes(context: Any) -> None:
+    cut_and_heal(context, (context.few, context.many))
+
+
+@then("the holder of the smaller side has given up the duty")
+def smaller_gave_up(context: Any) -> None:
+    found = holders(context)
+    assert len(found) == 1 and found[0] in context.many, found
+
+
+@given("two daemons that each hear nobody and take the duty")
+def two_lonely(context: Any) -> None:
+    names = ("one", "two")
+    context.now = 10_000
+    context.tables = tables(names, (), context.now)
+    for name in names:
+        assert context.tables[name].table.take(DUTY, context.now)
+
+
+@when("they hear each other")
+def hear_each_other(context: Any) -> None:
+    exchange(context.tables, ("one", "two"), context.now + 10)
+
+
+@then("exactly one of them holds the duty")
+def exactly_one(context: Any) -> None:
+    assert len(holders(context)) == 1, holders(context)
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -29,6 +29,10 @@
 OWN_PAUSE_MS: Final = 600
 
 
+# Term of a duty taken by a daemon that hears no majority.  It yields to every holder
+# that a majority went on with.
+PROVISIONAL_TERM: Final = 1
+
 NO_CLAIMS: Final[Mapping[int, int]] = MappingProxyType({})
 
 
@@ -159,7 +163,8 @@
         """Return the live daemons in order of preference for a duty.
 
         Whoever holds a duty keeps it while it lives, since it alone knows what runs.
-        Of two holders, which a cut may leave behind, the one with the higher term wins.
+        Of two holders, which a cut may leave behind, the one with the higher term wins:
+        a side of a cut without a majority takes duties with the lowest term.
         """
         by_address = {member.address: member for member in self.live(now_ms)}
         number = duty_number(duty)
@@ -174,15 +179,27 @@
     def take(self, duty: str, now_ms: int) -> bool:
         """Hold a duty if nobody else does and it falls to this daemon.
 
+        The term of a provisional holder rises once a majority is heard.
+
         :returns: whether the duty was taken now
         """
         number = duty_number(duty)
-        first = self.owners(duty, now_ms)[0]
-        if number in self.claims or first.address != self.own.address:
+        own = self.claims.get(number)
+        if own is not None and own > PROVISIONAL_TERM:
+            return False
+        if self.owners(duty, now_ms)[0].address != self.own.address:
             return False
-        terms = (known.claims.get(number, 0) for known in self._known.values())
-        self.claims[number] = 1 + max(terms, default=0)
-        return True
+        if self._hears_majority(now_ms):
+            terms = (known.claims.get(number, 0) for known in self._known.values())
+            self.claims[number] = 1 + max(PROVISIONAL_TERM, *terms)
+        else:
+            self.claims[number] = PROVISIONAL_TERM
+        return own is None
+
+    def _hears_majority(self, now_ms: int) -> bool:
+        """Tell whether more than half of the daemons that may live are heard."""
+        expected = 1 + sum(not known.leaving for known in self._known.values())
+        return 2 * len(self.live(now_ms)) > expected
 
     def release_all(self) -> None:
         """Give up all duties, since this daemon leaves."""
--- a/packages/core/src/cowsliphitch/core/fleet/reachability.py
+++ b/packages/core/src/cowsliphitch/core/fleet/reachability.py
@@ -3,7 +3,8 @@
 Load pattern: a failure domain is cut off without a sign.  Open connections to its
 servers hang, and each new one costs a timeout, while this side still has servers of its
 own.  Silent daemons make a domain suspect, which is probed at once; only connections
-that time out make it cut off, since daemons may be gone while their servers live.
+that time out, or that several servers refuse, make it cut off, since daemons may be
+gone while their servers live.
 """
 
 from typing import Final
@@ -20,18 +21,36 @@
 # daemons are heard, or none is known there.
 TIMEOUTS_TO_CUT: Final = 3
 
+# Servers of a domain with silent daemons that refuse connections before it is taken to
+# be cut off; a single one may have crashed.
+REFUSALS_TO_CUT: Final = 2
+
 # After a timeout the other hints count for so long.
 HINT_FOR_MS: Final = 3_000
 
 
 @attrs.define
 class _Domain:
-    """Evidence on one failure domain."""
+    """Evidence on one failure domain since a server of it last answered.
+
+    :param refused: servers that refused a connection
+    :param failed_ms: monotonic time of the last connection that failed
+    """
 
     timeouts: int = 0
-    timeout_ms: int | None = None
+    refused: set[str] = attrs.Factory(set)
+    failed_ms: int | None = None
     cut: bool = False
 
+    def speaks_for_cut(self, silent: bool) -> bool:
+        """Tell whether the failed connections suffice.
+
+        :param silent: no daemon of the domain is heard
+        """
+        if silent and len(self.refused) >= REFUSALS_TO_CUT:
+            return True
+        return self.timeouts >= (1 if silent else TIMEOUTS_TO_CUT)
+
 
 class Reachability:
     """Weigh heartbeats and connections to each failure domain."""
@@ -50,13 +69,20 @@
         """Note a connection to a server of a domain that timed out."""
         state = self._state(domain)
         state.timeouts += 1
-        state.timeout_ms = now_ms
+        state.failed_ms = now_ms
+
+    def refused(self, domain: str, server_id: str, now_ms: int) -> None:
+        """Note a server of a domain that refused a connection."""
+        state = self._state(domain)
+        state.refused.add(server_id)
+        state.failed_ms = now_ms
 
     def answered(self, domain: str) -> None:
         """Note a sign of life from a server of a domain."""
         state = self._state(domain)
         state.timeouts = 0
-        state.timeout_ms = None
+        state.refused.clear()
+        state.failed_ms = None
         state.cut = False
 
     def suspects(self, members: MemberTable, now_ms: int) -> frozenset[str]:
@@ -67,14 +93,12 @@
         """Weigh the evidence anew; return the domains that are cut off."""
         silent = self._silent_domains(members, now_ms)
         for name, state in self._domains.items():
-            age_ms = HINT_FOR_MS
-            if state.timeout_ms is not None:
-                age_ms = now_ms - state.timeout_ms
-            needed = 1 if name in silent else TIMEOUTS_TO_CUT
-            if name != self._own_domain and age_ms < HINT_FOR_MS:
-                state.cut = state.cut or state.timeouts >= needed
-            elif age_ms >= HINT_FOR_MS:
+            if name == self._own_domain:
+                continue
+            if state.failed_ms is None or now_ms - state.failed_ms >= HINT_FOR_MS:
                 state.cut = False
+            elif state.speaks_for_cut(name in silent):
+                state.cut = True
         return self.cut
 
     def _silent_domains(self, members: MemberTable, now_ms: int) -> set[str]:
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -19,14 +19,14 @@
     may_have_run,
     not_run,
 )
-from cowsliphitch.peers.fleet.models import Progress, ProgressNote, Results
+from cowsliphitch.peers.fleet.models import Progress, ProgressNote
 from cowsliphitch.platform.callers import decode_request, encode_refusal
 from cowsliphitch.telemetry.logs import event
 
 from . import const
 from .forwarding import Forwarder, Passage
 from .metrics import RequestMetrics
-from .stages import StageError, StageNeeds, StageRunner
+from .stages import OwnedStages, StageError, StageNeeds, StageRunner
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -50,16 +50,27 @@
 class EngineReport:
     """Tell the owner of the stages what becomes of a request at its engine."""
 
-    def __init__(self, stages: StageRunner, passage: Passage, results: Results) -> None:
+    def __init__(self, stages: StageRunner, request: str, owned: OwnedStages) -> None:
         """Hold the results until the engine has read them."""
         self._stages = stages
-        self._passage = passage
-        self._results = results
+        self._request = request
+        self._owner = owned.owner
+        self._results = owned.made.results
         self._told = False
 
+    @property
+    def holds_results(self) -> bool:
+        """Tell whether another engine can still read the results."""
+        return bool(self._results)
+
+    def take(self, owned: OwnedStages) -> None:
+        """Go on with stages that were done again, or with another engine."""
+        self._owner = owned.owner
+        self._results = owned.made.results or self._results
+
     def began(self) -> None:
         """Report that the engine answers, so that the results are not needed."""
-        self._tell(Progress.BEGAN, keep=self._passage.route.resumable)
+        self._tell(Progress.BEGAN, keep=False)
 
     def failed(self) -> None:
         """Report that the engine failed; another may still need the results."""
@@ -75,8 +86,8 @@
         if not keep:
             self._results = ()
         self._told = True
-        note = ProgressNote(self._passage.request.id, progress, results)
-        self._stages.note(self._passage.route, note)
+        note = ProgressNote(self._request, progress, results)
+        self._stages.note(self._owner, note)
 
 
 class RequestHandler:
@@ -217,24 +228,39 @@
         """Have the stages done, then let the engine answer."""
         started_ms = self._state.clock.now_ms()
         try:
-            made = await self._stages.run(needs)
+            owned = await self._stages.run(needs)
         except StageError as exc:
             return exc.refusal
         trace.stages_ms = self._state.clock.now_ms() - started_ms
-        passage.stage_results = tuple(h for _, handles in made.results for h in handles)
-        passage.first_server = self._state.servers.get(made.engine)
+        passage.stage_results = owned.made.handles
+        passage.first_server = self._state.servers.get(owned.made.engine)
+        report = EngineReport(self._stages, passage.request.id, owned)
 
         async def next_engine() -> Server | None:
-            avoid = tuple(passage.attempts.avoided)
-            again = attrs.evolve(needs, stages_done=True, avoid=avoid)
+            # A stream that is resumed needs its results again after they were freed.
+            made_before = report.holds_results or not passage.stage_results
+            again = attrs.evolve(
+                needs,
+                stages_done=made_before,
+                avoid=tuple(passage.attempts.avoided),
+                end_ms=passage.end_ms,
+            )
             try:
                 chosen = await self._stages.run(again)
-            except StageError:
+            except StageError as exc:
+                event(
+                    _LOGGER,
+                    "engine.none",
+                    request=passage.request.id,
+                    cause=exc.refusal.detail,
+                )
                 return None
-            return self._state.servers.get(chosen.engine)
+            if not made_before:
+                passage.stage_results = chosen.made.handles
+            report.take(chosen)
+            return self._state.servers.get(chosen.made.engine)
 
         passage.next_server = next_engine
-        report = EngineReport(self._stages, passage, made.results)
         passage.on_head = report.began
         passage.on_failure = report.failed
         try:
--- a/packages/gateway/src/cowsliphitch/gateway/links.py
+++ b/packages/gateway/src/cowsliphitch/gateway/links.py
@@ -2,13 +2,13 @@
 
 import itertools
 import logging
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 
 import anyio
 
 from cowsliphitch.core.clock import seconds
-from cowsliphitch.core.fleet.reachability import Reachability
+from cowsliphitch.core.fleet.reachability import REFUSALS_TO_CUT, Reachability
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, may_have_run
 from cowsliphitch.telemetry.logs import event
@@ -40,16 +40,26 @@
 
         :raises UpstreamError: there is no answer
         """
-        domain = server.failure_domain
+        answered = False
         try:
             async with self._pool.exchange(server.address, request, max_open) as answer:
-                self._reach.answered(domain)
+                answered = True
+                self._reach.answered(server.failure_domain)
                 yield answer
         except UpstreamError as exc:
-            if exc.refusal.reason is Reason.CONNECT_TIMEOUT:
-                self._reach.timed_out(domain, self._state.clock.now_ms())
+            if not answered:
+                self._note_failure(server, exc.refusal.reason)
             raise
 
+    def _note_failure(self, server: Server, reason: Reason) -> None:
+        """Take a connection that failed as evidence on its failure domain."""
+        now = self._state.clock.now_ms()
+        match reason:
+            case Reason.CONNECT_TIMEOUT:
+                self._reach.timed_out(server.failure_domain, now)
+            case Reason.CONNECT_FAILED:
+                self._reach.refused(server.failure_domain, server.id, now)
+
     @contextmanager
     def until_cut(self, server: Server) -> Iterator[None]:
         """Give up what is done inside as soon as the server is cut off.
@@ -92,17 +102,21 @@
                         for server in self._state.servers.all()
                         if server.failure_domain == domain
                     ]
-                    if servers:
-                        group.start_soon(self._probe, servers[turn % len(servers)])
+                    for server in _next_in_turn(servers, turn):
+                        group.start_soon(self._probe, server)
 
     async def _probe(self, server: Server) -> None:
-        now = self._state.clock.now_ms()
         try:
             connection = await connect(server.address, b"", self._state.clock)
         except UpstreamError as exc:
-            if exc.refusal.reason is Reason.CONNECT_TIMEOUT:
-                self._reach.timed_out(server.failure_domain, now)
-                self.update()
+            self._note_failure(server, exc.refusal.reason)
+            self.update()
             return
         await connection.close()
         self._reach.answered(server.failure_domain)
+
+
+def _next_in_turn(servers: Sequence[Server], turn: int) -> Sequence[Server]:
+    """Return as many servers as must refuse for a domain to be cut off."""
+    count = min(len(servers), REFUSALS_TO_CUT)
+    return [servers[(turn * count + n) % len(servers)] for n in range(count)]
--- a/packages/gateway/src/cowsliphitch/gateway/stages.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stages.py
@@ -38,6 +38,17 @@
         self.refusal = refusal
 
 
+@attrs.frozen
+class OwnedStages:
+    """Stages that were done.
+
+    :param owner: address of the daemon that did them and counts their results
+    """
+
+    owner: str
+    made: StagesMade
+
+
 @attrs.frozen
 class StageNeeds:
     """What a request asks of its stages and its engine.
@@ -76,23 +87,26 @@
         self._links = links
         self._group = group
 
-    async def run(self, needs: StageNeeds) -> StagesMade:
+    async def run(self, needs: StageNeeds) -> OwnedStages:
         """Have all stages done, and an engine chosen.
 
         :raises StageError: they won't be done
         """
-        match await self._ask_owners(needs):
-            case StagesMade() as made:
-                return made
+        owner, reply = await self._ask_owners(needs)
+        match reply:
+            case StagesMade():
+                return OwnedStages(owner, reply)
             case StagesRefused(refusal):
                 raise StageError(refusal)
 
-    def note(self, route: Route, note: ProgressNote) -> None:
-        """Tell the owner what became of a request."""
-        self._group.start_soon(self._note, route, note)
+    def note(self, owner: str, note: ProgressNote) -> None:
+        """Tell the daemon that did a request's stages what became of it.
+
+        Another one that took the duty since does not know the request.
+        """
+        self._group.start_soon(self._note, owner, note)
 
-    async def _note(self, route: Route, note: ProgressNote) -> None:
-        owner = self._owners(route)[0]
+    async def _note(self, owner: str, note: ProgressNote) -> None:
         if owner == self._state.members.own.address:
             self._desk.note(note)
             return
@@ -101,16 +115,16 @@
             event(_LOGGER, "stage.note_lost", owner=owner, cause=lost.detail)
             self._desk.note(note)
 
-    async def _ask_owners(self, needs: StageNeeds) -> StagesReply:
+    async def _ask_owners(self, needs: StageNeeds) -> tuple[str, StagesReply]:
         """Ask the owner, the next in rank if it gives no answer, then this daemon."""
         own = self._state.members.own.address
         for owner in [*self._owners(needs.route)[: const.MAX_OWNERS], own]:
             order = self._order(needs)
             if owner == own:
-                return await self._desk.run_stages(order)
+                return own, await self._desk.run_stages(order)
             reply = await self._links.run_stages(owner, order)
             if not isinstance(reply, PeerLost):
-                return reply
+                return owner, reply
             event(
                 _LOGGER,
                 "stage.owner_lost",
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -1,6 +1,7 @@
 """What daemons tell each other."""
 
 import enum
+import itertools
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -75,6 +76,11 @@
     results: Results
     engine: str
 
+    @property
+    def handles(self) -> tuple[str, ...]:
+        """Return the handles of all results, in the order of the final stages."""
+        return tuple(itertools.chain.from_iterable(h for _, h in self.results))
+
 
 @attrs.frozen
 class StagesRefused:
