--- a/features/core/batching.feature
+++ b/features/core/batching.feature
@@ -53,6 +53,33 @@
     When a job of 2 pieces waits for 600 ms
     Then the other server has made its pieces
 
+  Scenario: Inputs are freed while their reader is being made
+    Given a request whose second stage was called 50 ms ago
+    When the planner ticks
+    Then no result is freed
+    When 100 ms later the planner ticks
+    Then the results of the first stage are freed once
+    When the second stage is made
+    Then all stages are done and the results of the first stage were freed once
+
+  Scenario: Inputs are kept while their reader is called at a server that is slow
+    Given a pool of two servers whose calls took twice their time
+    And a request whose second stage was called 50 ms ago
+    When 100 ms later the planner ticks
+    Then no result is freed
+
+  Scenario: A request whose reader fails after its inputs were freed begins again
+    Given a request whose second stage was called 50 ms ago
+    When 100 ms later the planner ticks
+    And the call of the second stage gets no answer
+    Then the request is made from its first stage again
+
+  Scenario: A late call is not made elsewhere once its inputs are freed
+    Given a request whose second stage was called 50 ms ago
+    When 100 ms later the planner ticks
+    And the call of the second stage is overdue by 2000 ms
+    Then no piece of the second stage waits
+
   Scenario: A request that is cancelled leaves nothing behind
     Given a request that is cancelled between its stages
     Then its results are freed and no job waits
--- a/features/daemon/platform.feature
+++ b/features/daemon/platform.feature
@@ -50,6 +50,16 @@
     When an engine breaks its streams off and a caller asks for 3 generations
     Then every stream has the events 1 to 4, once and in order
 
+  Scenario: Results are freed while the engine still reads the prompt
+    Given a site with two daemons
+    When an engine takes 3000 ms to its first event
+    Then the results that it was given are freed within 1500 ms
+
+  Scenario: A stream goes on with results that are made again after they were freed
+    Given a site with two daemons whose streams may be resumed
+    When an engine breaks its streams off and a caller asks for 3 generations
+    Then no engine was given results that were freed before
+
   Scenario: A stream that breaks off and may not be resumed does not look complete
     Given a site with two daemons
     When both engines break their streams off and a caller asks for a generation
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -351,3 +351,95 @@
     assert sorted(stages) == [0, 1, 2, 3]
     assert stages[0] == 1 and stages.index(0) > stages.index(1), stages
     assert isinstance(context.bench.ended()[0], StagesDone)
+
+
+@given("a pool of two servers whose calls took twice their time")
+def slow_calls(context: Any) -> None:
+    bench = context.bench = Bench(servers=2, services=("s", "t"))
+    for _ in range(3):
+        bench.admit((StageSpec("t", (), 1),), (2,))
+        for call in bench.planner.plan(bench.now):
+            bench.now += 2 * (call.due_ms - call.started_ms)
+            outcomes = tuple(bench.result() for _ in call.pieces)
+            bench.planner.finish(call, outcomes, bench.now)
+
+
+@given("a request whose second stage was called {ms:d} ms ago")
+def second_called(context: Any, ms: int) -> None:
+    if "bench" not in context:
+        context.bench = Bench(servers=2, services=("s", "t"))
+    bench = context.bench
+    bench.admit((StageSpec("s", (), 100), StageSpec("t", (0,), 100)), (1, 2))
+    bench.play(bench.result, rounds=1)
+    context.calls = bench.planner.plan(bench.now)
+    assert [piece.job.stage for call in context.calls for piece in call.pieces] == [
+        1,
+        1,
+    ]
+    context.firsts = [h for call in context.calls for h in call.pieces[0].job.inputs]
+    bench.now += ms
+
+
+@when("the planner ticks")
+def ticks(context: Any) -> None:
+    bench = context.bench
+    bench.commands += bench.planner.tick(bench.now)
+
+
+@when("{ms:d} ms later the planner ticks")
+def ticks_later(context: Any, ms: int) -> None:
+    context.bench.now += ms
+    ticks(context)
+
+
+@then("no result is freed")
+def none_freed(context: Any) -> None:
+    assert not context.bench.freed()
+
+
+@then("the results of the first stage are freed once")
+def firsts_freed(context: Any) -> None:
+    ticks(context)
+    assert context.bench.freed() == [context.firsts[0]], context.bench.freed()
+
+
+@when("the second stage is made")
+def second_made(context: Any) -> None:
+    bench = context.bench
+    for call in context.calls:
+        outcomes = tuple(bench.result() for _ in call.pieces)
+        bench.commands += bench.planner.finish(call, outcomes, bench.now)
+
+
+@then("all stages are done and the results of the first stage were freed once")
+def done_and_freed(context: Any) -> None:
+    assert isinstance(context.bench.ended()[0], StagesDone)
+    assert context.bench.freed() == [context.firsts[0]], context.bench.freed()
+
+
+@when("the call of the second stage gets no answer")
+def no_answer(context: Any) -> None:
+    bench = context.bench
+    for call in context.calls:
+        bench.commands += bench.planner.fail(call, bench.now, reached=True)
+
+
+@then("the request is made from its first stage again")
+def made_again(context: Any) -> None:
+    bench = context.bench
+    bench.now += 2_000
+    bench.play(bench.result)
+    assert isinstance(bench.ended()[0], StagesDone), bench.commands
+    assert [call.pieces[0].job.stage for call in bench.calls][:2] == [0, 0]
+
+
+@when("the call of the second stage is overdue by {ms:d} ms")
+def overdue(context: Any, ms: int) -> None:
+    context.bench.now += ms
+
+
+@then("no piece of the second stage waits")
+def none_waits(context: Any) -> None:
+    bench = context.bench
+    assert not bench.planner.plan(bench.now)
+    assert bench.planner.queues["t"].waiting_pieces == 0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -39,8 +40,9 @@
     """Stand-in servers in a loop of their own, and processes beside them."""
 
     def __init__(self, resumable: bool) -> None:
+        gone: set[str] = set()
         self.servers = {
-            name: SiteServer(name, name.rpartition("-")[0])
+            name: SiteServer(name, name.rpartition("-")[0], gone=gone)
             for name in (
                 "desk-1",
                 "desk-2",
@@ -271,6 +273,36 @@
     ]
 
 
+@when("an engine takes {ms:d} ms to its first event")
+def slow_prompt(context: Any, ms: int) -> None:
+    site = context.site
+    for name in ("engine-1", "engine-2"):
+        site.servers[name].prompt_ms = ms
+    headers = PROMPT | {"cowsliphitch-pieces": "1,3"}
+    context.caller = threading.Thread(
+        target=lambda: site.call("/generation/1", headers)
+    )
+    context.caller.start()
+
+
+@then("the results that it was given are freed within {ms:d} ms")
+def freed_early(context: Any, ms: int) -> None:
+    rerank = context.site.servers["rerank-1"]
+    started = time.monotonic()
+    wait_for("rerank results are freed", lambda: len(rerank.freed) == 3)
+    took_ms = (time.monotonic() - started) * 1_000
+    context.caller.join()
+    assert took_ms < ms, took_ms
+
+
+@then("no engine was given results that were freed before")
+def no_lost_results(context: Any) -> None:
+    lost = [r for s in context.site.servers.values() for r in s.lost]
+    assert not lost, lost
+    assert all(answer.text.endswith("event\n\n") for answer in context.answers)
+    assert context.site.servers["engine-1"].ran, "the fault was never met"
+
+
 @then("every stream has the events {first:d} to {last:d}, once and in order")
 def whole_streams(context: Any, first: int, last: int) -> None:
     wanted = "".join(f"id: {n}\ndata: event\n\n" for n in range(first, last + 1))
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -57,7 +57,7 @@
 EARLY_START_MS: Final = 80
 
 # A request whose intermediate results were lost begins again at most this often.
-MAX_RESTARTS: Final = 1
+MAX_RESTARTS: Final = 2
 
 # Stands for "no server" where a time is expected.
 NO_SERVER_MS: Final = 60_000.0
@@ -65,3 +65,10 @@
 # Shortest and longest pause that a refused caller is told to make.
 MIN_RETRY_AFTER_MS: Final = 100
 MAX_RETRY_AFTER_MS: Final = 4_000
+
+# A server has fetched the inputs of a call that it was sent so long ago: some MB over
+# its link, and the message there.
+INPUTS_FETCHED_MS: Final = 100
+
+# A server whose calls take longer than this against the usual may begin them late.
+FETCHES_AT_ONCE: Final = 1.2
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -220,13 +220,20 @@
         return self._drop(run) if run is not None else []
 
     def tick(self, now_ms: int) -> list[Command]:
-        """Give up what can't be done in time any more."""
+        """Give up what can't be done in time, and free what was fetched."""
         ended = [
             failed
             for queue in self._queues.values()
             for failed in queue.drop_late(now_ms)
         ]
-        return self._follow(ended, now_ms)
+        commands = self._follow(ended, now_ms)
+        for queue in self._queues.values():
+            for job in queue.free_inputs(now_ms):
+                run_id, stage = self._stage_of_job[job.id]
+                run = self._runs[run_id]
+                run.fetched.add(stage)
+                commands.extend(self._free_inputs(run, stage))
+        return commands
 
     def freed(self, service: str, handles: Iterable[str]) -> None:
         """Note that results were freed at their makers."""
@@ -279,14 +286,8 @@
 
     def _advance(self, run: Run, stage: int, now_ms: int) -> list[Command]:
         """Free what was read, and submit or end what is due after a stage."""
-        commands: list[Command] = []
         stages = run.request.stages
-        for before in stages[stage].after:
-            readers = [n for n, s in enumerate(stages) if before in s.after]
-            if all(run.done(n) for n in readers) and run.handles.get(before):
-                handles = run.handles[before]
-                run.handles[before] = ()
-                commands.append(FreeResults(stages[before].service, handles))
+        commands = self._free_inputs(run, stage)
         self._submit_ready(run, now_ms)
         if all(run.done(n) for n in range(len(stages))):
             del self._runs[run.id]
@@ -297,6 +298,19 @@
             commands.append(StagesDone(run.id, results))
         return commands
 
+    def _free_inputs(self, run: Run, stage: int) -> list[Command]:
+        """Free the inputs of a stage that no other stage has to fetch."""
+        commands: list[Command] = []
+        stages = run.request.stages
+        for before in stages[stage].after:
+            readers = [n for n, s in enumerate(stages) if before in s.after]
+            read = all(run.done(n) or n in run.fetched for n in readers)
+            if read and run.handles.get(before):
+                handles = run.handles[before]
+                run.handles[before] = ()
+                commands.append(FreeResults(stages[before].service, handles))
+        return commands
+
     def _drop(self, run: Run) -> list[Command]:
         """Free everything that a request holds."""
         stages = run.request.stages
--- a/packages/core/src/cowsliphitch/core/batching/progress.py
+++ b/packages/core/src/cowsliphitch/core/batching/progress.py
@@ -9,13 +9,19 @@
 
 @attrs.define
 class Progress:
-    """What is known of a job that is not done."""
+    """What is known of a job that is not done.
+
+    :param called_ms: monotonic time at which a piece was last put into a call
+    :param inputs_freed: its inputs are gone, so no piece can be made again
+    """
 
     job: Job
     waiting: list[int]
     handles: dict[int, str] = attrs.Factory(dict)
     domains: dict[int, str] = attrs.Factory(dict)
     failures: Counter[int] = attrs.Factory(Counter)
+    called_ms: int = 0
+    inputs_freed: bool = False
 
     def take(self, number: int, handle: str, domain: str) -> bool:
         """Keep a piece's result; ``False`` if there is one already."""
@@ -29,6 +35,8 @@
 
     def wait_again(self, number: int) -> None:
         """Put a piece that was not made back, before the others."""
+        if self.inputs_freed:
+            return
         if number not in self.waiting and number not in self.handles:
             self.waiting.insert(0, number)
 
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -226,6 +226,7 @@
                     break
                 free -= job.result_bytes
                 chosen.append(Piece(job, progress.waiting.pop(0)))
+                progress.called_ms = now_ms
         return tuple(chosen)
 
     def _start(self, server: Server, pieces: tuple[Piece, ...], now_ms: int) -> Call:
@@ -277,7 +278,9 @@
                     self.diagnostics.no_room += 1
                     state = self._state(call.server)
                     state.full_until_ms = now_ms + const.FULL_FOR_MS
-                    if progress is not None:
+                    if progress is not None and progress.inputs_freed:
+                        ended.extend(self._again(progress, piece, PieceFailure.ROOM))
+                    elif progress is not None:
                         progress.wait_again(piece.number)
                 case PieceFailed(failure) if progress is not None:
                     ended.extend(self._again(progress, piece, failure))
@@ -285,6 +288,31 @@
                     pass
         return ended, unwanted
 
+    def free_inputs(self, now_ms: int) -> list[Job]:
+        """Return the jobs whose inputs nobody has to fetch any more, each once.
+
+        From then on none of their pieces can be made again.  A server that is slow may
+        still be busy with another owner's call, so nothing is known of what it fetched.
+        """
+        slow = {
+            piece.job.id
+            for call in self._calls.values()
+            if self._slowness(call.server, now_ms) > const.FETCHES_AT_ONCE
+            for piece in call.pieces
+        }
+        fetched = [
+            progress
+            for progress in self._jobs.values()
+            if progress.job.inputs
+            and not progress.waiting
+            and not progress.inputs_freed
+            and progress.job.id not in slow
+            and progress.called_ms + const.INPUTS_FETCHED_MS <= now_ms
+        ]
+        for progress in fetched:
+            progress.inputs_freed = True
+        return [progress.job for progress in fetched]
+
     def free(self, handle: str) -> None:
         """Note that a result was freed at its maker."""
         server_id = self.room.free(handle)
@@ -309,7 +337,7 @@
             progress = self._jobs.get(piece.job.id)
             if progress is None:
                 continue
-            if reached:
+            if reached or progress.inputs_freed:
                 ended.extend(self._again(progress, piece, PieceFailure.ERROR))
             else:
                 progress.wait_again(piece.number)
@@ -347,6 +375,8 @@
         progress.failures[piece.number] += 1
         if piece.number in progress.handles:
             return []
+        if progress.inputs_freed:
+            failure = PieceFailure.INPUT_GONE
         tries = progress.failures[piece.number]
         if failure is PieceFailure.ERROR and tries < const.MAX_MAKES:
             progress.wait_again(piece.number)
--- a/packages/core/src/cowsliphitch/core/batching/requests.py
+++ b/packages/core/src/cowsliphitch/core/batching/requests.py
@@ -86,7 +86,11 @@
 
 @attrs.define
 class Run:
-    """A request on its way through its stages."""
+    """A request on its way through its stages.
+
+    :param jobs: job of each stage that is being made
+    :param fetched: stages that are being made and have fetched their inputs
+    """
 
     id: int
     request: StageRequest
@@ -95,6 +99,7 @@
     domains: dict[int, tuple[str, ...]] = attrs.Factory(dict)
     late: bool = False
     restarts: int = 0
+    fetched: set[int] = attrs.Factory(set)
 
     def restart(self) -> None:
         """Begin with the first stages again."""
@@ -102,6 +107,7 @@
         self.jobs.clear()
         self.handles.clear()
         self.domains.clear()
+        self.fetched.clear()
 
     def done(self, stage: int) -> bool:
         """Tell whether a stage is done or left out."""
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -59,3 +59,6 @@
 # Owners that are asked one after the other for a request's stages.
 MAX_OWNERS: Final = 3
 OWNER_RETRY_MS: Final = 200
+
+# An engine fetches a request's inputs before it reads the prompt.
+RESULTS_FETCHED_MS: Final = 100
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -131,6 +131,8 @@
     def note(self, note: ProgressNote) -> None:
         """Take over what became of a request at its engine."""
         match note.progress:
+            case Progress.FETCHED:
+                pass
             case Progress.BEGAN:
                 self.board.began(note.request, self._state.clock.now_ms())
             case Progress.ENDED:
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -52,6 +52,7 @@
     :param end_ms: monotonic time at which it has its final answer
     :param stage_results: handles that an engine reads before the prompt
     :param next_server: chooses a server, in place of the least loaded one
+    :param on_sent: called when a server is being sent the request
     :param on_head: called when a server began its answer
     :param on_failure: called when an attempt failed
     """
@@ -65,6 +66,7 @@
     first_server: Server | None = None
     stage_results: tuple[str, ...] = ()
     next_server: Callable[[], Awaitable[Server | None]] | None = None
+    on_sent: Callable[[], None] = lambda: None
     on_head: Callable[[], None] = lambda: None
     on_failure: Callable[[], None] = lambda: None
     attempts: AttemptState = attrs.Factory(AttemptState)
@@ -133,8 +135,10 @@
         passage.attempts.note(server.id, refusal.verdict)
         unreachable = refusal.reason in UNREACHABLE
         now = self._state.clock.now_ms()
-        self._state.placement.failed(server.id, now, unreachable)
-        passage.on_failure()
+        if refusal.reason is not Reason.RESULT_LOST:
+            # Results that are gone say nothing of the engine.
+            self._state.placement.failed(server.id, now, unreachable)
+            passage.on_failure()
         event(
             _LOGGER,
             "attempt.failed",
@@ -172,6 +176,7 @@
         # From here on a cancelled request may have run.
         passage.attempts.ran_at.add(server.id)
         placement.sent(server.id)
+        passage.on_sent()
         try:
             async with self._exchange(passage, server, request) as answer:
                 facts = wire.decode_head(answer.head)
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -57,6 +57,7 @@
         self._owner = owned.owner
         self._results = owned.made.results
         self._told = False
+        self._timer: anyio.CancelScope | None = None
 
     @property
     def holds_results(self) -> bool:
@@ -68,12 +69,23 @@
         self._owner = owned.owner
         self._results = owned.made.results or self._results
 
+    def sent(self) -> None:
+        """Free the results once the engine must have fetched them."""
+        self._timer = anyio.CancelScope()
+        self._stages.after(const.RESULTS_FETCHED_MS, self._timer, self._release)
+
+    def _release(self) -> None:
+        if self._results:
+            self._tell(Progress.FETCHED, keep=False)
+
     def began(self) -> None:
         """Report that the engine answers, so that the results are not needed."""
         self._tell(Progress.BEGAN, keep=False)
 
     def failed(self) -> None:
         """Report that the engine failed; another may still need the results."""
+        if self._timer is not None:
+            self._timer.cancel()
         self._tell(Progress.FAILED, keep=True)
 
     def close(self) -> None:
@@ -261,6 +273,7 @@
             return self._state.servers.get(chosen.made.engine)
 
         passage.next_server = next_engine
+        passage.on_sent = report.sent
         passage.on_head = report.began
         passage.on_failure = report.failed
         try:
--- a/packages/gateway/src/cowsliphitch/gateway/stages.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stages.py
@@ -1,11 +1,14 @@
 """Have the stages of a request done by the daemon that owns their pools."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
+import anyio
 import attrs
 from anyio.abc import TaskGroup
 
+from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.models import Route
 from cowsliphitch.core.requests.models import CallerRequest, Generation
 from cowsliphitch.core.verdict import Refusal
@@ -106,6 +109,18 @@
         """
         self._group.start_soon(self._note, owner, note)
 
+    def after(
+        self, delay_ms: int, scope: anyio.CancelScope, act: Callable[[], None]
+    ) -> None:
+        """Do something later, unless its scope is cancelled before."""
+
+        async def wait() -> None:
+            with scope:
+                await anyio.sleep(seconds(delay_ms))
+                act()
+
+        self._group.start_soon(wait)
+
     async def _note(self, owner: str, note: ProgressNote) -> None:
         if owner == self._state.members.own.address:
             self._desk.note(note)
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -95,6 +95,7 @@
     BEGAN = 0
     ENDED = 1
     FAILED = 2
+    FETCHED = 3
 
 
 @attrs.frozen
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -14,7 +14,7 @@
 
 from cowsliphitch.callers.edge.models import EdgeRequest, Reply
 from cowsliphitch.callers.edge.server import EdgeServer
-from cowsliphitch.core.clock import Clock
+from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
 
 from .const import LOOPBACK
@@ -31,6 +31,9 @@
 
     :param mode: ``good``, ``full`` (refuses), ``reset`` (runs, answers nothing),
         ``unsealed`` (answers without its proof), ``cut`` (breaks a stream off)
+    :param gone: results that were freed at any server of the site
+    :param lost: requests that an engine refused since their results were gone
+    :param prompt_ms: how long an engine reads a prompt
     """
 
     id: str
@@ -43,6 +46,9 @@
     seen: list[EdgeRequest] = attrs.Factory(list)
     pieces: int = 0
     freed: set[str] = attrs.Factory(set)
+    gone: set[str] = attrs.Factory(set)
+    lost: list[str] = attrs.Factory(list)
+    prompt_ms: int = 0
     _handles: Any = attrs.Factory(itertools.count)
 
     @property
@@ -76,7 +82,9 @@
             case "/stage-run":
                 await self._run_pieces(req, reply)
             case "/stage-free":
-                self.freed |= set(json.loads(req.body)["handles"])
+                handles = set(json.loads(req.body)["handles"])
+                self.freed |= handles
+                self.gone |= handles
                 await self._answer(reply, 200, b"{}")
             case _:
                 await self._run(req, reply)
@@ -99,6 +107,12 @@
             not_run = ((b"cowsliphitch-not-executed", b"1"),)
             await self._answer(reply, 503, b"", not_run)
             return
+        inputs = set((req.get(b"cowsliphitch-inputs") or "").split(","))
+        if inputs & self.gone:
+            self.lost.append(request)
+            not_run = ((b"cowsliphitch-not-executed", b"1"),)
+            await self._answer(reply, 409, b"", not_run)
+            return
         self.ran.append(request)
         self.seen.append(req)
         echoed = ((b"cowsliphitch-request-id", request.encode()),)
@@ -112,6 +126,7 @@
 
     async def _stream(self, req: EdgeRequest, reply: Reply, headers: Any) -> None:
         after = int(req.get(b"last-event-id") or "0")
+        await anyio.sleep(seconds(self.prompt_ms))
         kind = ((b"content-type", b"text/event-stream"),)
         await reply.start(200, headers + kind, None)
         for number in range(after + 1, EVENTS + 1):
