--- a/features/core/batching.feature
+++ b/features/core/batching.feature
@@ -54,7 +54,8 @@
     Then the other server has made its pieces
 
   Scenario: Inputs are freed while their reader is being made
-    Given a request whose second stage was called 50 ms ago
+    Given a pool of two servers whose calls take 1.0 times the usual
+    And a request whose second stage was called 50 ms ago
     When the planner ticks
     Then no result is freed
     When 100 ms later the planner ticks
@@ -63,19 +64,26 @@
     Then all stages are done and the results of the first stage were freed once
 
   Scenario: Inputs are kept while their reader is called at a server that is slow
-    Given a pool of two servers whose calls took twice their time
+    Given a pool of two servers whose calls take 2.0 times the usual
     And a request whose second stage was called 50 ms ago
     When 100 ms later the planner ticks
     Then no result is freed
 
-  Scenario: A request whose reader fails after its inputs were freed begins again
+  Scenario: Inputs are kept by an owner that does not know its servers yet
     Given a request whose second stage was called 50 ms ago
     When 100 ms later the planner ticks
+    Then no result is freed
+
+  Scenario: A request whose reader fails after its inputs were freed begins again
+    Given a pool of two servers whose calls take 1.0 times the usual
+    And a request whose second stage was called 50 ms ago
+    When 100 ms later the planner ticks
     And the call of the second stage gets no answer
     Then the request is made from its first stage again
 
   Scenario: A late call is not made elsewhere once its inputs are freed
-    Given a request whose second stage was called 50 ms ago
+    Given a pool of two servers whose calls take 1.0 times the usual
+    And a request whose second stage was called 50 ms ago
     When 100 ms later the planner ticks
     And the call of the second stage is overdue by 2000 ms
     Then no piece of the second stage waits
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -353,13 +353,16 @@
     assert isinstance(context.bench.ended()[0], StagesDone)
 
 
-@given("a pool of two servers whose calls took twice their time")
-def slow_calls(context: Any) -> None:
+@given("a pool of two servers whose calls take {factor:f} times the usual")
+def pool_speed(context: Any, factor: float) -> None:
     bench = context.bench = Bench(servers=2, services=("s", "t"))
     for _ in range(3):
-        bench.admit((StageSpec("t", (), 1),), (2,))
-        for call in bench.planner.plan(bench.now):
-            bench.now += 2 * (call.due_ms - call.started_ms)
+        bench.admit((StageSpec("t", (), 1),), (5,))
+        calls = bench.planner.plan(bench.now)
+        assert len({call.server.id for call in calls}) == 2
+        started = bench.now
+        for call in sorted(calls, key=lambda call: call.due_ms):
+            bench.now = started + round(factor * (call.due_ms - call.started_ms))
             outcomes = tuple(bench.result() for _ in call.pieces)
             bench.planner.finish(call, outcomes, bench.now)
 
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -70,5 +70,7 @@
 # its link, and the message there.
 INPUTS_FETCHED_MS: Final = 100
 
-# A server whose calls take longer than this against the usual may begin them late.
-FETCHES_AT_ONCE: Final = 1.2
+# A server begins its calls at once if so many in a row took at most this time against
+# the usual; one that waits behind another owner's call takes about twice its time.
+STEADY_CALLS: Final = 3
+STEADY_SLOWNESS: Final = 1.15
--- a/packages/core/src/cowsliphitch/core/batching/progress.py
+++ b/packages/core/src/cowsliphitch/core/batching/progress.py
@@ -51,6 +51,7 @@
     """What calls to a server have shown.
 
     :param slowness: time of its calls against the pool's figures
+    :param steady_calls: calls in a row that took the usual time
     :param penalty_until_ms: until then others are preferred
     :param unreachable_until_ms: until then it gets nothing at all
     :param full_until_ms: until then it is taken to have no room, unless a result
@@ -58,6 +59,7 @@
     """
 
     slowness: float = 1.0
+    steady_calls: int = 0
     penalty_until_ms: int = 0
     unreachable_until_ms: int = 0
     full_until_ms: int = 0
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -291,13 +291,14 @@
     def free_inputs(self, now_ms: int) -> list[Job]:
         """Return the jobs whose inputs nobody has to fetch any more, each once.
 
-        From then on none of their pieces can be made again.  A server that is slow may
-        still be busy with another owner's call, so nothing is known of what it fetched.
+        From then on none of their pieces can be made again.  A server whose calls took
+        longer than usual may be busy with another owner's, so nothing is known of what
+        it has fetched.
         """
-        slow = {
+        unsure = {
             piece.job.id
             for call in self._calls.values()
-            if self._slowness(call.server, now_ms) > const.FETCHES_AT_ONCE
+            if self._state(call.server).steady_calls < const.STEADY_CALLS
             for piece in call.pieces
         }
         fetched = [
@@ -306,7 +307,7 @@
             if progress.job.inputs
             and not progress.waiting
             and not progress.inputs_freed
-            and progress.job.id not in slow
+            and progress.job.id not in unsure
             and progress.called_ms + const.INPUTS_FETCHED_MS <= now_ms
         ]
         for progress in fetched:
@@ -433,6 +434,8 @@
     def _note_speed(self, call: Call, now_ms: int) -> None:
         state = self._state(call.server)
         seen = (now_ms - call.started_ms) / self._call_ms(len(call.pieces))
+        steady = seen <= const.STEADY_SLOWNESS
+        state.steady_calls = state.steady_calls + 1 if steady else 0
         state.slowness += const.SPEED_WEIGHT * (seen - state.slowness)
 
     def _slowness(self, server: Server, now_ms: int) -> float:
