--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -16,7 +16,7 @@
 from cowsliphitch.core.membership.ranking import rank
 
 # Four heartbeats in a row are missed before a member loses its duties.
-LIVE_FOR_MS: Final = 1_000
+LIVE_FOR_MS: Final = 600
 
 # How long a silent member still counts for the division of fleet-wide allowances: a
 # failure domain may be cut off for tens of seconds and goes on spending.
@@ -26,7 +26,7 @@
 LEAST_COUNTED: Final = 16
 
 # A pause of the own process of more than this must not make all others suspect.
-OWN_PAUSE_MS: Final = 600
+OWN_PAUSE_MS: Final = 350
 
 
 # Term of a duty taken by a daemon that hears no majority.  It yields to every holder
--- a/packages/core/src/cowsliphitch/core/fleet/reachability.py
+++ b/packages/core/src/cowsliphitch/core/fleet/reachability.py
@@ -15,7 +15,7 @@
 
 # Daemons that were not heard for so long make their domain suspect; three heartbeats
 # are missed by then.
-SILENT_AFTER_MS: Final = 700
+SILENT_AFTER_MS: Final = 400
 
 # Connections that time out in a row before a domain is taken to be cut off although its
 # daemons are heard, or none is known there.
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -53,8 +53,10 @@
 STAGE_CALL_TIMEOUT_MS: Final = 2_000
 FREE_TIMEOUT_MS: Final = 1_000
 
-# A failure domain that is suspect or cut off is tried this often.
-PROBE_INTERVAL_MS: Final = 250
+# A failure domain that is suspect or cut off is tried this often, for so long; links
+# between failure domains take about 1 ms.
+PROBE_INTERVAL_MS: Final = 100
+PROBE_TIMEOUT_MS: Final = 200
 
 # Owners that are asked one after the other for a request's stages.
 MAX_OWNERS: Final = 3
--- a/packages/gateway/src/cowsliphitch/gateway/links.py
+++ b/packages/gateway/src/cowsliphitch/gateway/links.py
@@ -107,7 +107,9 @@
 
     async def _probe(self, server: Server) -> None:
         try:
-            connection = await connect(server.address, b"", self._state.clock)
+            connection = await connect(
+                server.address, b"", self._state.clock, const.PROBE_TIMEOUT_MS
+            )
         except UpstreamError as exc:
             self._note_failure(server, exc.refusal.reason)
             self.update()
--- a/packages/peers/src/cowsliphitch/peers/fleet/const.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-HEARTBEAT_INTERVAL_MS: Final = 250
+HEARTBEAT_INTERVAL_MS: Final = 125
 
 # A connection without traffic during a call is probed after this time, and given up
 # when the probe is not answered as long again: it may have fallen silent for good.
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
@@ -157,14 +157,19 @@
             raise _invalid(f"the answer is not valid HTTP: {exc}") from exc
 
 
-async def connect(address: str, request_id_header: bytes, clock: Clock) -> Connection:
+async def connect(
+    address: str,
+    request_id_header: bytes,
+    clock: Clock,
+    timeout_ms: int = const.CONNECT_TIMEOUT_MS,
+) -> Connection:
     """Open a connection.
 
     :raises UpstreamError: nobody answers there, so nothing ran
     """
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(seconds(const.CONNECT_TIMEOUT_MS)):
+        with anyio.fail_after(seconds(timeout_ms)):
             stream = await anyio.connect_tcp(host, int(port))
     except TimeoutError as exc:
         detail = f"{address} does not answer"
