--- a/packages/standins/src/cowsliphitch/standins/emulator/stages.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/stages.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cowsliphitch.core.batching.models import Call, PieceMade
+from cowsliphitch.core.batching.models import Call, Piece, PieceMade
 from cowsliphitch.core.batching.pipeline import StagePlanner
 from cowsliphitch.core.batching.requests import (
     Command,
@@ -27,6 +27,7 @@
 
 TICK_MS: Final = 100
 CALL_TIMEOUT_MS: Final = 2_000
+FETCHED_MS: Final = 100
 
 
 @attrs.frozen
@@ -112,12 +113,12 @@
     """The outcomes of a replay.
 
     :param earned: credit earned, as a share of what was owed
-    :param wasted_ms: servers' time on pieces whose request was not answered
+    :param moved_mb: results that crossed failure domains; each piece reads its inputs
     """
 
     kinds: dict[str, Outcome]
     earned: float = 0.0
-    wasted_ms: float = 0.0
+    moved_mb: float = 0.0
     calls: int = 0
     pieces: int = 0
 
@@ -155,6 +156,8 @@
         self._order = itertools.count()
         self._handles = itertools.count()
         self._arrived: dict[int, tuple[Kind, int]] = {}
+        self._readers: dict[int, str] = {}
+        self._results: dict[str, tuple[str, int]] = {}
         self._owed = 0.0
         self._credit = 0.0
         self.report = Report({kind.name: Outcome() for kind in scenario.kinds})
@@ -215,6 +218,7 @@
                 outcome.refused += 1
                 return
             self._arrived[admitted.run] = (kind, now)
+            self._readers[admitted.run] = domain
             self._start(now)
 
         return arrive
@@ -242,15 +246,24 @@
 
     def _answer(self, call: Call) -> Callable[[int], None]:
         def answer(now: int) -> None:
-            outcomes = tuple(
-                PieceMade(f"{call.server.address}/{next(self._handles)}")
-                for _ in call.pieces
-            )
+            outcomes = tuple(self._make(call.server, piece) for piece in call.pieces)
             self._carry_out(self.planner.finish(call, outcomes, now), now)
             self._start(now)
 
         return answer
 
+    def _make(self, server: Server, piece: Piece) -> PieceMade:
+        for handle in piece.job.inputs:
+            self._read(handle, server.failure_domain)
+        handle = f"{server.address}/{next(self._handles)}"
+        self._results[handle] = (server.failure_domain, piece.job.result_bytes)
+        return PieceMade(handle)
+
+    def _read(self, handle: str, domain: str) -> None:
+        made_in, size = self._results[handle]
+        if made_in != domain:
+            self.report.moved_mb += size / 1_000_000
+
     def _lose(self, call: Call) -> Callable[[int], None]:
         def lose(now: int) -> None:
             self._carry_out(self.planner.fail(call, now, reached=True), now)
@@ -270,7 +283,9 @@
                     begins_ms = now + kind.engine_ms
                     self._count(kind, begins_ms - arrived_ms)
                     for service, handles in results:
-                        self._at(begins_ms, self._free(service, handles))
+                        for handle in handles:
+                            self._read(handle, self._readers[run])
+                        self._at(now + FETCHED_MS, self._free(service, handles))
                 case StagesFailed(run):
                     kind, arrived_ms = self._arrived.pop(run)
                     outcome = self.report.kinds[kind.name]
