Let the next daemon take a duty whose holder gave another daemon no answer

Ruled out: taking over at the first lost order, since a broken link of one daemon would move the duty: the holder must have missed a heartbeat here, too.

--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -26,6 +26,16 @@
     When they hear each other
     Then exactly one of them holds the duty
 
+  Scenario: The next daemon takes the duty when another lost its holder, before it is silent for long
+    Given a daemon that is second for a duty whose holder was heard 200 ms ago
+    When another daemon says that the holder gave no answer
+    Then it takes the duty, and the holder that starts again does not get it back
+
+  Scenario: A holder that is heard keeps the duty though another daemon lost it
+    Given a daemon that is second for a duty whose holder was heard 100 ms ago
+    When another daemon says that the holder gave no answer
+    Then it does not take the duty
+
   Scenario: A daemon that says it leaves holds no duty
     Given the first daemon in rank for a duty leaves and the second takes it
     Then the first daemon is not among the owners
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -314,3 +314,32 @@
 @then("exactly one of them holds the duty")
 def exactly_one(context: Any) -> None:
     assert len(holders(context)) == 1, holders(context)
+
+
+@given("a daemon that is second for a duty whose holder was heard {ms:d} ms ago")
+def second_for(context: Any, ms: int) -> None:
+    new_table(context)
+    hear(context, "a", claims={NUMBER: 3})
+    context.holder = "a"
+    context.now += ms
+
+
+@when("another daemon says that the holder gave no answer")
+def holder_lost(context: Any) -> None:
+    lost = (member(context.holder).address,)
+    context.taken = context.daemons.take(DUTY, context.now, lost)
+
+
+@then("it takes the duty, and the holder that starts again does not get it back")
+def takes_it(context: Any) -> None:
+    assert context.taken
+    context.now += 300
+    hear(context, context.holder, lifetime=20_000, claims={NUMBER: 1})
+    assert context.daemons.owners(DUTY, context.now)[0].name == "self"
+    assert NUMBER in context.daemons.claims
+
+
+@then("it does not take the duty")
+def takes_not(context: Any) -> None:
+    assert not context.taken
+    assert NUMBER not in context.daemons.claims
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -7,7 +7,7 @@
 
 import itertools
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -18,6 +18,9 @@
 # Four heartbeats in a row are missed before a member loses its duties.
 LIVE_FOR_MS: Final = 600
 
+# A member that was silent for this long has missed a heartbeat.
+MISSED_AFTER_MS: Final = 160
+
 # How long a silent member still counts for the division of fleet-wide allowances: a
 # failure domain may be cut off for tens of seconds and goes on spending.
 COUNTED_FOR_MS: Final = 60_000
@@ -159,14 +162,23 @@
         known = self._known.get(address)
         return known is not None and self._is_live(known, now_ms)
 
-    def owners(self, duty: str, now_ms: int) -> list[Member]:
+    def owners(
+        self, duty: str, now_ms: int, lost: Collection[str] = ()
+    ) -> list[Member]:
         """Return the live daemons in order of preference for a duty.
 
+        :param lost: addresses of daemons that gave another one no answer; they are
+            left out if they missed a heartbeat here, too
+
         Whoever holds a duty keeps it while it lives, since it alone knows what runs.
         Of two holders, which a cut may leave behind, the one with the higher term wins:
         a side of a cut without a majority takes duties with the lowest term.
         """
-        by_address = {member.address: member for member in self.live(now_ms)}
+        by_address = {
+            member.address: member
+            for member in self.live(now_ms)
+            if member.address not in lost or not self._missed(member.address, now_ms)
+        }
         number = duty_number(duty)
         holders = sorted(
             (a for a in by_address if self._term(a, number)),
@@ -176,18 +188,19 @@
         others = (a for a in rank(duty, by_address) if a not in holders)
         return [by_address[address] for address in itertools.chain(holders, others)]
 
-    def take(self, duty: str, now_ms: int) -> bool:
+    def take(self, duty: str, now_ms: int, lost: Collection[str] = ()) -> bool:
         """Hold a duty if nobody else does and it falls to this daemon.
 
         The term of a provisional holder rises once a majority is heard.
 
+        :param lost: addresses of daemons that gave another one no answer
         :returns: whether the duty was taken now
         """
         number = duty_number(duty)
         own = self.claims.get(number)
         if own is not None and own > PROVISIONAL_TERM:
             return False
-        if self.owners(duty, now_ms)[0].address != self.own.address:
+        if self.owners(duty, now_ms, lost)[0].address != self.own.address:
             return False
         if self._hears_majority(now_ms):
             terms = (known.claims.get(number, 0) for known in self._known.values())
@@ -196,6 +209,10 @@
             self.claims[number] = PROVISIONAL_TERM
         return own is None
 
+    def _missed(self, address: str, now_ms: int) -> bool:
+        silent_ms = self.silent_for_ms(address, now_ms)
+        return silent_ms is None or silent_ms > MISSED_AFTER_MS
+
     def _hears_majority(self, now_ms: int) -> bool:
         """Tell whether more than half of the daemons that may live are heard."""
         expected = 1 + sum(not known.leaving for known in self._known.values())
--- a/packages/gateway/src/cowsliphitch/gateway/desk.py
+++ b/packages/gateway/src/cowsliphitch/gateway/desk.py
@@ -125,7 +125,9 @@
     def _take_duty(self, order: StagesOrder, now_ms: int) -> None:
         deployment = self._state.deployment
         group = deployment.pool_group(order.engines) if deployment else ""
-        if not self._state.stopping and self._state.members.take(duty(group), now_ms):
+        if self._state.stopping:
+            return
+        if self._state.members.take(duty(group), now_ms, order.lost_owners):
             event(_LOGGER, "duty.taken", duty=duty(group))
 
     def note(self, note: ProgressNote) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/stages.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stages.py
@@ -133,8 +133,9 @@
     async def _ask_owners(self, needs: StageNeeds) -> tuple[str, StagesReply]:
         """Ask the owner, the next in rank if it gives no answer, then this daemon."""
         own = self._state.members.own.address
+        lost: tuple[str, ...] = ()
         for owner in [*self._owners(needs.route)[: const.MAX_OWNERS], own]:
-            order = self._order(needs)
+            order = attrs.evolve(self._order(needs), lost_owners=lost)
             if owner == own:
                 return own, await self._desk.run_stages(order)
             reply = await self._links.run_stages(owner, order)
@@ -148,6 +149,7 @@
                 cause=reply.detail,
             )
             self._links.drop(owner)
+            lost = (*lost, owner)
         raise AssertionError("this daemon is the last owner that is asked")
 
     def _order(self, needs: StageNeeds) -> StagesOrder:
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -129,6 +129,7 @@
         ),
         engines=order.engines,
         avoid=order.avoid,
+        lost_owners=order.lost_owners,
     )
 
 
@@ -160,6 +161,7 @@
         ),
         engines=message.engines,
         avoid=tuple(message.avoid),
+        lost_owners=tuple(message.lost_owners),
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -47,6 +47,7 @@
     :param generation: what the request asks of a model engine
     :param engines: service of the engines
     :param avoid: engines that already failed the request
+    :param lost_owners: addresses of daemons that gave no answer to this order
     """
 
     request: str
@@ -60,6 +61,7 @@
     generation: Generation
     engines: str
     avoid: tuple[str, ...] = ()
+    lost_owners: tuple[str, ...] = ()
 
 
 Results = tuple[tuple[str, tuple[str, ...]], ...]
