Test guards whose code could be broken unnoticed

Taking 19 guards out one at a time in a scratch copy found six more that survive: the retry window that never slides, heartbeats that were overtaken or come from an earlier lifetime, the pause of the own process, the own failure domain, a cut that never ends by age. Ruled out: faults in the code, all seven guards are there and right.

--- a/features/core/attempts.feature
+++ b/features/core/attempts.feature
@@ -28,3 +28,10 @@
     Given 9 daemons with a ratio of 0.2 and 58 repeats in 10000 ms
     When one daemon without requests wants 100 repeats at once
     Then it is granted 6 of them
+
+  Scenario: An allowance that was spent comes back when its window has passed
+    Given 1 daemons with a ratio of 0.2 and 8 repeats in 10000 ms
+    When one daemon without requests wants 100 repeats at once
+    Then it is granted 8 of them
+    And it is granted 0 of 10 at 9999 ms
+    And it is granted 8 of 10 at 10000 ms
--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -45,6 +45,33 @@
     When it is silent for 2000 ms and heard with lifetime 3000
     Then it is live
 
+  Scenario: A datagram that was overtaken changes nothing
+    Given a daemon that hears "a" hold a duty with term 7 in its heartbeat number 5
+    When heartbeat number 4 of "a" without the duty arrives
+    Then "a" still holds the duty with term 7
+
+  Scenario: A datagram from before a restart changes nothing
+    Given a daemon that hears "a" hold a duty with term 7 in its heartbeat number 5
+    When heartbeat number 900 of an earlier lifetime of "a" arrives
+    Then "a" still holds the duty with term 7
+
+  Scenario: A daemon that stood still takes the others for live when it wakes
+    Given a daemon that hears another domain
+    When it stands still for 5000 ms
+    Then it takes all members for live and no domain is suspect
+
+  Scenario: The own domain is never cut off
+    Given a daemon that stops hearing another domain
+    When 3 connections to its own domain time out
+    Then no domain is cut off
+
+  Scenario: A domain that nobody tried for a while is not cut off any more
+    Given a daemon that stops hearing another domain
+    When 1500 ms go by
+    And a connection to the other domain times out
+    And 3000 ms go by
+    Then the other domain is not cut off
+
   Scenario: Allowances are divided by all that may live, not by those that are heard
     Given a daemon that listed 9 members and hears none of them for 30000 ms
     Then it divides fleet-wide allowances by 9
--- a/features/steps/attempt_steps.py
+++ b/features/steps/attempt_steps.py
@@ -78,3 +78,10 @@
 @then("it is granted {count:d} of them")
 def granted(context: Any, count: int) -> None:
     assert context.granted == count, context.granted
+
+
+@then("it is granted {count:d} of {wanted:d} at {ms:d} ms")
+def granted_at(context: Any, count: int, wanted: int, ms: int) -> None:
+    budget = context.budgets[0]
+    found = sum(budget.take(len(context.budgets), ms) for _ in range(wanted))
+    assert found == count, found
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -343,3 +343,58 @@
 def takes_not(context: Any) -> None:
     assert not context.taken
     assert NUMBER not in context.daemons.claims
+
+
+@given(
+    'a daemon that hears "{name}" hold a duty with term {term:d} in its heartbeat '
+    "number {number:d}"
+)
+def hears_holder(context: Any, name: str, term: int, number: int) -> None:
+    new_table(context)
+    context.lifetime = 5_000
+    holder = member(name, lifetime=context.lifetime)
+    context.daemons.hear(holder, number, False, context.now, {NUMBER: term})
+
+
+@when('heartbeat number {number:d} of "{name}" without the duty arrives')
+def overtaken(context: Any, number: int, name: str) -> None:
+    old = member(name, lifetime=context.lifetime)
+    context.daemons.hear(old, number, False, context.now, {})
+
+
+@when('heartbeat number {number:d} of an earlier lifetime of "{name}" arrives')
+def earlier_lifetime(context: Any, number: int, name: str) -> None:
+    old = member(name, lifetime=context.lifetime - 1)
+    context.daemons.hear(old, number, False, context.now, {})
+
+
+@then('"{name}" still holds the duty with term {term:d}')
+def still_term(context: Any, name: str, term: int) -> None:
+    assert context.daemons.owners(DUTY, context.now)[0].name == name
+    assert not context.daemons.take(DUTY, context.now)
+    assert context.daemons._term(f"{name}:1", NUMBER) == term
+
+
+@when("it stands still for {ms:d} ms")
+def stands_still(context: Any, ms: int) -> None:
+    context.now += ms
+    assert context.daemons.tick(context.now) == ms
+
+
+@then("it takes all members for live and no domain is suspect")
+def all_live(context: Any) -> None:
+    live = {m.name for m in context.daemons.live(context.now)}
+    assert live == {"self", "near", "far1", "far2"}, live
+    assert not context.reach.suspects(context.daemons, context.now)
+
+
+@when("{count:d} connections to its own domain time out")
+def own_times_out(context: Any, count: int) -> None:
+    for _ in range(count):
+        context.reach.timed_out(OWN, context.now)
+    context.reach.update(context.daemons, context.now)
+
+
+@then("no domain is cut off")
+def none_cut(context: Any) -> None:
+    assert not context.reach.cut
