Test that a server chosen before the news gets nothing after it

Cause: of the guards taken out one at a time, two more survived: usable() without the state and without the time of birth. Ruled out: that requests reach such servers, since the code has the checks.

--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -37,6 +37,20 @@
     When "s1" registers at a new address
     Then the ready servers are "s1, s2"
 
+  Scenario Outline: A server that was chosen before the news gets nothing after it
+    Given servers "s1, s2" of a service
+    And a request that was given "s1"
+    When <news>
+    Then the request may not go to "s1" any more
+
+    Examples:
+      | news                                                     |
+      | "s1" is listed as draining                               |
+      | "s1" starts again under the same identifier              |
+      | the entry of "s1" vanishes                               |
+      | a request finds another server at the address of "s1"    |
+      | "s1" registers at a new address                          |
+
   Scenario: Servers of a domain that is cut off are left out, not forgotten
     Given servers "s1, s2" of a service
     When the domain of "s1" is cut off
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -116,3 +116,21 @@
 def chosen(context: Any, name: str) -> None:
     found = context.placement.choose(context.registry.ready(SERVICE), context.now)
     assert found.id == name, found
+
+
+@given('a request that was given "{name}"')
+def was_given(context: Any, name: str) -> None:
+    context.given_server = context.registry.get(name)
+    assert context.registry.usable(context.given_server)
+
+
+@when('"{name}" starts again under the same identifier')
+def starts_again(context: Any, name: str) -> None:
+    before = context.registry.get(name)
+    context.registry.put(attrs.evolve(before, born_ms=before.born_ms + 1_000))
+
+
+@then('the request may not go to "{name}" any more')
+def may_not_go(context: Any, name: str) -> None:
+    assert context.given_server.id == name
+    assert not context.registry.usable(context.given_server)
