Say where the span for fetched results comes from

Cause: the constant's line told what happens and not why 100 ms. Before and after: the same code, a comment only. Conclusion: nothing to measure.

--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -62,5 +62,6 @@
 MAX_OWNERS: Final = 3
 OWNER_RETRY_MS: Final = 200
 
-# An engine fetches a request's inputs before it reads the prompt.
+# An engine has fetched a request's inputs so long after it was sent the request: some
+# MB over its link. With this span engines refused no more requests for lost inputs.
 RESULTS_FETCHED_MS: Final = 100
