Log every send to a server with the age of what is known of it

The log couldn't tell a daemon that learns late of a leaving server from one that forgets it, or that sends on an old decision. Each request, stage call and release of results now has a line server.send: the server's state as known here, its source (store or a peer), its age, the age of the store's last answer, and the time since the server was chosen. A late maintenance pass is logged as loop.late and counted in cowsliphitch_loop_delay; cowsliphitch_store_view_age_ms and cowsliphitch_store_watches show how far the view of the store is behind and what it costs. No decision changes.

--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -36,12 +36,12 @@
 
 @when('"{name}" is listed as draining')
 def listed_as_draining(context: Any, name: str) -> None:
-    context.registry.put(server(name, state=ServerState.DRAINING))
+    context.registry.put(server(name, state=ServerState.DRAINING), context.now_ms)
 
 
 @when('a peer reports that "{name}" is draining')
 def peer_reports_draining(context: Any, name: str) -> None:
-    assert context.registry.mark_draining(name)
+    assert context.registry.mark_draining(name, context.now_ms, "peer")
 
 
 @when('the entry of "{name}" vanishes')
@@ -65,12 +65,12 @@
 
 @when('"{name}" registers again')
 def registers(context: Any, name: str) -> None:
-    context.registry.put(server(name))
+    context.registry.put(server(name), context.now_ms)
 
 
 @when('"{name}" registers at a new address')
 def registers_at_new_address(context: Any, name: str) -> None:
-    context.registry.put(server(name, address="elsewhere:1"))
+    context.registry.put(server(name, address="elsewhere:1"), context.now_ms)
 
 
 @when('another server answers a request at the address of "{name}"')
@@ -78,7 +78,7 @@
     listed = context.registry.get(name)
     context.registry.mark_misdirected(name)
     assert not context.registry.is_usable(listed)
-    context.registry.put(attrs.evolve(listed))
+    context.registry.put(attrs.evolve(listed), context.now_ms)
 
 
 @when('the domain of "{name}" is unreachable')
@@ -129,7 +129,9 @@
 @when('"{name}" restarts under the same identifier')
 def restarts(context: Any, name: str) -> None:
     previous = context.registry.get(name)
-    context.registry.put(attrs.evolve(previous, started_ms=previous.started_ms + 1_000))
+    context.registry.put(
+        attrs.evolve(previous, started_ms=previous.started_ms + 1_000), context.now_ms
+    )
 
 
 @then('the request may not be sent to "{name}" anymore')
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -16,16 +16,37 @@
 REREGISTRATION_GRACE_MS: Final = 2_300
 
 
+# Source of what the store itself says about a server.
+STORE_SOURCE: Final = "store"
+
+
+@attrs.frozen
+class Knowledge:
+    """What is known of a server's state, for logs.
+
+    :param source: ``STORE_SOURCE`` or the name of the peer that reported it
+    :param updated_ms: monotonic time at which this daemon learned it
+    """
+
+    state: ServerState
+    source: str
+    updated_ms: int
+
+
 @attrs.define
 class _Entry:
     """A server with its local state.
 
+    :param updated_ms: monotonic time at which its state was last learned
+    :param source: where its state was learned
     :param expires_ms: monotonic time at which the server is removed unless its entry
         returns, ``None`` while its entry exists
     :param misdirected: another server answered at its address
     """
 
     server: Server
+    updated_ms: int
+    source: str = STORE_SOURCE
     expires_ms: int | None = None
     misdirected: bool = False
 
@@ -40,6 +61,7 @@
         self._outage_end_ms: int | None = None
         self._ready_by_service: dict[str, tuple[Server, ...]] = {}
         self._unreachable_domains: frozenset[str] = frozenset()
+        self._store_answer_ms: int | None = None
         self.has_listing = False
 
     def mark_store_unavailable(self, now_ms: int) -> None:
@@ -49,6 +71,7 @@
 
     def mark_store_available(self, now_ms: int) -> None:
         """Start the grace period in which servers register again after an outage."""
+        self._store_answer_ms = now_ms
         if self._outage_start_ms is not None:
             self._outage_start_ms = None
             self._outage_end_ms = now_ms
@@ -61,13 +84,24 @@
             and now_ms < self._outage_end_ms + REREGISTRATION_GRACE_MS
         )
 
-    def put(self, server: Server) -> None:
+    def view_age_ms(self, now_ms: int) -> int | None:
+        """Return the time since the store's last answer, ``None`` before the first."""
+        return None if self._store_answer_ms is None else now_ms - self._store_answer_ms
+
+    def knowledge_of(self, server_id: str) -> Knowledge | None:
+        """Return what is known of a server's state, ``None`` if it isn't listed."""
+        entry = self._entries.get(server_id)
+        if entry is None:
+            return None
+        return Knowledge(entry.server.state, entry.source, entry.updated_ms)
+
+    def put(self, server: Server, now_ms: int) -> None:
         """Add a server or replace its entry.
 
         A misdirected server stays excluded until its address or its start time changes.
         """
         previous = self._entries.get(server.id)
-        entry = self._entries[server.id] = _Entry(server)
+        entry = self._entries[server.id] = _Entry(server, now_ms)
         if previous is not None and previous.server.address == server.address:
             entry.misdirected = (
                 previous.misdirected and previous.server.started_ms == server.started_ms
@@ -98,7 +132,7 @@
         for server_id in self._entries.keys() - listed.keys():
             self.remove(server_id, now_ms)
         for server in listed.values():
-            self.put(server)
+            self.put(server, now_ms)
         self.has_listing = True
 
     def expire(self, now_ms: int) -> list[Server]:
@@ -119,15 +153,17 @@
             self._ready_by_service.clear()
         return expired
 
-    def mark_draining(self, server_id: str) -> bool:
+    def mark_draining(self, server_id: str, now_ms: int, source: str) -> bool:
         """Mark a server as draining, as a peer reported.
 
+        :param source: name of the peer
         :returns: whether the server was known and ready
         """
         entry = self._entries.get(server_id)
         if entry is None or entry.server.state is ServerState.DRAINING:
             return False
         entry.server = attrs.evolve(entry.server, state=ServerState.DRAINING)
+        entry.updated_ms, entry.source = now_ms, source
         self._ready_by_service.clear()
         return True
 
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -151,9 +151,12 @@
 
     async def _run_maintenance(self) -> None:
         """Expire, update and clean up the components' state until cancelled."""
+        previous_ms = self._clock.now_ms()
         while True:
             await anyio.sleep(seconds(const.MAINTENANCE_INTERVAL_MS))
             now = self._clock.now_ms()
+            self._record_loop_delay(now - previous_ms - const.MAINTENANCE_INTERVAL_MS)
+            previous_ms = now
             self._store.expire_servers(now)
             self._server_client.update_reachability()
             self._stage_executor.run_maintenance()
@@ -163,6 +166,15 @@
                 server.address for server in servers
             )
 
+    def _record_loop_delay(self, delay_ms: int) -> None:
+        """Record by how much maintenance is late, and log long delays.
+
+        A busy loop applies changes of the store late.
+        """
+        self._metrics.record_loop_delay(max(0, delay_ms))
+        if delay_ms >= const.LOOP_DELAY_WARNING_MS:
+            event(_LOGGER, "loop.late", logging.WARNING, delay_ms=delay_ms)
+
     async def _shut_down(self) -> None:
         """Announce the shutdown and let requests end within the grace period.
 
@@ -226,6 +238,14 @@
             lambda: [(len(state.members.live(self._clock.now_ms())), {})],
         )
         observe("cowsliphitch_store_lost_ms", lambda: [(self._store.outage_ms, {})])
+        observe(
+            "cowsliphitch_store_view_age_ms",
+            lambda: [(state.servers.view_age_ms(self._clock.now_ms()) or 0, {})],
+        )
+        observe(
+            "cowsliphitch_store_watches",
+            lambda: [(self._kv.diagnostics.watches, {})],
+        )
         observe(
             "cowsliphitch_requests_active",
             lambda: [(self._caller_edge.diagnostics.active, {})],
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -17,6 +17,9 @@
 # Interval of the maintenance of connections, queues and the server list.
 MAINTENANCE_INTERVAL_MS: Final = 100
 
+# Delay of the maintenance from which it is logged.
+LOOP_DELAY_WARNING_MS: Final = 200
+
 # Largest answer that is buffered in memory before it is sent to the caller.
 MAX_ANSWER_BYTES: Final = 8 * 1_048_576
 
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -125,7 +125,7 @@
             },
         )
         for server_id in heartbeat.draining:
-            if state.servers.mark_draining(server_id):
+            if state.servers.mark_draining(server_id, now, heartbeat.name):
                 event(
                     _LOGGER, "server.draining", server=server_id, source=heartbeat.name
                 )
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -34,7 +34,7 @@
 
 from . import const
 from .relay import EventSplitter, StreamProgress, last_event_id, relay_buffered_answer
-from .server_client import ServerClient
+from .server_client import Purpose, ServerClient
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -227,7 +227,7 @@
             self._client.cancel_if_unreachable(server) if may_repeat else nullcontext()
         ):
             async with self._client.exchange(
-                server, request, max_connections
+                server, request, max_connections, Purpose.REQUEST
             ) as answer:
                 yield answer
 
--- a/packages/gateway/src/cowsliphitch/gateway/metrics.py
+++ b/packages/gateway/src/cowsliphitch/gateway/metrics.py
@@ -25,7 +25,10 @@
     def __init__(self) -> None:
         """Create the instruments and a reader in the Prometheus format."""
         buckets = ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_MS)
-        views = [View(instrument_name="*_duration", aggregation=buckets)]
+        views = [
+            View(instrument_name="*_duration", aggregation=buckets),
+            View(instrument_name="*_delay", aggregation=buckets),
+        ]
         provider = MeterProvider([PrometheusMetricReader()], views=views)
         self._meter = provider.get_meter("cowsliphitch")
         self._requests = self._meter.create_counter("cowsliphitch_requests")
@@ -36,6 +39,14 @@
             "cowsliphitch_first_event_duration", unit="ms"
         )
 
+        self._loop_delays = self._meter.create_histogram(
+            "cowsliphitch_loop_delay", unit="ms"
+        )
+
+    def record_loop_delay(self, delay_ms: int) -> None:
+        """Record by how much the event loop ran a periodic task too late."""
+        self._loop_delays.record(delay_ms)
+
     def record_request(
         self, route: str, team: str, outcome: str, duration_ms: int
     ) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -5,6 +5,7 @@
 counts as unreachable.
 """
 
+import enum
 import itertools
 import logging
 from collections.abc import AsyncIterator, Iterator, Sequence
@@ -30,6 +31,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class Purpose(enum.Enum):
+    """What a request to a server is for; the values appear in logs."""
+
+    REQUEST = "request"
+    STAGE_CALL = "stage call"
+    FREE_RESULTS = "free results"
+
+
 class ServerClient:
     """Send requests to servers and track the reachability of failure domains."""
 
@@ -45,7 +54,11 @@
 
     @asynccontextmanager
     async def exchange(
-        self, server: Server, request: OutgoingRequest, max_connections: int
+        self,
+        server: Server,
+        request: OutgoingRequest,
+        max_connections: int,
+        purpose: Purpose,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer, once the head has been read.
 
@@ -53,9 +66,14 @@
         :raises UpstreamError: the server sent no answer
         """
         has_answered = False
+        chosen_ms = self._state.clock.now_ms()
+
+        def before_send() -> None:
+            self._log_send(server, request, purpose, chosen_ms)
+
         try:
             async with self._pool.exchange(
-                server.address, request, max_connections
+                server.address, request, max_connections, before_send
             ) as answer:
                 has_answered = True
                 self._reachability.record_answer(server.failure_domain)
@@ -65,6 +83,33 @@
                 self._record_failure(server, exc.refusal.reason)
             raise
 
+    def _log_send(
+        self,
+        server: Server,
+        request: OutgoingRequest,
+        purpose: Purpose,
+        chosen_ms: int,
+    ) -> None:
+        """Log that a request is sent, with the age of what is known of its server.
+
+        :param chosen_ms: monotonic time at which the server was chosen
+        """
+        now = self._state.clock.now_ms()
+        knowledge = self._state.servers.knowledge_of(server.id)
+        event(
+            _LOGGER,
+            "server.send",
+            purpose=purpose.value,
+            request=request.request_id.decode("latin-1"),
+            server=server.id,
+            state=knowledge.state.value if knowledge else "unlisted",
+            source=knowledge.source if knowledge else None,
+            known_ms=now - knowledge.updated_ms if knowledge else None,
+            view_ms=self._state.servers.view_age_ms(now),
+            chosen_ms=now - chosen_ms,
+            bytes=len(request.body),
+        )
+
     def _record_failure(self, server: Server, reason: Reason) -> None:
         """Record a failed connection as evidence on the server's failure domain."""
         now = self._state.clock.now_ms()
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -46,7 +46,7 @@
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
 
 from . import const
-from .server_client import ServerClient
+from .server_client import Purpose, ServerClient
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -296,7 +296,9 @@
         try:
             with anyio.fail_after(seconds(timeout_ms)):
                 content = await self._exchange(
-                    call.server, wire.encode_pieces(call.server, piece_requests)
+                    call.server,
+                    wire.encode_pieces(call.server, piece_requests),
+                    Purpose.STAGE_CALL,
                 )
         except (UpstreamError, TimeoutError) as exc:
             self._log_failed_call(call, str(exc) or "timeout")
@@ -337,11 +339,13 @@
             cause=cause,
         )
 
-    async def _exchange(self, server: Server, request: OutgoingRequest) -> bytes:
+    async def _exchange(
+        self, server: Server, request: OutgoingRequest, purpose: Purpose
+    ) -> bytes:
         max_connections = self._max_connections(server.service)
         with self._client.cancel_if_unreachable(server):
             async with self._client.exchange(
-                server, request, max_connections
+                server, request, max_connections, purpose
             ) as answer:
                 content = await answer.read(const.MAX_STAGE_ANSWER_BYTES)
         metadata = wire.decode_head(answer.head)
@@ -382,7 +386,7 @@
         request = wire.encode_free_results(holder, handles)
         try:
             with anyio.fail_after(seconds(const.FREE_RESULTS_TIMEOUT_MS)):
-                await self._exchange(holder, request)
+                await self._exchange(holder, request, Purpose.FREE_RESULTS)
         except (UpstreamError, TimeoutError) as exc:
             event(
                 _LOGGER,
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -186,7 +186,7 @@
             case Entry():
                 server = self._decode_server(change)
                 if server is not None:
-                    self._state.servers.put(server)
+                    self._state.servers.put(server, now_ms)
                     self._report_server(server, change.revision)
 
     def _report_server(self, server: Server, revision: int) -> None:
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager, suppress
 
 import attrs
@@ -104,7 +104,11 @@
 
     @asynccontextmanager
     async def exchange(
-        self, address: str, request: OutgoingRequest, max_open: int
+        self,
+        address: str,
+        request: OutgoingRequest,
+        max_open: int,
+        before_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and read the head of its answer.
 
@@ -113,12 +117,14 @@
 
         :param address: host and port
         :param max_open: limit of open connections to this address
+        :param before_send: called on the open connection, before the first byte is sent
         :raises UpstreamError: no valid answer arrived
         """
         origin = self._origins.setdefault(address, _Origin())
         connection = await self._acquire(address, origin, max_open)
         reusable = False
         try:
+            before_send()
             await self._send_request(connection, request)
             answer = Answer(await connection.read_head(request), connection)
             yield answer
