Order reports on leaving servers by the store's revision

Suspected, not shown to be the cause of the requests that reached leaving servers. A peer's report that a server drains was lost when the server's entry from before was read afterwards, and ignored for a server that was not listed yet; it was announced for 3 s only, not passed on, and never sent for a server that a complete listing showed as draining or whose entry was removed without a report. A daemon that reads the store late, starts or was cut off then sends on.

Entries and reports now carry the revision of the store; the higher one holds. Any way of learning that a server left makes a record, kept for 60 s and announced by every daemon that has it, 8 of the latest 24 in each heartbeat in turn. The immediate extra heartbeat of each daemon for each draining server is dropped: with n daemons it was n * n datagrams a server.

--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -15,6 +15,39 @@
     When a peer reports that "s1" is draining
     Then the ready servers are "s2"
 
+  Scenario: A server that left stays excluded when an entry from before is read
+    Given servers "s1, s2" of a service
+    When a peer reports that "s1" left at revision 20
+    And the entry of "s1" of revision 15 is read as ready
+    Then the ready servers are "s2"
+
+  Scenario: A server that registers again after it left is used
+    Given servers "s1, s2" of a service
+    When a peer reports that "s1" left at revision 20
+    And the entry of "s1" of revision 25 is read as ready
+    Then the ready servers are "s1, s2"
+
+  Scenario: A report on a server that is not listed yet holds once its entry is read
+    Given servers "s2" of a service
+    When a peer reports that "s1" left at revision 20
+    And the entry of "s1" of revision 15 is read as ready
+    Then the ready servers are "s2"
+
+  Scenario Outline: Peers learn of a server that left, however it was noticed
+    Given servers "s1, s2" of a service
+    When <change>
+    And the registry waits 5000 ms
+    And 12 more servers leave
+    Then a peer that hears its announcements for 2 heartbeats sends nothing to "s1"
+
+    Examples:
+      | change                                                             |
+      | "s1" is listed as draining                                         |
+      | the entry of "s1" vanishes                                         |
+      | a listing of revision 20 shows "s1" as draining                    |
+      | a peer reports that "s1" left at revision 20                       |
+      | the store is unavailable for 5000 ms and the entry of "s1" expires |
+
   Scenario: A server whose entry vanishes while the store is available is removed
     Given servers "s1, s2" of a service
     When the entry of "s1" vanishes
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -24,29 +24,43 @@
     return Server(id=server_id, **(defaults | fields))
 
 
+def next_revision(context: Any) -> int:
+    context.revision += 1
+    return int(context.revision)
+
+
+def put(context: Any, changed: Server) -> None:
+    context.registry.put(changed, next_revision(context), context.now_ms)
+
+
+def report_leaving(context: Any, name: str, revision: int) -> None:
+    assert context.registry.mark_leaving(name, revision, context.now_ms, "peer")
+
+
 @given('servers "{names}" of a service')
 def servers(context: Any, names: str) -> None:
     context.now_ms = 1_000
     context.registry = ServerRegistry()
     context.placement = ServerPlacement()
+    context.revision = 10
     context.registry.replace(
-        (server(name) for name in names.split(", ")), context.now_ms
+        ((server(name), 1) for name in names.split(", ")), 1, context.now_ms
     )
 
 
 @when('"{name}" is listed as draining')
 def listed_as_draining(context: Any, name: str) -> None:
-    context.registry.put(server(name, state=ServerState.DRAINING), context.now_ms)
+    put(context, server(name, state=ServerState.DRAINING))
 
 
 @when('a peer reports that "{name}" is draining')
 def peer_reports_draining(context: Any, name: str) -> None:
-    assert context.registry.mark_draining(name, context.now_ms, "peer")
+    report_leaving(context, name, next_revision(context))
 
 
 @when('the entry of "{name}" vanishes')
 def entry_vanishes(context: Any, name: str) -> None:
-    context.registry.remove(name, context.now_ms)
+    context.registry.remove(name, next_revision(context), context.now_ms)
 
 
 @when('the store is unavailable for {ms:d} ms and the entry of "{name}" expires')
@@ -54,7 +68,7 @@
     context.registry.mark_store_unavailable(context.now_ms)
     context.now_ms += ms
     context.registry.mark_store_available(context.now_ms)
-    context.registry.remove(name, context.now_ms)
+    context.registry.remove(name, next_revision(context), context.now_ms)
 
 
 @when("the registry waits {ms:d} ms")
@@ -65,12 +79,12 @@
 
 @when('"{name}" registers again')
 def registers(context: Any, name: str) -> None:
-    context.registry.put(server(name), context.now_ms)
+    put(context, server(name))
 
 
 @when('"{name}" registers at a new address')
 def registers_at_new_address(context: Any, name: str) -> None:
-    context.registry.put(server(name, address="elsewhere:1"), context.now_ms)
+    put(context, server(name, address="elsewhere:1"))
 
 
 @when('another server answers a request at the address of "{name}"')
@@ -78,7 +92,7 @@
     listed = context.registry.get(name)
     context.registry.mark_misdirected(name)
     assert not context.registry.is_usable(listed)
-    context.registry.put(attrs.evolve(listed), context.now_ms)
+    put(context, attrs.evolve(listed))
 
 
 @when('the domain of "{name}" is unreachable')
@@ -129,12 +143,54 @@
 @when('"{name}" restarts under the same identifier')
 def restarts(context: Any, name: str) -> None:
     previous = context.registry.get(name)
-    context.registry.put(
-        attrs.evolve(previous, started_ms=previous.started_ms + 1_000), context.now_ms
-    )
+    put(context, attrs.evolve(previous, started_ms=previous.started_ms + 1_000))
 
 
 @then('the request may not be sent to "{name}" anymore')
 def may_not_be_sent(context: Any, name: str) -> None:
     assert context.assigned_server.id == name
     assert not context.registry.is_usable(context.assigned_server)
+
+
+@when('a peer reports that "{name}" left at revision {revision:d}')
+def peer_reports_left(context: Any, name: str, revision: int) -> None:
+    report_leaving(context, name, revision)
+
+
+@when('the entry of "{name}" of revision {revision:d} is read as ready')
+def old_entry_is_read(context: Any, name: str, revision: int) -> None:
+    context.registry.put(server(name), revision, context.now_ms)
+
+
+@when('a listing of revision {revision:d} shows "{name}" as draining')
+def listing_shows_draining(context: Any, name: str, revision: int) -> None:
+    listed = [
+        (attrs.evolve(s, state=ServerState.DRAINING), revision)
+        if s.id == name
+        else (s, 1)
+        for s in context.registry.all()
+    ]
+    context.registry.replace(listed, revision, context.now_ms)
+
+
+@then(
+    "a peer that hears its announcements for {count:d} heartbeats"
+    ' sends nothing to "{name}"'
+)
+def peer_hears(context: Any, count: int, name: str) -> None:
+    peer = ServerRegistry()
+    peer.replace([(server(s), 1) for s in ("s1", "s2")], 1, context.now_ms)
+    for _ in range(count):
+        for left, revision in context.registry.next_announcement(
+            context.now_ms
+        ).items():
+            peer.mark_leaving(left, revision, context.now_ms, "peer")
+    ready_ids = [s.id for s in peer.ready(SERVICE)]
+    assert name not in ready_ids, ready_ids
+    assert len(ready_ids) == 1, ready_ids
+
+
+@when("{count:d} more servers leave")
+def more_servers_leave(context: Any, count: int) -> None:
+    for number in range(count):
+        put(context, server(f"other-{number}", state=ServerState.DRAINING))
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -2,8 +2,12 @@
 
 Load pattern: the store is unavailable for seconds, leases expire meanwhile although
 their servers run, and all servers register again within two seconds of its return.
+
+Daemons also tell each other which servers leave.  Such a report and the store's entries
+arrive in any order, so both carry the store's revision, and the higher one holds.
 """
 
+import itertools
 from collections.abc import Iterable
 from typing import Final
 
@@ -15,6 +19,17 @@
 # store's return; the margin covers the watch's delay.
 REREGISTRATION_GRACE_MS: Final = 2_300
 
+# A server that leaves may run for many seconds after its report; a daemon that was cut
+# off as long still needs the record.
+LEAVING_RETENTION_MS: Final = 60_000
+
+MAX_LEAVING_RECORDS: Final = 4_096
+
+# The latest records are sent to the peers in turn, some in each heartbeat, so that a
+# heartbeat stays small while many servers leave.
+MAX_ANNOUNCED_LEAVING: Final = 24
+MAX_LEAVING_PER_HEARTBEAT: Final = 8
+
 
 # Source of what the store itself says about a server.
 STORE_SOURCE: Final = "store"
@@ -33,18 +48,33 @@
     updated_ms: int
 
 
+@attrs.frozen
+class _LeavingRecord:
+    """A server that is draining or whose entry was removed.
+
+    :param revision: revision of the store at which it left
+    :param expires_ms: monotonic time at which the record is evicted
+    """
+
+    revision: int
+    expires_ms: int
+
+
 @attrs.define
 class _Entry:
     """A server with its local state.
 
     :param updated_ms: monotonic time at which its state was last learned
     :param source: where its state was learned
+    :param revision: revision of the store at which its entry was written, or removed if
+        ``expires_ms`` is set
     :param expires_ms: monotonic time at which the server is removed unless its entry
         returns, ``None`` while its entry exists
     :param misdirected: another server answered at its address
     """
 
     server: Server
+    revision: int
     updated_ms: int
     source: str = STORE_SOURCE
     expires_ms: int | None = None
@@ -57,6 +87,9 @@
     def __init__(self) -> None:
         """Initialize an empty registry that has read no listing."""
         self._entries: dict[str, _Entry] = {}
+        # The latest record is the last one.
+        self._leaving: dict[str, _LeavingRecord] = {}
+        self._announcement_offset = 0
         self._outage_start_ms: int | None = None
         self._outage_end_ms: int | None = None
         self._ready_by_service: dict[str, tuple[Server, ...]] = {}
@@ -95,44 +128,79 @@
             return None
         return Knowledge(entry.server.state, entry.source, entry.updated_ms)
 
-    def put(self, server: Server, now_ms: int) -> None:
+    def put(self, server: Server, revision: int, now_ms: int) -> None:
         """Add a server or replace its entry.
 
-        A misdirected server stays excluded until its address or its start time changes.
+        An entry that was written before the server's report of leaving keeps it
+        draining.  A misdirected server stays excluded until its address or its start
+        time changes.
+
+        :param revision: revision of the store at which the entry was written
         """
         previous = self._entries.get(server.id)
-        entry = self._entries[server.id] = _Entry(server, now_ms)
+        if previous is not None and revision < previous.revision:
+            return
+        source = STORE_SOURCE
+        if server.state is ServerState.DRAINING:
+            self._record_leaving(server.id, revision, now_ms)
+        elif (record := self._leaving.get(server.id)) is not None:
+            if record.revision < revision:
+                del self._leaving[server.id]
+            else:
+                server = attrs.evolve(server, state=ServerState.DRAINING)
+                source = previous.source if previous is not None else source
+        entry = self._entries[server.id] = _Entry(server, revision, now_ms, source)
         if previous is not None and previous.server.address == server.address:
             entry.misdirected = (
                 previous.misdirected and previous.server.started_ms == server.started_ms
             )
         self._ready_by_service.clear()
 
-    def remove(self, server_id: str, now_ms: int) -> None:
+    def remove(self, server_id: str, revision: int, now_ms: int) -> None:
         """Remove a server whose entry vanished.
 
         During an outage of the store, and in the grace period after it, a ready server
         is kept until the grace period ends.
+
+        :param revision: revision of the store at which the entry was gone
         """
         entry = self._entries.get(server_id)
         if entry is None:
             return
         if self._in_grace(now_ms) and entry.server.state is ServerState.READY:
             if entry.expires_ms is None:
+                entry.revision = revision
                 entry.expires_ms = (
                     self._outage_end_ms or now_ms
                 ) + REREGISTRATION_GRACE_MS
             return
+        self._delete(server_id, revision, now_ms)
+
+    def _delete(self, server_id: str, revision: int, now_ms: int) -> None:
         del self._entries[server_id]
+        self._record_leaving(server_id, revision, now_ms)
         self._ready_by_service.clear()
 
-    def replace(self, servers: Iterable[Server], now_ms: int) -> None:
-        """Replace all servers by a complete listing."""
-        listed = {server.id: server for server in servers}
+    def _record_leaving(self, server_id: str, revision: int, now_ms: int) -> None:
+        record = self._leaving.pop(server_id, None)
+        latest = max(revision, record.revision if record else 0)
+        self._leaving[server_id] = _LeavingRecord(latest, now_ms + LEAVING_RETENTION_MS)
+        if len(self._leaving) > MAX_LEAVING_RECORDS:
+            del self._leaving[next(iter(self._leaving))]
+
+    def replace(
+        self, servers: Iterable[tuple[Server, int]], revision: int, now_ms: int
+    ) -> None:
+        """Replace all servers by a complete listing.
+
+        :param servers: each server with the revision of its entry
+        :param revision: revision of the listing
+        """
+        listed = {server.id: (server, modified) for server, modified in servers}
         for server_id in self._entries.keys() - listed.keys():
-            self.remove(server_id, now_ms)
-        for server in listed.values():
-            self.put(server, now_ms)
+            self.remove(server_id, revision, now_ms)
+        for server, modified in listed.values():
+            self.put(server, modified, now_ms)
         self.has_listing = True
 
     def expire(self, now_ms: int) -> list[Server]:
@@ -143,30 +211,62 @@
         if self._outage_start_ms is not None:
             return []
         expired = [
-            entry.server
+            entry
             for entry in self._entries.values()
             if entry.expires_ms is not None and now_ms >= entry.expires_ms
         ]
-        for server in expired:
-            del self._entries[server.id]
-        if expired:
-            self._ready_by_service.clear()
-        return expired
+        for entry in expired:
+            self._delete(entry.server.id, entry.revision, now_ms)
+        return [entry.server for entry in expired]
+
+    def mark_leaving(
+        self, server_id: str, revision: int, now_ms: int, source: str
+    ) -> bool:
+        """Record that a server is leaving, as a peer reported.
 
-    def mark_draining(self, server_id: str, now_ms: int, source: str) -> bool:
-        """Mark a server as draining, as a peer reported.
+        The record holds against entries that are read later but were written before.
 
+        :param revision: revision of the store at which the server left
         :param source: name of the peer
-        :returns: whether the server was known and ready
+        :returns: whether the report is new
         """
+        record = self._leaving.get(server_id)
+        if record is not None and record.revision >= revision:
+            return False
         entry = self._entries.get(server_id)
-        if entry is None or entry.server.state is ServerState.DRAINING:
+        if entry is not None and entry.revision > revision:
             return False
-        entry.server = attrs.evolve(entry.server, state=ServerState.DRAINING)
-        entry.updated_ms, entry.source = now_ms, source
-        self._ready_by_service.clear()
+        self._record_leaving(server_id, revision, now_ms)
+        if entry is not None and entry.server.state is ServerState.READY:
+            entry.server = attrs.evolve(entry.server, state=ServerState.DRAINING)
+            entry.updated_ms, entry.source = now_ms, source
+            self._ready_by_service.clear()
         return True
 
+    def next_announcement(self, now_ms: int) -> dict[str, int]:
+        """Return servers that left, with their revisions, for the next heartbeat.
+
+        Each call continues with the latest records where the one before ended.  Records
+        past their retention are evicted.
+        """
+        for server_id in [
+            server_id
+            for server_id, record in self._leaving.items()
+            if record.expires_ms <= now_ms
+        ]:
+            del self._leaving[server_id]
+        latest = list(
+            itertools.islice(reversed(self._leaving.items()), MAX_ANNOUNCED_LEAVING)
+        )
+        if self._announcement_offset >= len(latest):
+            self._announcement_offset = 0
+        start = self._announcement_offset
+        self._announcement_offset += MAX_LEAVING_PER_HEARTBEAT
+        return {
+            server_id: record.revision
+            for server_id, record in latest[start : self._announcement_offset]
+        }
+
     def mark_misdirected(self, server_id: str) -> None:
         """Exclude a server at whose address another one answered."""
         entry = self._entries.get(server_id)
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -94,12 +94,7 @@
             state, self._server_client, _cost_weights(cfg), group
         )
         self._fleet = FleetCoordinator(state, self._peer_connections, group)
-        self._store = StoreCoordinator(
-            self._kv,
-            state,
-            self._fleet.schedule_heartbeat,
-            self._fleet.announce_draining,
-        )
+        self._store = StoreCoordinator(self._kv, state, self._fleet.schedule_heartbeat)
         self._fleet.store = self._store
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -1,7 +1,7 @@
 """Exchange of heartbeats with the other daemons.
 
 Heartbeats show which daemons are live, whatever the state of the store.  They also
-carry load, duties, draining servers and the version of the settings; a daemon with
+carry load, duties, leaving servers and the version of the settings; a daemon with
 older settings fetches the newer ones from the sender.
 """
 
@@ -24,11 +24,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Heartbeats announce that a server is draining for this long.
-DRAINING_ANNOUNCEMENT_MS = 3_000
-# Largest number of draining servers in one heartbeat.
-MAX_ANNOUNCED_SERVERS = 50
-
 
 class FleetCoordinator:
     """Send heartbeats and apply those of the peers.
@@ -45,7 +40,6 @@
         self._connections = connections
         self._group = group
         self._sequence_number = 0
-        self._draining_until_ms: dict[str, int] = {}
         self._is_fetching = False
         self._live_addresses: set[str] = set()
         self.store: StoreCoordinator | None = None
@@ -72,21 +66,8 @@
         """Send a heartbeat at once, outside the interval, after a change of state."""
         self._group.start_soon(self.send_heartbeat)
 
-    def announce_draining(self, server_id: str) -> None:
-        """Announce to the peers that a server is draining."""
-        self._draining_until_ms[server_id] = (
-            self._state.clock.now_ms() + DRAINING_ANNOUNCEMENT_MS
-        )
-        self.schedule_heartbeat()
-
     def _make_heartbeat(self) -> Heartbeat:
         state = self._state
-        now = state.clock.now_ms()
-        self._draining_until_ms = {
-            draining_id: until_ms
-            for draining_id, until_ms in self._draining_until_ms.items()
-            if until_ms > now
-        }
         return Heartbeat(
             name=state.members.own.name,
             address=state.members.own.address,
@@ -95,7 +76,7 @@
             failure_domain=state.members.own.failure_domain,
             settings_version=state.versions.version,
             leaving=state.stopping,
-            draining=tuple(self._draining_until_ms)[:MAX_ANNOUNCED_SERVERS],
+            leaving_servers=state.servers.next_announcement(state.clock.now_ms()),
             servers={
                 server_checksum(server_id): load
                 for server_id, load in state.placement.own_loads().items()
@@ -124,10 +105,14 @@
                 if checksum in id_by_checksum
             },
         )
-        for server_id in heartbeat.draining:
-            if state.servers.mark_draining(server_id, now, heartbeat.name):
+        for server_id, revision in heartbeat.leaving_servers.items():
+            if state.servers.mark_leaving(server_id, revision, now, heartbeat.name):
                 event(
-                    _LOGGER, "server.draining", server=server_id, source=heartbeat.name
+                    _LOGGER,
+                    "server.leaving",
+                    server=server_id,
+                    revision=revision,
+                    source=heartbeat.name,
                 )
         if (
             heartbeat.settings_version > state.versions.version
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -15,7 +15,7 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.versions import ActiveDeployment
 from cowsliphitch.core.fleet.members import Member
-from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.core.servers.models import Server
 from cowsliphitch.platform import operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import (
@@ -43,7 +43,6 @@
     A single watch covers all keys, since every open watch has a cost.
 
     :param on_settings_activated: called when a version of the settings was activated
-    :param on_draining: called with the identifier of a server that is draining
     """
 
     def __init__(
@@ -51,13 +50,11 @@
         kv: KeyValueClient,
         state: GatewayState,
         on_settings_activated: Callable[[], None],
-        on_draining: Callable[[str], None],
     ) -> None:
         """Initialize without a lease or any listed member."""
         self._kv = kv
         self._state = state
         self._on_settings_activated = on_settings_activated
-        self._on_draining = on_draining
         self._members: dict[str, Member] = {}
         self._outage_since_ms: int | None = None
         self._lease_id: int | None = None
@@ -145,10 +142,14 @@
     def _apply_listing(self, listing: Listing) -> None:
         now = self._state.clock.now_ms()
         servers = (
-            self._decode_server(e)
+            (self._decode_server(e), e.revision)
             for e in _entries_under(server_entries.PREFIX, listing.entries)
         )
-        self._state.servers.replace((s for s in servers if s is not None), now)
+        self._state.servers.replace(
+            ((s, revision) for s, revision in servers if s is not None),
+            listing.at,
+            now,
+        )
         self._members = {
             entry.key: member
             for entry in _entries_under(const.MEMBER_PREFIX, listing.entries)
@@ -181,12 +182,12 @@
         server_id = change.key.removeprefix(server_entries.PREFIX)
         match change:
             case Deleted(revision=revision):
-                self._state.servers.remove(server_id, now_ms)
+                self._state.servers.remove(server_id, revision, now_ms)
                 event(_LOGGER, "server.removed", server=server_id, revision=revision)
             case Entry():
                 server = self._decode_server(change)
                 if server is not None:
-                    self._state.servers.put(server, now_ms)
+                    self._state.servers.put(server, change.revision, now_ms)
                     self._report_server(server, change.revision)
 
     def _report_server(self, server: Server, revision: int) -> None:
@@ -199,8 +200,6 @@
             state=server.state.value,
             revision=revision,
         )
-        if server.state is ServerState.DRAINING:
-            self._on_draining(server.id)
 
     def _decode_server(self, entry: Entry) -> Server | None:
         server = server_entries.decode_entry(entry.key, entry.value)
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -42,7 +42,10 @@
         failure_domain=heartbeat.failure_domain,
         version=heartbeat.settings_version,
         leaving=heartbeat.leaving,
-        draining=heartbeat.draining,
+        leaving_servers=[
+            pb.LeavingServer(server=server, revision=revision)
+            for server, revision in heartbeat.leaving_servers.items()
+        ],
         servers=[
             pb.ServerShare(server=server, running=share.running)
             for server, share in heartbeat.servers.items()
@@ -75,7 +78,7 @@
         failure_domain=message.failure_domain,
         settings_version=message.version,
         leaving=message.leaving,
-        draining=tuple(message.draining),
+        leaving_servers={row.server: row.revision for row in message.leaving_servers},
         servers={row.server: ServerLoad(row.running) for row in message.servers},
         duties={row.duty: row.term for row in message.duties},
     )
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -23,7 +23,8 @@
     :param sequence_number: increases with each heartbeat of one process
     :param settings_version: version of the settings in force at the daemon
     :param leaving: the daemon is shutting down
-    :param draining: identifiers of servers that the daemon knows to be draining
+    :param leaving_servers: servers that are draining or were removed, with
+        the store's revision at which they left
     :param servers: requests of the daemon at servers, by checksum of the server's
         identifier
     :param duties: term of each duty that the daemon holds, by checksum of the duty's
@@ -37,7 +38,7 @@
     failure_domain: str
     settings_version: int
     leaving: bool
-    draining: tuple[str, ...]
+    leaving_servers: dict[str, int]
     servers: dict[int, ServerLoad]
     duties: dict[int, int]
 
