Check that a server still takes requests right before each send

Suspected, not shown to be the cause of the requests that reached leaving servers. A server was checked when it was chosen, and not again: up to 400 ms pass until a new connection is open, and an engine chosen by the owner of the stages was sent to even if this daemon already knew that it leaves. Releases of results and probes went to leaving servers without any check.

ServerClient.exchange, which every request, stage call, release, retry and resumed stream passes, now checks the server when it is called and again on the open connection, before the first byte. What was not sent is reported as not run with the reason upstream-leaving, and another server is chosen without spending a retry. Results at leaving servers expire there; only ready servers are probed.

The five scenarios of gateway/sending.feature failed on the code before (2 of them by the retry budget, 3 since the bytes arrived) and pass now.

--- a/packages/core/src/cowsliphitch/core/verdict.py
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -34,6 +34,7 @@
     CONNECT_TIMEOUT = "connect-timeout"
     CONNECTION_LOST = "connection-lost"
     UPSTREAM_REFUSED = "upstream-refused"
+    UPSTREAM_LEAVING = "upstream-leaving"
     UPSTREAM_FAILED = "upstream-failed"
     INVALID_ANSWER = "invalid-answer"
     STREAM_CUT = "stream-cut"
@@ -63,6 +64,7 @@
     Reason.CONNECT_TIMEOUT: 502,
     Reason.CONNECTION_LOST: 502,
     Reason.UPSTREAM_REFUSED: 503,
+    Reason.UPSTREAM_LEAVING: 503,
     Reason.UPSTREAM_FAILED: 502,
     Reason.INVALID_ANSWER: 502,
     Reason.STREAM_CUT: 502,
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -134,6 +134,9 @@
                 return self._final_refusal(ctx, refusal)
             if not may_retry(ctx.route, ctx.attempts):
                 return self._final_refusal(ctx, refusal)
+            if refusal.reason is Reason.UPSTREAM_LEAVING:
+                # Nothing was sent, so the next attempt is not a retry.
+                continue
             if not budget.try_acquire(self._state.members.allowance_divisor(now), now):
                 event(_LOGGER, "retry.denied", request=ctx.request.id)
                 return self._final_refusal(ctx, refusal)
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -1,5 +1,8 @@
 """Calls to servers, whose results also show which failure domains are reachable.
 
+Everything that is sent to a server passes here, so this is also where a server that is
+leaving is excluded, whenever it was chosen.
+
 Fault: a failure domain becomes unreachable without connection errors.  Calls to its
 servers would hang until they time out, so they are cancelled as soon as the domain
 counts as unreachable.
@@ -18,8 +21,8 @@
     UNREACHABLE_AFTER_REFUSALS,
     Reachability,
 )
-from cowsliphitch.core.servers.models import Server
-from cowsliphitch.core.verdict import Reason, may_have_run
+from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.core.verdict import Reason, may_have_run, not_run
 from cowsliphitch.telemetry.logs import event
 from cowsliphitch.upstreams.http1.connection import connect
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
@@ -63,12 +66,15 @@
         """Send a request and yield its answer, once the head has been read.
 
         :param max_connections: connections to the server that may be open at a time
-        :raises UpstreamError: the server sent no answer
+        :raises UpstreamError: the server sent no answer, or may get nothing more
         """
         has_answered = False
         chosen_ms = self._state.clock.now_ms()
+        self._check_usable(server, purpose)
 
         def before_send() -> None:
+            # The server may have left while the connection was opened.
+            self._check_usable(server, purpose)
             self._log_send(server, request, purpose, chosen_ms)
 
         try:
@@ -83,6 +89,17 @@
                 self._record_failure(server, exc.refusal.reason)
             raise
 
+    def _check_usable(self, server: Server, purpose: Purpose) -> None:
+        """Check that a server still takes what is about to be sent.
+
+        :raises UpstreamError: the server is draining, was removed or has restarted
+        """
+        if self._state.servers.is_usable(server):
+            return
+        event(_LOGGER, "server.not_sent", purpose=purpose.value, server=server.id)
+        detail = f"{server.id} is leaving or gone; nothing was sent to it"
+        raise UpstreamError(not_run(Reason.UPSTREAM_LEAVING, detail))
+
     def _log_send(
         self,
         server: Server,
@@ -165,6 +182,7 @@
                         server
                         for server in self._state.servers.all()
                         if server.failure_domain == domain
+                        and server.state is ServerState.READY
                     ]
                     for server in _probe_targets(servers, round_number):
                         group.start_soon(self._probe_server, server)
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -365,12 +365,12 @@
     async def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
         """Free results at the servers that hold them.
 
-        Results at a server that can't be reached expire there.
+        Results at a server that can't be reached or is leaving expire there.
         """
         holders = {
             server.address: server
             for server in self._state.servers.all()
-            if server.service == service
+            if server.service == service and self._state.servers.is_usable(server)
         }
         for address, handles_at_server in itertools.groupby(
             sorted(handles, key=wire.server_address_of), key=wire.server_address_of
