Apply only the latest heartbeat of each peer

Suspected part of what comes late at scale. The event loop's datagram transport reads one datagram in each pass; 86 peers send 688 a second, so a loop whose passes take more than 1.4 ms falls behind by the whole socket buffer, and the news in heartbeats (leaving servers, owners, versions) is applied seconds late although it has arrived.

The socket is now read until it is empty, and only the last datagram of each peer is decoded; sending no longer yields for each peer.

--- a/packages/peers/src/cowsliphitch/peers/fleet/const.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/const.py
@@ -16,3 +16,6 @@
 RUN_STAGES_TIMEOUT_MARGIN_S: Final = 0.1
 
 MAX_DATAGRAM_BYTES: Final = 8_192
+
+# Bounds one read of the socket, so that other tasks run under a flood of datagrams.
+MAX_DATAGRAMS_PER_READ: Final = 1_024
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -4,6 +4,7 @@
 attributes here; the comments there say what each field holds.
 """
 
+import functools
 import zlib
 from collections.abc import Iterable
 
@@ -25,6 +26,7 @@
 )
 
 
+@functools.lru_cache(maxsize=4_096)
 def server_checksum(server_id: str) -> int:
     """Return the CRC-32 of a server's identifier, which heartbeats carry instead."""
     return zlib.crc32(server_id.encode())
--- a/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
@@ -1,11 +1,17 @@
-"""Heartbeats between daemons over UDP."""
+"""Heartbeats between daemons over UDP.
+
+Load pattern: many daemons send heartbeats while the event loop is busy, so that
+datagrams pile up in the socket's buffer.  All of them are read at once, and only the
+latest of each peer is decoded and applied.
+"""
 
 import logging
+import socket
 from collections.abc import Awaitable, Callable, Iterable
-from contextlib import suppress
+from contextlib import closing, suppress
 
 import anyio
-from anyio.abc import TaskStatus, UDPSocket
+from anyio.abc import TaskStatus
 
 from . import const, convert
 from .models import Heartbeat
@@ -26,30 +32,49 @@
         """Initialize without a socket; ``run`` opens it."""
         self._address = address
         self._on_heartbeat = on_heartbeat
-        self._socket: UDPSocket | None = None
-        self._send_lock = anyio.Lock()
+        self._socket: socket.socket | None = None
         self.malformed_datagrams = 0
+        self.superseded_datagrams = 0
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Open the socket and receive heartbeats until cancelled."""
         host, _, port = self._address.rpartition(":")
-        async with await anyio.create_udp_socket(
-            local_host=host, local_port=int(port)
-        ) as sock:
+        with closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as sock:
+            sock.setblocking(False)
+            sock.bind((host, int(port)))
             self._socket = sock
             task_status.started()
-            async for content, (peer_host, peer_port) in sock:
-                try:
-                    heartbeat = convert.heartbeat_from_wire(
-                        content, f"{peer_host}:{peer_port}"
-                    )
-                except ValueError as exc:
-                    self.malformed_datagrams += 1
-                    _LOGGER.warning("Heartbeat datagram dropped: %s", exc)
-                    continue
-                await self._on_heartbeat(heartbeat)
+            while True:
+                await anyio.wait_readable(sock)
+                for address, content in self._read_latest(sock).items():
+                    await self._apply(content, address)
+
+    def _read_latest(self, sock: socket.socket) -> dict[str, bytes]:
+        """Read the buffered datagrams; return the last one of each peer by address."""
+        latest: dict[str, bytes] = {}
+        for _ in range(const.MAX_DATAGRAMS_PER_READ):
+            try:
+                content, (host, port) = sock.recvfrom(const.MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except OSError as exc:
+                _LOGGER.warning("Heartbeat not received, waiting for the next: %s", exc)
+                break
+            address = f"{host}:{port}"
+            self.superseded_datagrams += address in latest
+            latest[address] = content
+        return latest
+
+    async def _apply(self, content: bytes, address: str) -> None:
+        try:
+            heartbeat = convert.heartbeat_from_wire(content, address)
+        except ValueError as exc:
+            self.malformed_datagrams += 1
+            _LOGGER.warning("Heartbeat datagram dropped: %s", exc)
+            return
+        await self._on_heartbeat(heartbeat)
 
     async def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
         """Send a heartbeat to peers.
@@ -69,6 +94,5 @@
             return
         for address in addresses:
             host, _, port = address.rpartition(":")
-            async with self._send_lock:
-                with suppress(OSError, anyio.BrokenResourceError):
-                    await self._socket.sendto(content, host, int(port))
+            with suppress(OSError):
+                self._socket.sendto(content, (host, int(port)))
