Give duties to the VMs with the most processor capacity

Suspected part of what comes late at scale. The owner of the stage pools admits every request of the fleet, makes all calls to stage servers and chooses all engines. It was chosen by hash alone, so on a site with 6 VMs of 2.15 and 81 of 0.5 cores it is a small one on a link of 10 Mbit/s with a probability of 93%.

VMs state their capacity (the platform's cores times their share) when they register and in heartbeats; among the candidates for a duty those with at least 0.7 of the largest capacity come first, each part by rendezvous rank as before. A holder keeps its duty. The scenario failed before (the candidates began with small daemons).

--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -41,6 +41,12 @@
     When another daemon reports that the holder did not answer
     Then it does not acquire the duty
 
+  Scenario: A duty goes to a VM with enough capacity while one is live
+    Given 40 small daemons and 2 with four times their capacity
+    Then the candidates for each of 20 duties begin with the two large ones
+    When the large daemons are silent for 700 ms
+    Then the candidates for each of 20 duties are the small ones
+
   Scenario: A daemon that announces its shutdown holds no duty
     Given the first-ranked daemon for a duty leaves and the second acquires the duty
     Then the first daemon is not among the candidates
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -3,6 +3,7 @@
 import itertools
 from typing import Any
 
+import attrs
 from behave import given, then, when
 
 from cowsliphitch.core.fleet.heartbeat_schedule import HeartbeatSchedule
@@ -28,8 +29,9 @@
     options = {"leaving": False} | fields
     lifetime = options.pop("lifetime", 1_000)
     domain = options.pop("domain", OWN)
+    capacity = options.pop("capacity", 1.0)
     context.members.record_heartbeat(
-        member(name, domain, lifetime),
+        attrs.evolve(member(name, domain, lifetime), capacity=capacity),
         context.sequence_number,
         now_ms=context.now_ms,
         **options,
@@ -509,3 +511,41 @@
     suspects = context.reachability.suspect_domains
     assert OTHER not in suspects(context.members, now + ms)
     assert OTHER in suspects(context.members, now + later_ms)
+
+
+@given("{count:d} small daemons and {large:d} with four times their capacity")
+def small_and_large(context: Any, count: int, large: int) -> None:
+    create_table(context)
+    context.small = [f"s{number}" for number in range(count)]
+    context.large = [f"l{number}" for number in range(large)]
+    for name in context.small:
+        receive_heartbeat(context, name, capacity=1.0)
+    for name in context.large:
+        receive_heartbeat(context, name, capacity=4.0)
+
+
+def candidates_of_duties(context: Any, count: int) -> list[list[str]]:
+    return [
+        [m.name for m in context.members.owner_candidates(f"d{n}", context.now_ms)]
+        for n in range(count)
+    ]
+
+
+@then("the candidates for each of {count:d} duties begin with the two large ones")
+def large_ones_first(context: Any, count: int) -> None:
+    for names in candidates_of_duties(context, count):
+        assert set(names[:2]) == set(context.large), names
+        assert len(names) == 43, names
+
+
+@when("the large daemons are silent for {ms:d} ms")
+def large_silent(context: Any, ms: int) -> None:
+    context.now_ms += ms
+    for name in context.small:
+        receive_heartbeat(context, name, capacity=1.0)
+
+
+@then("the candidates for each of {count:d} duties are the small ones")
+def small_ones(context: Any, count: int) -> None:
+    for names in candidates_of_duties(context, count):
+        assert set(names) == {"self", *context.small}, names
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -42,6 +42,13 @@
 # the duty to any holder that acquired it with a majority.
 PROVISIONAL_TERM: Final = 1
 
+# Capacity of a member that states none.
+DEFAULT_CAPACITY: Final = 1.0
+
+# A member with less than this share of the largest capacity acquires a duty only if no
+# larger one is live: the owner of a group of pools works for all daemons.
+MIN_OWNER_CAPACITY_SHARE: Final = 0.7
+
 NO_CLAIMS: Final[Mapping[int, int]] = MappingProxyType({})
 
 
@@ -57,12 +64,14 @@
     :param address: host and port of its internal listener
     :param started_ms: Unix time of its process's start, which tells restarts
         apart; 0 until its first heartbeat
+    :param capacity: processor capacity of its VM
     """
 
     address: str
     name: str
     failure_domain: str
     started_ms: int = 0
+    capacity: float = DEFAULT_CAPACITY
 
 
 @attrs.define
@@ -226,7 +235,13 @@
             key=lambda a: (self._term(a, duty_hash), a),
             reverse=True,
         )
-        others = (a for a in rank(duty, by_address) if a not in holders)
+        min_capacity = MIN_OWNER_CAPACITY_SHARE * max(
+            (member.capacity for member in by_address.values()), default=0.0
+        )
+        others = sorted(
+            (a for a in rank(duty, by_address) if a not in holders),
+            key=lambda a: by_address[a].capacity < min_capacity,
+        )
         return [by_address[address] for address in itertools.chain(holders, others)]
 
     def acquire_duty(
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -57,7 +57,13 @@
         self._clock = clock
         self._log_handler = log_handler
         started_ms = clock.wall_ms()
-        own = Member(cfg.listen.peers, cfg.name, cfg.failure_domain, started_ms)
+        own = Member(
+            cfg.listen.peers,
+            cfg.name,
+            cfg.failure_domain,
+            started_ms,
+            cfg.vm.capacity,
+        )
         self._state = GatewayState(clock, started_ms, MemberTable(own, clock.now_ms()))
         self._metrics = RequestMetrics()
 
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -89,6 +89,7 @@
             },
             duties=dict(state.members.claims),
             interval_ms=interval_ms,
+            capacity=state.members.own.capacity,
         )
 
     async def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -99,6 +100,7 @@
             heartbeat.name,
             heartbeat.failure_domain,
             heartbeat.started_ms,
+            heartbeat.capacity,
         )
         state.members.record_heartbeat(
             member,
--- a/packages/gateway/src/cowsliphitch/gateway/settings.py
+++ b/packages/gateway/src/cowsliphitch/gateway/settings.py
@@ -39,9 +39,18 @@
     """Limits of the VM on this process.
 
     :param max_descriptors: limit on open files and sockets
+    :param cores: speed of a processor core, relative to the platform's unit
+    :param cpu_share: share of a core
     """
 
     max_descriptors: int = 4_096
+    cores: float = 1.0
+    cpu_share: float = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Return the processor time that the process gets in each unit of time."""
+        return self.cores * self.cpu_share
 
 
 @attrs.frozen
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -14,7 +14,7 @@
 
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.versions import ActiveDeployment
-from cowsliphitch.core.fleet.members import Member
+from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, Member
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.platform import operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
@@ -137,6 +137,7 @@
                 "name": own.name,
                 "failure_domain": own.failure_domain,
                 "lifetime": own.started_ms,
+                "capacity": own.capacity,
             }
         )
         key = const.MEMBER_PREFIX + own.address
@@ -289,6 +290,7 @@
             name=str(fields["name"]),
             failure_domain=str(fields["failure_domain"]),
             started_ms=int(fields["lifetime"]),
+            capacity=float(fields.get("capacity", DEFAULT_CAPACITY)),
         )
     except (ValueError, KeyError, TypeError):
         event(_LOGGER, "member.unreadable", key=entry.key, revision=entry.revision)
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from cowsliphitch.core.deployment.models import StageSpec
-from cowsliphitch.core.fleet.members import HEARTBEAT_INTERVAL_MS
+from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
 from cowsliphitch.core.requests.models import Generation, PromptPart
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
@@ -57,6 +57,7 @@
             pb.Duty(duty=duty, term=term) for duty, term in heartbeat.duties.items()
         ],
         interval_ms=heartbeat.interval_ms,
+        capacity=heartbeat.capacity,
     )
     return bytes(message.SerializeToString())
 
@@ -86,6 +87,7 @@
         servers={row.server: ServerLoad(row.running) for row in message.servers},
         duties={row.duty: row.term for row in message.duties},
         interval_ms=message.interval_ms or HEARTBEAT_INTERVAL_MS,
+        capacity=message.capacity or DEFAULT_CAPACITY,
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cowsliphitch.core.deployment.models import StageSpec
-from cowsliphitch.core.fleet.members import HEARTBEAT_INTERVAL_MS
+from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.verdict import Refusal
@@ -31,6 +31,7 @@
         identifier
     :param duties: term of each duty that the daemon holds, by checksum of the duty's
         name
+    :param capacity: processor capacity of the daemon's VM
     """
 
     name: str
@@ -44,6 +45,7 @@
     servers: dict[int, ServerLoad]
     duties: dict[int, int]
     interval_ms: int = HEARTBEAT_INTERVAL_MS
+    capacity: float = DEFAULT_CAPACITY
 
 
 @attrs.frozen
