Log the shared prompt parts of requests that engines failed

The log couldn't tell whether requests that were lost with a crashed engine have parts of their prompts in common, nor whether the engine had begun to answer them. attempt.failed now has the shared parts and whether events were passed on; engine.chosen has the parts, so that sound requests with a part can be found too. No decision changes.

--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -168,6 +168,8 @@
             reason=refusal.reason.value,
             cause=refusal.detail,
             left_ms=ctx.deadline_ms - self._state.clock.now_ms(),
+            began=ctx.stream_progress.first_event_ms is not None,
+            parts=_shared_part_ids(ctx.request),
         )
 
     def _final_refusal(self, ctx: RequestContext, last_refusal: Refusal) -> Refusal:
@@ -332,6 +334,13 @@
         return max(1, round(share))
 
 
+def _shared_part_ids(request: CallerRequest) -> tuple[str, ...]:
+    """Return the prompt parts that a request shares with others, for logs."""
+    if request.generation is None:
+        return ()
+    return tuple(part.id for part in request.generation.shared_parts)
+
+
 def _not_run_reason(metadata: AnswerMetadata) -> Reason:
     """Return the reason for which a server did not run a request."""
     if metadata.wrong_server:
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -194,6 +194,7 @@
             server=choice.server.id,
             expected_ms=round(choice.first_token_ms),
             read_again=choice.recomputed_tokens,
+            parts=tuple(part.id for part in request.generation.shared_parts),
             engine=self.engine_selector.load(choice.server),
         )
         self.engine_selector.record_dispatch(
