--- a/features/daemon/platform.feature
+++ b/features/daemon/platform.feature
@@ -84,3 +84,13 @@
     When a daemon receives SIGTERM while it relays a generation
     Then the daemon becomes unready within 300 ms and the stream arrives complete
     And the daemon exits without being killed
+
+  Scenario: Requests with a prompt part that crashes engines stop reaching engines
+    Given a site with two daemons
+    And engines that crash on one prompt part
+    When callers send 9 generations with the part through both daemons, and sound ones between them
+    Then at most 5 engines crashed
+    And the last 3 generations with the part were refused as not run
+    And all sound generations were answered
+    When a daemon restarts and gets 2 generations with the part
+    Then no further engine crashed
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,7 @@
 Daemons and the key-value store run as processes; stand-ins replace the servers.
 """
 
+import itertools
 import os
 import signal
 import subprocess
@@ -63,8 +64,7 @@
         self.portal_context = anyio.from_thread.start_blocking_portal()
         self.portal = self.portal_context.__enter__()
         self.listeners = [
-            self.portal.start_task_soon(server.http_server().run)
-            for server in self.servers.values()
+            self.portal.start_task_soon(server.run) for server in self.servers.values()
         ]
         wait_for("the store is up", self._is_store_ready)
         put(self.store, "op/config", document(1, TEAM_BY_KEY, resumable))
@@ -106,7 +106,17 @@
             'shutdown:\n  grace: "5s"\n'
         )
         process = self._start(["cowsliphitch.gateway"], COWSLIPHITCH_CONFIG=str(path))
-        return ports | {"process": process}
+        return ports | {"process": process, "path": path}
+
+    def restart_daemon(self, number: int) -> None:
+        """Kill a daemon and start it again with the same settings."""
+        daemon = self.daemons[number]
+        daemon["process"].kill()
+        daemon["process"].wait()
+        daemon["process"] = self._start(
+            ["cowsliphitch.gateway"], COWSLIPHITCH_CONFIG=str(daemon["path"])
+        )
+        wait_for("the daemon is ready again", lambda: self.status(daemon) == 200)
 
     def status(self, daemon: dict[str, Any]) -> int:
         try:
@@ -420,3 +430,79 @@
 def check_exited(context: Any) -> None:
     process = context.site.daemons[0]["process"]
     assert process.wait(8) == 0
+
+
+ENGINES = ("engine-1", "engine-2")
+CRASHING_PART, SOUND_PART, FIRST_PART = "dd", "bb", "aa"
+
+# Longer than a crashed engine is down, so that each request finds a running one.
+PAUSE_BETWEEN_CRASHES_S = 0.8
+
+
+def generate_with_part(context: Any, part: str, daemon: int) -> httpx.Response:
+    """Request a generation whose prompt has a first part in common with all others."""
+    number = next(context.part_numbers)
+    prompt = f"{FIRST_PART}:50,{part}:30,{number:04x}:20"
+    headers = PROMPT_HEADERS | {
+        "cowsliphitch-pieces": "1,1",
+        "cowsliphitch-prompt-prefix": prompt,
+    }
+    return context.site.call("/generation/1", headers, daemon)
+
+
+def crash_count(context: Any) -> int:
+    return sum(context.site.servers[name].crashes for name in ENGINES)
+
+
+@given("engines that crash on one prompt part")
+def engines_crash_on_part(context: Any) -> None:
+    context.part_numbers = itertools.count(1)
+    for name in ENGINES:
+        context.site.servers[name].crashing_part = CRASHING_PART
+
+
+@when(
+    "callers send {count:d} generations with the part through both daemons,"
+    " and sound ones between them"
+)
+def send_crashing(context: Any, count: int) -> None:
+    context.crashing_answers, context.sound_answers = [], []
+    for number in range(count):
+        daemon = number % 2
+        context.crashing_answers.append(
+            generate_with_part(context, CRASHING_PART, daemon)
+        )
+        time.sleep(PAUSE_BETWEEN_CRASHES_S)
+        context.sound_answers.append(generate_with_part(context, SOUND_PART, daemon))
+
+
+@then("at most {count:d} engines crashed")
+def at_most_crashes(context: Any, count: int) -> None:
+    assert crash_count(context) <= count, crash_count(context)
+
+
+@then("the last {count:d} generations with the part were refused as not run")
+def refused_as_not_run(context: Any, count: int) -> None:
+    statuses = [answer.status_code for answer in context.crashing_answers]
+    assert statuses[-count:] == [503] * count, statuses
+
+
+@then("all sound generations were answered")
+def sound_were_answered(context: Any) -> None:
+    statuses = [answer.status_code for answer in context.sound_answers]
+    assert set(statuses) == {200}, statuses
+
+
+@when("a daemon restarts and gets {count:d} generations with the part")
+def restarted_daemon_gets(context: Any, count: int) -> None:
+    context.site.restart_daemon(1)
+    context.crashes_before = crash_count(context)
+    # Heartbeats bring it the fleet's records.
+    time.sleep(PAUSE_BETWEEN_CRASHES_S)
+    for _ in range(count):
+        generate_with_part(context, CRASHING_PART, 1)
+
+
+@then("no further engine crashed")
+def no_further_crash(context: Any) -> None:
+    assert crash_count(context) == context.crashes_before, crash_count(context)
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -23,6 +23,9 @@
 
 EVENT_COUNT: Final = 4
 MAX_CONNECTIONS: Final = 200
+
+# Time until a crashed server listens again.
+CRASH_MS: Final = 500
 SEAL: Final = (b"cowsliphitch-response-seal", b"seal")
 
 
@@ -40,6 +43,8 @@
     :param all_freed: handles of results that were freed at any server of the site
     :param missing_results: requests that it refused since their results were freed
     :param prefill_ms: time from the receipt of a prompt to its first event
+    :param crashing_part: prompt part on which it crashes instead of answering
+    :param crashes: number of its crashes
     """
 
     id: str
@@ -55,6 +60,9 @@
     all_freed: set[str] = attrs.Factory(set)
     missing_results: list[str] = attrs.Factory(list)
     prefill_ms: int = 0
+    crashing_part: str = ""
+    crashes: int = 0
+    _crash_scope: anyio.CancelScope | None = None
     _handle_numbers: Any = attrs.Factory(itertools.count)
 
     @property
@@ -82,6 +90,19 @@
             self.address, self.handle, CallerLimits, MAX_CONNECTIONS, Clock()
         )
 
+    async def run(self) -> None:
+        """Serve until cancelled; after a crash, listen again after ``CRASH_MS``."""
+        while True:
+            with anyio.CancelScope() as self._crash_scope:
+                await self.http_server().run()
+            await anyio.sleep(seconds(CRASH_MS))
+
+    def _crash(self) -> None:
+        """Close the listener and all connections."""
+        self.crashes += 1
+        if self._crash_scope is not None:
+            self._crash_scope.cancel()
+
     async def handle(self, req: EdgeRequest, reply: Reply) -> None:
         """Answer a call to run pieces, to free results or to run a request."""
         match req.path:
@@ -122,6 +143,11 @@
             return
         self.executed.append(request)
         self.received.append(req)
+        prompt = req.get(b"cowsliphitch-prompt-prefix") or ""
+        if self.crashing_part and f"{self.crashing_part}:" in prompt:
+            await anyio.sleep(seconds(self.prefill_ms))
+            self._crash()
+            await anyio.sleep_forever()
         id_header = ((b"cowsliphitch-request-id", request.encode()),)
         if self.mode == "reset":
             return
