Quarantine prompt parts that crash engines

Callers saw engine after engine crash, and the other requests of each lost, while requests with one prompt part in common kept coming. Cause: the gateway kept no record of crashes by what the requests contain, so every new request reached an engine, and a stream that may be resumed carried the part to a second one.

When a connection to an engine is lost before the first event, the engine is probed; a refused connection is a crash, and the request's shared parts become suspect. Daemons exchange suspicions in heartbeats. A part with three crashes at different times is quarantined for 60 s: its requests are refused as not run before their stages and before each attempt, those that wait or are prefilled are ended, and a suspect request is not tried at another engine. Complete answers clear parts; a crash is attributed to a part that was never answered if there is one, and parts that only occur together are refused only together, so sound requests that share parts go on. Records are bounded, survive a partition, and reach a daemon that restarts.

--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 from behave import given, then, when
 
 from cowsliphitch.core.budgets.sliding_window import RetryAllowance
@@ -13,6 +13,7 @@
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.forwarding import Forwarder, RequestContext
 from cowsliphitch.gateway.server_client import Purpose, ServerClient
 from cowsliphitch.gateway.state import GatewayState
@@ -89,7 +90,7 @@
                 group.start_soon(listener.serve, serve)
             pool = ConnectionPool(b"cowsliphitch-request-id", group, self.state.clock)
             with anyio.fail_after(5):
-                await action(ServerClient(self.state, pool))
+                await action(ServerClient(self.state, pool), group)
             group.cancel_scope.cancel()
 
     async def send(self, client: ServerClient, name: str, purpose: Purpose) -> None:
@@ -119,7 +120,7 @@
     sender = context.sender
     context.left = name
 
-    async def action(client: ServerClient) -> None:
+    async def action(client: ServerClient, _group: TaskGroup) -> None:
         try:
             await sender.send(client, name, Purpose(purpose))
         except UpstreamError as exc:
@@ -144,9 +145,10 @@
         name = next(remaining, None)
         return sender.server(name) if name else None
 
-    async def action(client: ServerClient) -> None:
+    async def action(client: ServerClient, group: TaskGroup) -> None:
         context.allowance = RetryAllowance(0.0, 0, 10_000)
-        forwarder = Forwarder(sender.state, client, context.allowance)
+        quarantine = EngineQuarantine(sender.state, group)
+        forwarder = Forwarder(sender.state, client, context.allowance, quarantine)
         now = sender.state.clock.now_ms()
         request = CallerRequest(
             "r1", b"POST", b"/", "a.example", "/", ((b"host", b"x"),), b"", now
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -0,0 +1,353 @@
+"""Quarantine of prompt parts that crash engines.
+
+Load pattern: one part of a prompt crashes each engine that begins to answer a request
+with it.  The requests are all different, come through any daemon, and share their other
+parts with sound requests.  Each crash also ends sound requests at the same engine.
+
+Every request that an engine had not begun to answer when it crashed makes its parts
+suspect.  The daemons exchange what they suspect, and a part that is suspect after
+several crashes is quarantined.  What clears a part:
+
+- an answer to a request with it, since a part that crashes engines gets none;
+- for a part that was answered before, another part that explains the same crash;
+- for a suspect, that a quarantined part explains the same crash.
+
+Crashes at almost the same time count once, as an outage may end many engines that
+prefill the same part.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final
+
+import attrs
+
+# Crashes at different times after which a part is quarantined.
+CRASHES_TO_QUARANTINE: Final = 3
+
+# Crashes within this time of each other count once.
+SIMULTANEOUS_CRASHES_MS: Final = 400
+
+# Time after the last crash for which a part stays quarantined.  After it, the next
+# crash quarantines the part again.
+QUARANTINE_MS: Final = 60_000
+
+# A shorter rest of a peer's quarantine is not adopted; otherwise two daemons could
+# prolong it by the delay of their heartbeats without end.
+MIN_ADOPTED_QUARANTINE_MS: Final = 5_000
+
+# Crashes from which a part is suspect enough not to be tried at another engine.
+CRASHES_TO_STOP_RETRIES: Final = 2
+
+# Time for which a crash is reported to the peers, unless its part is quarantined, and
+# for which it is remembered.  The second is longer, so that a forgotten crash does not
+# come back from a peer as a new one.
+CRASH_REPORT_MS: Final = 45_000
+CRASH_RETENTION_MS: Final = 120_000
+
+# Records that a daemon keeps, crashes in a record, and parts known to be answered.
+MAX_RECORDS: Final = 256
+MAX_CRASHES_PER_RECORD: Final = 16
+MAX_ANSWERED_PARTS: Final = 8_192
+
+# Records in one heartbeat: those with the most crashes, and others in turn.
+MAX_REPORTS_PER_HEARTBEAT: Final = 6
+
+
+@attrs.frozen
+class PartReport:
+    """What a daemon knows of a suspect part, for its peers.
+
+    :param crashes: identifiers of the crashes that it may have caused
+    :param cleared: identifiers of crashes that it did not cause
+    :param crash_count: crashes at different times that are not cleared
+    :param company: parts that all suspect requests with this part have in common
+    :param quarantine_left_ms: remaining time of its quarantine, 0 if it has none
+    """
+
+    part: str
+    crashes: frozenset[int]
+    cleared: frozenset[int]
+    crash_count: int
+    company: frozenset[str]
+    quarantine_left_ms: int = 0
+
+
+@attrs.frozen
+class QuarantineChange:
+    """Parts whose quarantine began or ended."""
+
+    quarantined: tuple[str, ...] = ()
+    released: tuple[str, ...] = ()
+
+
+@attrs.define
+class _PartRecord:
+    """Crashes while requests with one part waited for their first event.
+
+    :param company: parts that all suspect requests with this part have in common
+    :param crashes: monotonic time at which each crash became known
+    :param cleared: crashes that the part did not cause
+    :param last_counted_ms: monotonic time of the last crash that was counted
+    :param quarantined_until_ms: monotonic time at which its quarantine ends
+    """
+
+    company: frozenset[str]
+    crashes: dict[int, int] = attrs.Factory(dict)
+    cleared: set[int] = attrs.Factory(set)
+    crash_count: int = 0
+    last_counted_ms: int | None = None
+    quarantined_until_ms: int = 0
+
+    @property
+    def open_crashes(self) -> set[int]:
+        """Return the crashes that the part may have caused."""
+        return self.crashes.keys() - self.cleared
+
+    def add(self, crashes: Collection[int], now_ms: int) -> None:
+        """Add crashes, and count them unless they are simultaneous with the last."""
+        new = set(crashes) - self.crashes.keys()
+        self.crashes |= dict.fromkeys(new, now_ms)
+        if not new - self.cleared:
+            return
+        if (
+            self.last_counted_ms is None
+            or now_ms - self.last_counted_ms >= SIMULTANEOUS_CRASHES_MS
+        ):
+            self.last_counted_ms = now_ms
+            self.crash_count += 1
+            if self.crash_count >= CRASHES_TO_QUARANTINE:
+                self.quarantined_until_ms = now_ms + QUARANTINE_MS
+
+    def adopt_quarantine(self, left_ms: int, now_ms: int) -> None:
+        """Begin a quarantine that a peer reports, unless it has begun here already.
+
+        :param left_ms: its remaining time
+        """
+        if not self.is_quarantined(now_ms):
+            self.quarantined_until_ms = now_ms + min(left_ms, QUARANTINE_MS)
+
+    def merge(self, report: PartReport, now_ms: int) -> bool:
+        """Add a peer's report; return whether it has news."""
+        is_known = (
+            report.crashes <= self.crashes.keys()
+            and report.cleared <= self.cleared
+            and self.company <= report.company
+            and report.crash_count <= self.crash_count
+        )
+        if is_known and (not report.quarantine_left_ms or self.is_quarantined(now_ms)):
+            return False
+        self.company &= report.company
+        self.clear(report.cleared)
+        self.add(report.crashes | report.cleared, now_ms)
+        open_at_peer = report.crashes - self.cleared
+        if open_at_peer and self.open_crashes <= open_at_peer:
+            self.crash_count = max(self.crash_count, report.crash_count)
+            if report.quarantine_left_ms >= MIN_ADOPTED_QUARANTINE_MS:
+                self.adopt_quarantine(report.quarantine_left_ms, now_ms)
+        return True
+
+    def clear(self, crashes: Collection[int]) -> None:
+        """Record that the part did not cause some of the crashes."""
+        self.cleared |= set(crashes)
+        self.crash_count = min(self.crash_count, len(self.open_crashes))
+        if self.crash_count < CRASHES_TO_QUARANTINE:
+            self.quarantined_until_ms = 0
+
+    def is_quarantined(self, now_ms: int) -> bool:
+        """Return whether requests with the part are refused."""
+        return now_ms < self.quarantined_until_ms
+
+    def forget_old_crashes(self, now_ms: int) -> None:
+        """Drop crashes past their retention, and the oldest beyond the limit."""
+        kept = [
+            (crash, known_ms)
+            for crash, known_ms in self.crashes.items()
+            if now_ms - known_ms < CRASH_RETENTION_MS
+        ]
+        self.crashes = dict(kept[-MAX_CRASHES_PER_RECORD:])
+        self.cleared &= self.crashes.keys()
+        if self.crash_count and not self.is_quarantined(now_ms):
+            self.crash_count = min(
+                self.crash_count, CRASHES_TO_QUARANTINE - 1, len(self.open_crashes)
+            )
+
+    def report(self, part: str, now_ms: int) -> PartReport:
+        """Return what the peers need to know."""
+        is_quarantined = self.is_quarantined(now_ms)
+        crashes = frozenset(
+            crash
+            for crash, known_ms in self.crashes.items()
+            if is_quarantined or now_ms - known_ms < CRASH_REPORT_MS
+        )
+        return PartReport(
+            part,
+            crashes - self.cleared,
+            crashes & self.cleared,
+            self.crash_count,
+            self.company,
+            max(0, self.quarantined_until_ms - now_ms),
+        )
+
+
+class PromptPartRegistry:
+    """Suspect and quarantined prompt parts, with what the peers report.
+
+    Times are monotonic time, in ms.
+    """
+
+    def __init__(self) -> None:
+        """Initialize the registry without records."""
+        self._records: dict[str, _PartRecord] = {}
+        # The part that was answered last is the last one.
+        self._answered: OrderedDict[str, None] = OrderedDict()
+        self._quarantined: frozenset[str] = frozenset()
+        self._report_offset = 0
+
+    def record_crash(
+        self, crash: int, parts: Collection[str], now_ms: int
+    ) -> QuarantineChange:
+        """Record a request that an engine had not begun to answer when it crashed.
+
+        Parts that were answered before are suspect only if all parts were.
+
+        :param crash: identifies the crash in the fleet
+        :param parts: the request's parts that other requests may share
+        """
+        suspects = [p for p in parts if p not in self._answered] or list(parts)
+        for part in suspects:
+            record = self._record_of(part, frozenset(parts))
+            record.company &= frozenset(parts)
+            record.add((crash,), now_ms)
+        return self._update(now_ms)
+
+    def record_answer(self, parts: Collection[str], now_ms: int) -> QuarantineChange:
+        """Record that a request was answered, so none of its parts crashes engines."""
+        records = [self._records[part] for part in parts if part in self._records]
+        for part in parts:
+            self._answered[part] = None
+            self._answered.move_to_end(part)
+        for record in records:
+            record.clear(record.crashes)
+        while len(self._answered) > MAX_ANSWERED_PARTS:
+            self._answered.popitem(last=False)
+        return self._update(now_ms) if records else QuarantineChange()
+
+    def merge(self, reports: Iterable[PartReport], now_ms: int) -> QuarantineChange:
+        """Add what a peer knows."""
+        has_news = False
+        for report in reports:
+            record = self._record_of(report.part, report.company)
+            has_news |= record.merge(report, now_ms)
+        return self._update(now_ms) if has_news else QuarantineChange()
+
+    def expire(self, now_ms: int) -> QuarantineChange:
+        """Drop old crashes and end quarantines whose time is over."""
+        return self._update(now_ms) if self._records else QuarantineChange()
+
+    def quarantined_part(self, parts: Collection[str], now_ms: int) -> str | None:
+        """Return the part for which a request is refused, ``None`` if there is none."""
+        if not self._quarantined:
+            return None
+        return next(
+            (
+                part
+                for part, record in self._records_within(parts)
+                if record.is_quarantined(now_ms)
+            ),
+            None,
+        )
+
+    def is_suspect(self, parts: Collection[str]) -> bool:
+        """Return whether a request should not be tried at another engine."""
+        return any(
+            record.crash_count >= CRASHES_TO_STOP_RETRIES
+            for _, record in self._records_within(parts)
+        )
+
+    def _records_within(
+        self, parts: Collection[str]
+    ) -> Iterator[tuple[str, _PartRecord]]:
+        """Yield the parts with a record that had no other company than these parts."""
+        present = frozenset(parts)
+        for part in parts:
+            record = self._records.get(part)
+            if record is not None and record.company <= present:
+                yield part, record
+
+    def next_reports(self, now_ms: int) -> tuple[PartReport, ...]:
+        """Return what the next heartbeat reports, the worst parts in each."""
+        ordered = sorted(
+            self._records, key=lambda p: self._records[p].crash_count, reverse=True
+        )
+        half = MAX_REPORTS_PER_HEARTBEAT // 2
+        first, others = ordered[:half], ordered[half:]
+        if self._report_offset >= len(others):
+            self._report_offset = 0
+        start = self._report_offset
+        self._report_offset += MAX_REPORTS_PER_HEARTBEAT - half
+        return tuple(
+            self._records[part].report(part, now_ms)
+            for part in [*first, *others[start : self._report_offset]]
+        )
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Return the quarantined parts, as of the last change."""
+        return self._quarantined
+
+    def _record_of(self, part: str, company: frozenset[str]) -> _PartRecord:
+        """Return a part's record; a new one may evict that with the oldest crash."""
+        record = self._records.get(part)
+        if record is None:
+            if len(self._records) >= MAX_RECORDS:
+                oldest = min(self._records, key=lambda p: self._rank(p))
+                del self._records[oldest]
+            record = self._records[part] = _PartRecord(company)
+        return record
+
+    def _rank(self, part: str) -> tuple[bool, int]:
+        """Return the order of eviction of a part's record."""
+        record = self._records[part]
+        return part in self._quarantined, max(record.crashes.values(), default=0)
+
+    def _update(self, now_ms: int) -> QuarantineChange:
+        """Clear explained crashes, drop old records and return what has changed."""
+        self._clear_explained_crashes(now_ms)
+        for part, record in list(self._records.items()):
+            record.forget_old_crashes(now_ms)
+            if not record.crashes and not record.is_quarantined(now_ms):
+                del self._records[part]
+        quarantined = frozenset(
+            part for part, r in self._records.items() if r.is_quarantined(now_ms)
+        )
+        change = QuarantineChange(
+            tuple(sorted(quarantined - self._quarantined)),
+            tuple(sorted(self._quarantined - quarantined)),
+        )
+        self._quarantined = quarantined
+        return change
+
+    def _clear_explained_crashes(self, now_ms: int) -> None:
+        """Clear suspects of crashes that another part explains better."""
+        unanswered = {p: r for p, r in self._records.items() if p not in self._answered}
+        by_unanswered = set().union(*(r.open_crashes for r in unanswered.values()))
+        quarantined = {
+            p: r for p, r in self._records.items() if r.is_quarantined(now_ms)
+        }
+        for part, record in self._records.items():
+            if part in self._answered:
+                record.clear(record.crashes.keys() & by_unanswered)
+            if part in quarantined:
+                continue
+            # Of two parts that always occur together, either may be the cause.
+            record.clear(
+                record.crashes.keys()
+                & set().union(
+                    *(
+                        other.open_crashes
+                        for name, other in quarantined.items()
+                        if name not in record.company
+                    )
+                )
+            )
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -71,6 +71,13 @@
     piece_key: str = ""
     last_event_id: str | None = None
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Return the prompt parts that other requests may share, by identifier."""
+        if self.generation is None:
+            return ()
+        return tuple(part.id for part in self.generation.shared_parts)
+
 
 @attrs.frozen
 class Load:
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -25,6 +25,7 @@
 
 from . import const
 from .diagnostics import collect_diagnostics
+from .engine_quarantine import EngineQuarantine
 from .fleet_coordinator import FleetCoordinator
 from .forwarding import Forwarder
 from .handler import RequestHandler
@@ -99,17 +100,20 @@
         self._stage_executor = StageExecutor(
             state, self._server_client, _cost_weights(cfg), group
         )
-        self._fleet = FleetCoordinator(state, self._peer_connections, group)
+        quarantine = EngineQuarantine(state, group)
+        self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, group)
         self._store = StoreCoordinator(self._kv, state, self._fleet.schedule_heartbeat)
         self._fleet.store = self._store
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
         )
-        forwarder = Forwarder(state, self._server_client, allowance)
+        forwarder = Forwarder(state, self._server_client, allowance, quarantine)
         stage_runner = StageRunner(
             state, self._stage_executor, self._peer_connections, group
         )
-        handler = RequestHandler(state, forwarder, stage_runner, self._metrics)
+        handler = RequestHandler(
+            state, forwarder, stage_runner, self._metrics, quarantine
+        )
         self._caller_edge = EdgeServer(
             cfg.listen.callers,
             handler.handle,
@@ -238,6 +242,10 @@
             "cowsliphitch_members_live",
             lambda: [(len(state.members.live(self._clock.now_ms())), {})],
         )
+        observe(
+            "cowsliphitch_prompt_parts_quarantined",
+            lambda: [(len(state.prompt_parts.quarantined), {})],
+        )
         observe("cowsliphitch_store_lost_ms", lambda: [(self._store.outage_ms, {})])
         observe(
             "cowsliphitch_store_view_age_ms",
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -72,6 +72,9 @@
 PROBE_INTERVAL_MS: Final = 100
 PROBE_TIMEOUT_MS: Final = 200
 
+# Limit of the probe of an engine that lost a request.
+CRASH_PROBE_TIMEOUT_MS: Final = 300
+
 # Number of owner candidates that are tried in turn for the stages of a request.
 MAX_OWNER_ATTEMPTS: Final = 3
 
--- /dev/null
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -0,0 +1,171 @@
+"""Detection of engine crashes, and refusal of the requests that cause them.
+
+Fault: a request crashes each engine that begins to answer it.  When a connection to an
+engine is lost before the first event, the engine is probed: a refused connection means
+that it crashed.  A timeout or a success doesn't, since a network fault must not make a
+request suspect.
+"""
+
+import logging
+import zlib
+from collections import OrderedDict
+from collections.abc import Callable, Collection, Iterable
+
+import attrs
+from anyio.abc import TaskGroup
+
+from cowsliphitch.core.quarantine.prompt_parts import PartReport, QuarantineChange
+from cowsliphitch.core.requests.models import CallerRequest
+from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.verdict import Reason, Refusal, not_run
+from cowsliphitch.telemetry.logs import event
+from cowsliphitch.upstreams.transport.probe import refuses_connections
+
+from . import const
+from .state import GatewayState
+
+_LOGGER = logging.getLogger(__name__)
+
+# Failures that a crash of the engine may cause.
+CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.STREAM_CUT})
+
+
+# A later crash of an engine with the same start time is another one: it has restarted,
+# and its new entry has not been read yet.
+SAME_CRASH_MS = 1_000
+
+# Engines whose last crash is remembered.
+MAX_CRASHED_ENGINES = 512
+
+
+@attrs.frozen
+class _LastCrash:
+    """Last known crash of an engine.
+
+    :param number: counts the engine's crashes with the same start time, from 0
+    :param time_ms: monotonic time at which it was detected
+    """
+
+    number: int
+    time_ms: int
+
+
+class EngineQuarantine:
+    """Record crashes with the parts of the requests, and apply the quarantine."""
+
+    def __init__(self, state: GatewayState, group: TaskGroup) -> None:
+        """Initialize without a suspicion.
+
+        :param group: runs the probes
+        """
+        self._state = state
+        self._group = group
+        # Parts of the requests that were lost with each engine that is being probed.
+        self._lost_parts: dict[Server, list[tuple[str, ...]]] = {}
+        self._last_crashes: OrderedDict[tuple[str, int], _LastCrash] = OrderedDict()
+        self._listeners: list[Callable[[], None]] = []
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Have a function called when the quarantine of a part begins."""
+        self._listeners.append(listener)
+
+    def refusal_of(self, request: CallerRequest) -> Refusal | None:
+        """Return the refusal of a request with a quarantined part."""
+        part = self._state.prompt_parts.quarantined_part(
+            request.shared_part_ids, self._state.clock.now_ms()
+        )
+        if part is None:
+            return None
+        detail = f"requests with the prompt part {part} crash engines"
+        return not_run(Reason.QUARANTINED, detail)
+
+    def may_retry(self, request: CallerRequest) -> bool:
+        """Return whether a request may be sent to an engine after another lost it."""
+        return not self._state.prompt_parts.is_suspect(request.shared_part_ids)
+
+    def record_answer(self, request: CallerRequest) -> None:
+        """Record that an engine answered a request completely."""
+        if not request.shared_part_ids:
+            return
+        change = self._state.prompt_parts.record_answer(
+            request.shared_part_ids, self._state.clock.now_ms()
+        )
+        self._apply(change, "answer")
+
+    def record_lost_request(
+        self, request: CallerRequest, server: Server, reason: Reason
+    ) -> None:
+        """Probe an engine that lost a request before its first event."""
+        parts = request.shared_part_ids
+        if reason not in CRASH_REASONS or not parts:
+            return
+        if server in self._lost_parts:
+            self._lost_parts[server].append(parts)
+            return
+        self._lost_parts[server] = [parts]
+        self._group.start_soon(self._probe, server)
+
+    def merge(self, reports: Iterable[PartReport], source: str) -> None:
+        """Add what a peer knows of suspect parts.
+
+        :param source: name of the peer
+        """
+        now = self._state.clock.now_ms()
+        self._apply(self._state.prompt_parts.merge(reports, now), source)
+
+    def expire(self) -> None:
+        """End quarantines whose time is over."""
+        now = self._state.clock.now_ms()
+        self._apply(self._state.prompt_parts.expire(now), "expiry")
+
+    async def _probe(self, server: Server) -> None:
+        has_crashed = False
+        try:
+            has_crashed = await refuses_connections(
+                f"http://{server.address}", const.CRASH_PROBE_TIMEOUT_MS
+            )
+        finally:
+            requests = self._lost_parts.pop(server)
+        event(
+            _LOGGER,
+            "engine.crashed" if has_crashed else "engine.still_listens",
+            server=server.id,
+            lost_requests=len(requests),
+            parts=sorted({part for parts in requests for part in parts}),
+        )
+        if has_crashed:
+            self._record_crash(server, requests)
+
+    def _record_crash(
+        self, server: Server, requests: Collection[tuple[str, ...]]
+    ) -> None:
+        now = self._state.clock.now_ms()
+        crash = self._identify_crash(server, now)
+        for parts in requests:
+            change = self._state.prompt_parts.record_crash(crash, parts, now)
+            self._apply(change, "own requests")
+
+    def _identify_crash(self, server: Server, now_ms: int) -> int:
+        """Return an identifier that the daemons agree on without exchanging it."""
+        key = server.id, server.started_ms
+        last = self._last_crashes.pop(key, None)
+        if last is None:
+            last = _LastCrash(0, now_ms)
+        elif now_ms - last.time_ms >= SAME_CRASH_MS:
+            last = _LastCrash(last.number + 1, now_ms)
+        self._last_crashes[key] = last
+        if len(self._last_crashes) > MAX_CRASHED_ENGINES:
+            self._last_crashes.popitem(last=False)
+        return zlib.crc32(f"{server.id}/{server.started_ms}/{last.number}".encode())
+
+    def _apply(self, change: QuarantineChange, source: str) -> None:
+        """Log a change of the quarantine and end the requests that it covers."""
+        for part in change.quarantined:
+            event(
+                _LOGGER, "part.quarantined", logging.WARNING, part=part, source=source
+            )
+        for part in change.released:
+            event(_LOGGER, "part.released", part=part, source=source)
+        if change.quarantined:
+            for listener in self._listeners:
+                listener()
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -19,6 +19,7 @@
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.telemetry.logs import event
 
+from .engine_quarantine import EngineQuarantine
 from .state import GatewayState
 from .store_coordinator import StoreCoordinator
 
@@ -33,10 +34,18 @@
     """
 
     def __init__(
-        self, state: GatewayState, connections: PeerConnections, group: TaskGroup
+        self,
+        state: GatewayState,
+        connections: PeerConnections,
+        quarantine: EngineQuarantine,
+        group: TaskGroup,
     ) -> None:
-        """Initialize without live peers."""
+        """Initialize without live peers.
+
+        :param quarantine: gets the prompt parts that the peers report
+        """
         self._state = state
+        self._quarantine = quarantine
         self._connections = connections
         self._group = group
         self._sequence_number = 0
@@ -53,6 +62,7 @@
             pause_ms = self._state.members.tick(now)
             if pause_ms:
                 event(_LOGGER, "process.paused", logging.WARNING, pause_ms=pause_ms)
+            self._quarantine.expire()
             await self.send_heartbeat()
             self._update_live_members(now)
             await anyio.sleep(seconds(HEARTBEAT_INTERVAL_MS))
@@ -90,6 +100,7 @@
             duties=dict(state.members.claims),
             interval_ms=interval_ms,
             capacity=state.members.own.capacity,
+            suspect_parts=state.prompt_parts.next_reports(state.clock.now_ms()),
         )
 
     async def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -128,6 +139,8 @@
                     revision=revision,
                     source=heartbeat.name,
                 )
+        if heartbeat.suspect_parts:
+            self._quarantine.merge(heartbeat.suspect_parts, heartbeat.name)
         if (
             heartbeat.settings_version > state.versions.version
             and not self._is_fetching
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -33,6 +33,7 @@
 from cowsliphitch.upstreams.http1.pool import Answer
 
 from . import const
+from .engine_quarantine import EngineQuarantine
 from .relay import EventSplitter, StreamProgress, last_event_id, relay_buffered_answer
 from .server_client import Purpose, ServerClient
 from .state import GatewayState
@@ -91,12 +92,18 @@
     """Send requests to servers, validate the answers and retry failed attempts."""
 
     def __init__(
-        self, state: GatewayState, client: ServerClient, allowance: RetryAllowance
+        self,
+        state: GatewayState,
+        client: ServerClient,
+        allowance: RetryAllowance,
+        quarantine: EngineQuarantine,
     ) -> None:
         """Initialize without retry budgets; a service gets one on first use.
 
         :param allowance: retries that all daemons may send to each service
+        :param quarantine: refuses requests that crash engines
         """
+        self._quarantine = quarantine
         self._state = state
         self._client = client
         self._allowance = allowance
@@ -116,6 +123,9 @@
         budget.record_request(self._state.clock.now_ms())
         while True:
             server = await self._select_server(ctx)
+            refusal_or_none = self._quarantine.refusal_of(ctx.request)
+            if refusal_or_none is not None:
+                return self._final_refusal(ctx, refusal_or_none)
             if server is None:
                 detail = f"no server of {ctx.service} is ready"
                 return self._final_refusal(
@@ -132,7 +142,10 @@
             now = self._state.clock.now_ms()
             if refusal.reason is Reason.RESULT_LOST:
                 return self._final_refusal(ctx, refusal)
-            if not may_retry(ctx.route, ctx.attempts):
+            if not may_retry(ctx.route, ctx.attempts) or (
+                ctx.attempts.may_have_run_on
+                and not self._quarantine.may_retry(ctx.request)
+            ):
                 return self._final_refusal(ctx, refusal)
             if refusal.reason is Reason.UPSTREAM_LEAVING:
                 # Nothing was sent, so the next attempt is not a retry.
@@ -159,6 +172,8 @@
             # Lost stage results are no evidence against the engine.
             self._state.placement.record_failure(server.id, now, is_unreachable)
             ctx.on_failure()
+        if ctx.stream_progress.first_event_ms is None:
+            self._quarantine.record_lost_request(ctx.request, server, refusal.reason)
         event(
             _LOGGER,
             "attempt.failed",
@@ -169,13 +184,17 @@
             cause=refusal.detail,
             left_ms=ctx.deadline_ms - self._state.clock.now_ms(),
             began=ctx.stream_progress.first_event_ms is not None,
-            parts=_shared_part_ids(ctx.request),
+            parts=ctx.request.shared_part_ids,
         )
 
     def _final_refusal(self, ctx: RequestContext, last_refusal: Refusal) -> Refusal:
         """Return the last refusal with the verdict over all attempts."""
         verdict = ctx.attempts.verdict
-        if verdict is Verdict.NOT_RUN and last_refusal.retry_after_ms is None:
+        if (
+            verdict is Verdict.NOT_RUN
+            and last_refusal.retry_after_ms is None
+            and last_refusal.reason is not Reason.QUARANTINED
+        ):
             return attrs.evolve(
                 last_refusal, verdict=verdict, retry_after_ms=RETRY_AFTER_MS
             )
@@ -209,6 +228,8 @@
                 placement.record_answer(server.id, self._state.clock.now_ms() - now)
                 ctx.on_head()
                 await self._relay_answer(ctx, answer, metadata, reply)
+                if metadata.is_success:
+                    self._quarantine.record_answer(ctx.request)
         except UpstreamError as exc:
             if exc.refusal.verdict is Verdict.NOT_RUN:
                 ctx.attempts.may_have_run_on.discard(server.id)
@@ -334,13 +355,6 @@
         return max(1, round(share))
 
 
-def _shared_part_ids(request: CallerRequest) -> tuple[str, ...]:
-    """Return the prompt parts that a request shares with others, for logs."""
-    if request.generation is None:
-        return ()
-    return tuple(part.id for part in request.generation.shared_parts)
-
-
 def _not_run_reason(metadata: AnswerMetadata) -> Reason:
     """Return the reason for which a server did not run a request."""
     if metadata.wrong_server:
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -28,6 +28,7 @@
 from cowsliphitch.telemetry.logs import event
 
 from . import const
+from .engine_quarantine import EngineQuarantine
 from .forwarding import Forwarder, RequestContext
 from .metrics import RequestMetrics
 from .stage_runner import StageError, StageRunner, StageRunParams, StageRunResult
@@ -136,8 +137,13 @@
         forwarder: Forwarder,
         stage_runner: StageRunner,
         metrics: RequestMetrics,
+        quarantine: EngineQuarantine,
     ) -> None:
         """Initialize with the shared components of the daemon."""
+        self._quarantine = quarantine
+        # Requests that are being handled, by identifier, with the scopes that end them.
+        self._scopes: dict[str, tuple[RequestContext, anyio.CancelScope]] = {}
+        quarantine.add_listener(self._end_quarantined_requests)
         self._state = state
         self._forwarder = forwarder
         self._stage_runner = stage_runner
@@ -198,6 +204,9 @@
         if isinstance(team, Refusal):
             return team
         log_fields.team = team.name if team else ""
+        quarantined = self._quarantine.refusal_of(request)
+        if quarantined is not None:
+            return quarantined
         priority = team.priority if team and team.priority is not None else None
         timeout_ms = route.timeout_ms - const.ROUTE_TIMEOUT_MARGIN_MS
         if request.timeout_ms is not None:
@@ -242,10 +251,24 @@
         remaining_ms = ctx.deadline_ms - self._state.clock.now_ms()
         refusal: Refusal | None = None
         with anyio.move_on_after(seconds(max(0, remaining_ms))) as scope:
-            refusal = await self._run(ctx, log_fields, reply)
-        if scope.cancelled_caught:
-            return _timeout_refusal(ctx)
-        return refusal
+            self._scopes[ctx.request.id] = ctx, scope
+            try:
+                refusal = await self._run(ctx, log_fields, reply)
+            finally:
+                self._scopes.pop(ctx.request.id, None)
+        if not scope.cancelled_caught:
+            return refusal
+        quarantined = self._quarantine.refusal_of(ctx.request)
+        if quarantined is not None:
+            return attrs.evolve(quarantined, verdict=ctx.attempts.verdict)
+        return _timeout_refusal(ctx)
+
+    def _end_quarantined_requests(self) -> None:
+        """Cancel requests with a quarantined part that wait or are being prefilled."""
+        for ctx, scope in list(self._scopes.values()):
+            has_begun = ctx.stream_progress.first_event_ms is not None
+            if not has_begun and self._quarantine.refusal_of(ctx.request):
+                scope.cancel()
 
     async def _run(
         self, ctx: RequestContext, log_fields: _RequestLogFields, reply: Reply
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -10,6 +10,7 @@
 from cowsliphitch.core.deployment.models import CallerLimits, Deployment
 from cowsliphitch.core.deployment.versions import VersionGuard
 from cowsliphitch.core.fleet.members import MemberTable
+from cowsliphitch.core.quarantine.prompt_parts import PromptPartRegistry
 from cowsliphitch.core.servers.placement import ServerPlacement
 from cowsliphitch.core.servers.registry import ServerRegistry
 
@@ -24,6 +25,7 @@
     :param members: the daemons of the platform and the duties that they hold
     :param versions: the active version of the operator's settings
     :param placement: load and failures of the servers, to choose the least loaded one
+    :param prompt_parts: prompt parts that are suspected of crashing engines
     :param stopping: SIGTERM was received
     :param stopping_since_ms: monotonic time at which ``stopping`` was set
     """
@@ -34,6 +36,7 @@
     versions: VersionGuard = attrs.Factory(VersionGuard)
     servers: ServerRegistry = attrs.Factory(ServerRegistry)
     placement: ServerPlacement = attrs.Factory(ServerPlacement)
+    prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     stopping: bool = False
     stopping_since_ms: int = 0
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -10,6 +10,7 @@
 
 from cowsliphitch.core.deployment.models import StageSpec
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
+from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation, PromptPart
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
@@ -58,6 +59,17 @@
         ],
         interval_ms=heartbeat.interval_ms,
         capacity=heartbeat.capacity,
+        suspect_parts=[
+            pb.SuspectPart(
+                part=report.part,
+                crashes=report.crashes,
+                cleared=report.cleared,
+                crash_count=report.crash_count,
+                company=report.company,
+                quarantine_left_ms=report.quarantine_left_ms,
+            )
+            for report in heartbeat.suspect_parts
+        ],
     )
     return bytes(message.SerializeToString())
 
@@ -88,6 +100,17 @@
         duties={row.duty: row.term for row in message.duties},
         interval_ms=message.interval_ms or HEARTBEAT_INTERVAL_MS,
         capacity=message.capacity or DEFAULT_CAPACITY,
+        suspect_parts=tuple(
+            PartReport(
+                row.part,
+                frozenset(row.crashes),
+                frozenset(row.cleared),
+                row.crash_count,
+                frozenset(row.company),
+                row.quarantine_left_ms,
+            )
+            for row in message.suspect_parts
+        ),
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -8,6 +8,7 @@
 
 from cowsliphitch.core.deployment.models import StageSpec
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
+from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.verdict import Refusal
@@ -32,6 +33,7 @@
     :param duties: term of each duty that the daemon holds, by checksum of the duty's
         name
     :param capacity: processor capacity of the daemon's VM
+    :param suspect_parts: prompt parts that may crash engines
     """
 
     name: str
@@ -46,6 +48,7 @@
     duties: dict[int, int]
     interval_ms: int = HEARTBEAT_INTERVAL_MS
     capacity: float = DEFAULT_CAPACITY
+    suspect_parts: tuple[PartReport, ...] = ()
 
 
 @attrs.frozen
