Bound what is read of answers without end

A stream's event without end was buffered without a limit, an answer to another request was skipped and informational heads were read for as long as they came, and a refusal with a body of more than 8 MB was reported as may have run although its head says that it did not run.

Heads and bodies were bounded already.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -23,3 +23,33 @@
     Given servers "s1, s2" that listen
     When "s1" leaves and a request is forwarded with the choices "s1, s2"
     Then the request was answered by "s2", and no retry was spent
+
+  Scenario Outline: A stream without length or chunks is complete only if it ends after an event
+    Given an upstream that <does>
+    When a stream is forwarded to it
+    Then the caller has received <events> events of a stream that <ended>
+
+    Examples:
+      | does                                      | events | ended          |
+      | closes a bare stream after two events     | 2      | is complete    |
+      | closes a bare stream inside an event      | 1      | was broken off |
+      | resets a bare stream after two events     | 2      | was broken off |
+
+  Scenario Outline: An answer without end is cut off at its limit
+    Given an upstream that <does>
+    When a <kind> is forwarded to it
+    Then the attempt failed with invalid-answer within 4 s, and at most <MB> MB were taken
+
+    Examples:
+      | does                                | kind    | MB |
+      | sends a head without end            | request | 1  |
+      | sends a header without end          | stream  | 1  |
+      | sends a body without end            | request | 12 |
+      | sends an event without end          | stream  | 4  |
+      | sends a stale answer without end    | request | 12 |
+      | sends informational heads on and on | request | 4  |
+
+  Scenario: A refusal with a body without end is still a refusal
+    Given an upstream that refuses with a body without end
+    When a request is forwarded to it
+    Then the attempt failed with queue-full within 4 s, and at most 4 MB were taken
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -1,10 +1,13 @@
 """Steps on what is sent to servers, with the gateway's client and scripted servers."""
 
+import socket
+import struct
+import time
 from typing import Any
 from unittest import mock
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from behave import given, then, when
 
 from cowsliphitch.core.budgets.sliding_window import RetryAllowance
@@ -28,12 +31,51 @@
 )
 
 
+SEALED = (
+    b"HTTP/1.1 200 OK\r\nCowsliphitch-Request-Id: r1\r\n"
+    b"Cowsliphitch-Response-Seal: seal\r\n"
+)
+BARE_STREAM = SEALED + b"Content-Type: text/event-stream\r\n\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+CHUNKED = SEALED + b"Transfer-Encoding: chunked\r\n\r\n"
+STALE = b"HTTP/1.1 200 OK\r\nCowsliphitch-Request-Id: other\r\n\r\n"
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nCowsliphitch-Request-Id: r1\r\n"
+    b"Cowsliphitch-Not-Executed: 1\r\n\r\n"
+)
+SCRIPTS: dict[str, bytes] = {
+    "closes a bare stream after two events": BARE_STREAM + EVENTS,
+    "closes a bare stream inside an event": BARE_STREAM + EVENTS[:-4],
+    "closes a bare stream before the first one": BARE_STREAM,
+    "resets a bare stream after two events": BARE_STREAM + EVENTS,
+    "sends a head without end": b"HTTP/1.1 200 OK\r\n",
+    "sends a header without end": b"HTTP/1.1 200 OK\r\nX: ",
+    "sends a body without end": SEALED + b"\r\n",
+    "sends an event without end": BARE_STREAM,
+    "sends a stale answer without end": STALE,
+    "sends informational heads on and on": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "refuses with a body without end": REFUSAL,
+}
+FILLER = b"x" * 65_536
+ENDLESS: dict[str, bytes] = {
+    "sends a head without end": b"X-Filler: filler\r\n" * 1_000,
+    "sends a header without end": FILLER,
+    "sends a body without end": FILLER,
+    "sends an event without end": b"data: " + FILLER + b"\n",
+    "sends a stale answer without end": FILLER,
+    "sends informational heads on and on": b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000,
+    "refuses with a body without end": FILLER,
+}
+MEGABYTE = 1_048_576
+
+
 class RecordedReply:
     """Reply that keeps what the caller would receive."""
 
     def __init__(self) -> None:
         self.status: int | None = None
         self.body = b""
+        self.has_ended = False
 
     @property
     def started(self) -> bool:
@@ -46,13 +88,15 @@
         self.body += content
 
     async def end(self) -> None:
-        pass
+        self.has_ended = True
 
 
 class Sender:
     """The gateway's client, and servers that answer with their own name."""
 
-    def __init__(self, names: list[str]) -> None:
+    def __init__(self, names: list[str], script: str = "answers") -> None:
+        self.script = script
+        self.sent_bytes = 0
         self.ports = {name: free_port() for name in names}
         self.received: dict[str, bytes] = dict.fromkeys(names, b"")
         clock = Clock()
@@ -73,9 +117,25 @@
         try:
             while True:
                 self.received[name] += await stream.receive()
-                await stream.send(ANSWER + name.encode())
+                await stream.send(SCRIPTS.get(self.script, ANSWER + name.encode()))
+                if self.script in ENDLESS:
+                    await self.send_on_and_on(stream, ENDLESS[self.script])
+                elif self.script in SCRIPTS:
+                    break
         except (anyio.EndOfStream, anyio.BrokenResourceError):
-            await stream.aclose()
+            pass
+        if self.script.startswith("resets"):
+            await anyio.sleep(0.05)
+            sock = stream.extra(SocketAttribute.raw_socket)
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await stream.aclose()
+
+    async def send_on_and_on(self, stream: SocketStream, content: bytes) -> None:
+        """Send the same bytes until the caller closes the connection."""
+        while True:
+            await stream.send(content)
+            self.sent_bytes += len(content)
 
     async def run(self, action: Any) -> None:
         async with anyio.create_task_group() as group:
@@ -89,7 +149,7 @@
 
                 group.start_soon(listener.serve, serve)
             pool = ConnectionPool(b"cowsliphitch-request-id", group, self.state.clock)
-            with anyio.fail_after(5):
+            with anyio.fail_after(8):
                 await action(ServerClient(self.state, pool), group)
             group.cancel_scope.cancel()
 
@@ -136,8 +196,8 @@
     assert context.refusal.verdict.value == "not-run", context.refusal
 
 
-def forward(context: Any, choices: list[str]) -> None:
-    """Forward an order; its servers are chosen in the given order."""
+def forward(context: Any, choices: list[str], kind: RouteKind = RouteKind.ONCE) -> None:
+    """Forward an order or a stream; its servers are chosen in the given order."""
     sender = context.sender
     remaining = iter(choices)
 
@@ -157,16 +217,16 @@
             name="order",
             host="a.example",
             prefix="/",
-            kind=RouteKind.ONCE,
+            kind=kind,
             targets=(),
-            timeout_ms=2_000,
+            timeout_ms=6_000,
             objective_ms=500,
             max_attempts=1,
             priority=1,
             public=True,
         )
         ctx = RequestContext(
-            request, route, "service", None, 1, now + 2_000, choose_server=choose
+            request, route, "service", None, 1, now + 6_000, choose_server=choose
         )
         context.reply = RecordedReply()
         context.refusal = await forwarder.run(ctx, context.reply)
@@ -192,3 +252,39 @@
     assert context.refusal is None, context.refusal
     assert context.reply.body == name.encode(), context.reply.body
     assert [n for n, data in context.sender.received.items() if data] == [name]
+
+
+@given("an upstream that {does}")
+def server_that(context: Any, does: str) -> None:
+    context.sender = Sender(["s1"], does)
+
+
+@when("a {kind} is forwarded to it")
+def forward_to_it(context: Any, kind: str) -> None:
+    started_s = time.monotonic()
+    forward(context, ["s1"], RouteKind.STREAM if kind == "stream" else RouteKind.ONCE)
+    context.took_s = time.monotonic() - started_s
+
+
+@then("the caller has received {count:d} events of a stream that {ended}")
+def received_events(context: Any, count: int, ended: str) -> None:
+    reply = context.reply
+    assert reply.body.count(b"\n\n") == count, reply.body
+    match ended:
+        case "is complete":
+            assert context.refusal is None and reply.has_ended
+        case "was broken off":
+            assert context.refusal is not None and not reply.has_ended
+        case "was refused":
+            assert context.refusal is not None and not reply.started
+            assert context.refusal.verdict.value == "may-have-run", context.refusal
+
+
+@then(
+    "the attempt failed with {reason} within {s:d} s, and at most {mb:d} MB were taken"
+)
+def failed_bounded(context: Any, reason: str, s: int, mb: int) -> None:
+    assert context.refusal is not None
+    assert context.refusal.reason.value == reason, context.refusal
+    assert context.took_s < s, context.took_s
+    assert context.sender.sent_bytes <= mb * MEGABYTE, context.sender.sent_bytes
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, nullcontext
+from contextlib import asynccontextmanager, nullcontext, suppress
 
 import attrs
 
@@ -271,7 +271,10 @@
             valid, or it is a failure after which the request may be sent again
         """
         if metadata.not_run:
-            await answer.read(const.MAX_ANSWER_BYTES)
+            # The head alone says that the request did not run.  Reading the rest only
+            # keeps the connection.
+            with suppress(UpstreamError):
+                await answer.read(const.MAX_REFUSAL_BYTES)
             reason = _not_run_reason(metadata)
             if metadata.wrong_server and ctx.server_id is not None:
                 self._state.servers.mark_misdirected(ctx.server_id)
--- a/packages/gateway/src/cowsliphitch/gateway/relay.py
+++ b/packages/gateway/src/cowsliphitch/gateway/relay.py
@@ -9,10 +9,15 @@
 import attrs
 
 from cowsliphitch.callers.edge.models import Reply
+from cowsliphitch.core.verdict import Reason, may_have_run
 from cowsliphitch.platform.callers import end_to_end_headers
+from cowsliphitch.upstreams.http1.models import UpstreamError
 from cowsliphitch.upstreams.http1.pool import Answer
 
 EVENT_END: Final = b"\n\n"
+
+# A server may send an event without end.
+MAX_EVENT_BYTES: Final = 1_048_576
 _ID_FIELD: Final = b"id:"
 
 
@@ -54,10 +59,15 @@
         """Add a chunk, and return the events that are complete with it.
 
         The bytes of an incomplete event stay in the buffer.
+
+        :raises UpstreamError: the incomplete event has more than ``MAX_EVENT_BYTES``
         """
         content = self._buffer + chunk
         end = content.rfind(EVENT_END)
         if end < 0:
+            if len(content) > MAX_EVENT_BYTES:
+                detail = f"an event has more than {MAX_EVENT_BYTES} bytes"
+                raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
             self._buffer = content
             return b""
         split = end + len(EVENT_END)
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
@@ -130,7 +130,7 @@
             await anyio.aclose_forcefully(self._stream)
 
     async def _read_next_head(self) -> AnswerHead:
-        while True:
+        for _ in range(const.MAX_INFORMATIONAL_HEADS + 1):
             match await self._next_event():
                 case h11.InformationalResponse():
                     continue
@@ -138,6 +138,9 @@
                     return AnswerHead(status, tuple((k, v) for k, v in headers))
                 case event:
                     raise _connection_lost(f"no answer came: {type(event).__name__}")
+        raise _invalid_answer(
+            f"more than {const.MAX_INFORMATIONAL_HEADS} informational heads came"
+        )
 
     async def _skip_stale_answer(self, request: OutgoingRequest) -> None:
         """Discard an answer to an earlier request and prepare to read the next one.
@@ -145,8 +148,14 @@
         A protocol object allows one answer for each request, so a new one takes over
         the request and the bytes that were received after the discarded answer.
         """
-        while await self.read_chunk() is not None:
-            pass
+        size = 0
+        while (chunk := await self.read_chunk()) is not None:
+            size += len(chunk)
+            if size > const.MAX_STALE_BYTES:
+                raise _invalid_answer(
+                    "an answer to another request has more than"
+                    f" {const.MAX_STALE_BYTES} bytes"
+                )
         trailing = self._protocol.trailing_data[0]
         self._protocol = _new_protocol()
         self._protocol.send(
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/const.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/const.py
@@ -17,8 +17,13 @@
 READ_BYTES: Final = 65_536
 MAX_HEAD_BYTES: Final = 65_536
 
-# Answers to earlier requests that are skipped before a connection is closed as invalid.
+# Answers to earlier requests that are skipped before a connection is closed as invalid,
+# and the bytes of their bodies.
 MAX_STALE_ANSWERS: Final = 2
+MAX_STALE_BYTES: Final = 1_048_576
+
+# Informational heads before an answer; a server may send them without end.
+MAX_INFORMATIONAL_HEADS: Final = 16
 
 # Data unacknowledged for this long means a broken network path.  The value is below the
 # pause after which callers abandon a stream.
