Treat a bare stream that closes before its first event as broken off

A stream whose end cannot be told from a closed connection and that has no event is now stream-cut, may have run. The scenario of sending.feature failed before (the caller received 200 and a complete stream without events) and passes now.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -33,6 +33,7 @@
       | does                                      | events | ended          |
       | closes a bare stream after two events     | 2      | is complete    |
       | closes a bare stream inside an event      | 1      | was broken off |
+      | closes a bare stream before the first one | 0      | was refused    |
       | resets a bare stream after two events     | 2      | was broken off |
 
   Scenario Outline: An answer without end is cut off at its limit
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -314,7 +314,8 @@
     ) -> None:
         """Pass complete events on as they arrive.
 
-        :raises UpstreamError: the stream ended within an event
+        :raises UpstreamError: the stream ended within an event, or with the connection
+            before its first event
         """
         splitter, progress = EventSplitter(), ctx.stream_progress
         async for chunk in answer.chunks():
@@ -335,6 +336,9 @@
             detail = "the stream ended in the middle of an event"
             raise UpstreamError(may_have_run(Reason.STREAM_CUT, detail))
         if not reply.started:
+            if not answer.head.is_delimited:
+                detail = "the connection closed before the stream's first event"
+                raise UpstreamError(may_have_run(Reason.STREAM_CUT, detail))
             await reply.start(
                 answer.head.status, end_to_end_headers(answer.head.headers), length=None
             )
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/models.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/models.py
@@ -38,6 +38,13 @@
         """
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def is_delimited(self) -> bool:
+        """Return whether the end of the body can be told from a closed connection."""
+        return any(
+            key in (b"content-length", b"transfer-encoding") for key, _ in self.headers
+        )
+
 
 class UpstreamError(Exception):
     """A request got no complete answer from a server.
