Ignore a peer's removals of servers while leases may have expired

A hazard of the ordered reports on leaving servers, found while reading: a daemon that missed a short outage of the store removes the servers whose leases expired in it, and announced the removals; daemons in their grace period would have given up servers that were still running, for up to two seconds, in the whole fleet.

A report now says whether the server reported that it drains or its entry was only removed; removals are no news during an outage and in the grace period after it. They are announced for 60 s, so they are taken afterwards unless the server has registered again, which has a higher revision. The scenario of servers.feature failed before (s1 was given up in the grace period).

--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -33,6 +33,15 @@
     And the entry of "s1" of revision 15 is read as ready
     Then the ready servers are "s2"
 
+  Scenario: A peer that missed an outage of the store does not make its lapsed servers leave
+    Given servers "s1, s2" of a service
+    When the store was unavailable for 5000 ms
+    And a peer that saw no outage reports that the entry of "s1" was removed
+    Then the ready servers are "s1, s2"
+    When the registry waits 2400 ms
+    And a peer that saw no outage reports that the entry of "s1" was removed
+    Then the ready servers are "s2"
+
   Scenario Outline: Peers learn of a server that left, however it was noticed
     Given servers "s1, s2" of a service
     When <change>
--- a/features/steps/heartbeat_steps.py
+++ b/features/steps/heartbeat_steps.py
@@ -22,7 +22,7 @@
         failure_domain="domain",
         settings_version=1,
         leaving=False,
-        leaving_servers={},
+        leaving_servers=(),
         servers={},
         duties={},
     )
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -16,6 +16,7 @@
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.forwarding import Forwarder, RequestContext
 from cowsliphitch.gateway.server_client import Purpose, ServerClient
@@ -111,7 +112,8 @@
         return Server(name, "service", address, "domain", ServerState.READY, 4)
 
     def leave(self, name: str) -> None:
-        self.state.servers.mark_leaving(name, 5, self.state.clock.now_ms(), "peer")
+        report = LeavingReport(name, 5, was_removed=False)
+        self.state.servers.mark_leaving(report, self.state.clock.now_ms(), "peer")
 
     async def serve(self, name: str, stream: SocketStream) -> None:
         try:
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -8,7 +8,7 @@
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.servers.placement import ServerPlacement
-from cowsliphitch.core.servers.registry import ServerRegistry
+from cowsliphitch.core.servers.registry import LeavingReport, ServerRegistry
 
 SERVICE = "service"
 
@@ -34,7 +34,8 @@
 
 
 def report_leaving(context: Any, name: str, revision: int) -> None:
-    assert context.registry.mark_leaving(name, revision, context.now_ms, "peer")
+    report = LeavingReport(name, revision, was_removed=False)
+    assert context.registry.mark_leaving(report, context.now_ms, "peer")
 
 
 @given('servers "{names}" of a service')
@@ -181,10 +182,8 @@
     peer = ServerRegistry()
     peer.replace([(server(s), 1) for s in ("s1", "s2")], 1, context.now_ms)
     for _ in range(count):
-        for left, revision in context.registry.next_announcement(
-            context.now_ms
-        ).items():
-            peer.mark_leaving(left, revision, context.now_ms, "peer")
+        for report in context.registry.next_announcement(context.now_ms):
+            peer.mark_leaving(report, context.now_ms, "peer")
     ready_ids = [s.id for s in peer.ready(SERVICE)]
     assert name not in ready_ids, ready_ids
     assert len(ready_ids) == 1, ready_ids
@@ -194,3 +193,16 @@
 def more_servers_leave(context: Any, count: int) -> None:
     for number in range(count):
         put(context, server(f"other-{number}", state=ServerState.DRAINING))
+
+
+@when('a peer that saw no outage reports that the entry of "{name}" was removed')
+def peer_reports_removed(context: Any, name: str) -> None:
+    report = LeavingReport(name, context.revision, was_removed=True)
+    context.registry.mark_leaving(report, context.now_ms, "peer")
+
+
+@when("the store was unavailable for {ms:d} ms")
+def store_was_unavailable(context: Any, ms: int) -> None:
+    context.registry.mark_store_unavailable(context.now_ms)
+    context.now_ms += ms
+    context.registry.mark_store_available(context.now_ms)
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -49,14 +49,23 @@
 
 
 @attrs.frozen
-class _LeavingRecord:
-    """A server that is draining or whose entry was removed.
+class LeavingReport:
+    """Report to the peers that a server is draining or was removed.
 
     :param revision: revision of the store at which it left
-    :param expires_ms: monotonic time at which the record is evicted
+    :param was_removed: its entry was removed, and it had not reported that it drains
     """
 
+    server_id: str
     revision: int
+    was_removed: bool
+
+
+@attrs.frozen
+class _LeavingRecord:
+    """A report on a leaving server, and the monotonic time of its eviction."""
+
+    report: LeavingReport
     expires_ms: int
 
 
@@ -142,9 +151,9 @@
             return
         source = STORE_SOURCE
         if server.state is ServerState.DRAINING:
-            self._record_leaving(server.id, revision, now_ms)
+            self._record_leaving(LeavingReport(server.id, revision, False), now_ms)
         elif (record := self._leaving.get(server.id)) is not None:
-            if record.revision < revision:
+            if record.report.revision < revision:
                 del self._leaving[server.id]
             else:
                 server = attrs.evolve(server, state=ServerState.DRAINING)
@@ -177,14 +186,21 @@
         self._delete(server_id, revision, now_ms)
 
     def _delete(self, server_id: str, revision: int, now_ms: int) -> None:
-        del self._entries[server_id]
-        self._record_leaving(server_id, revision, now_ms)
+        state = self._entries.pop(server_id).server.state
+        was_removed = state is not ServerState.DRAINING
+        self._record_leaving(LeavingReport(server_id, revision, was_removed), now_ms)
         self._ready_by_service.clear()
 
-    def _record_leaving(self, server_id: str, revision: int, now_ms: int) -> None:
-        record = self._leaving.pop(server_id, None)
-        latest = max(revision, record.revision if record else 0)
-        self._leaving[server_id] = _LeavingRecord(latest, now_ms + LEAVING_RETENTION_MS)
+    def _record_leaving(self, report: LeavingReport, now_ms: int) -> None:
+        record = self._leaving.pop(report.server_id, None)
+        if record is not None:
+            report = attrs.evolve(
+                report,
+                revision=max(report.revision, record.report.revision),
+                was_removed=report.was_removed and record.report.was_removed,
+            )
+        expires_ms = now_ms + LEAVING_RETENTION_MS
+        self._leaving[report.server_id] = _LeavingRecord(report, expires_ms)
         if len(self._leaving) > MAX_LEAVING_RECORDS:
             del self._leaving[next(iter(self._leaving))]
 
@@ -219,32 +235,33 @@
             self._delete(entry.server.id, entry.revision, now_ms)
         return [entry.server for entry in expired]
 
-    def mark_leaving(
-        self, server_id: str, revision: int, now_ms: int, source: str
-    ) -> bool:
+    def mark_leaving(self, report: LeavingReport, now_ms: int, source: str) -> bool:
         """Record that a server is leaving, as a peer reported.
 
-        The record holds against entries that are read later but were written before.
+        The record holds against entries that are read later but were written before.  A
+        removal that a peer saw is no news during an outage of the store and in the
+        grace period after it, since the lease may have expired in the outage.
 
-        :param revision: revision of the store at which the server left
         :param source: name of the peer
         :returns: whether the report is new
         """
-        record = self._leaving.get(server_id)
-        if record is not None and record.revision >= revision:
+        if report.was_removed and self._in_grace(now_ms):
             return False
-        entry = self._entries.get(server_id)
-        if entry is not None and entry.revision > revision:
+        record = self._leaving.get(report.server_id)
+        if record is not None and record.report.revision >= report.revision:
+            return False
+        entry = self._entries.get(report.server_id)
+        if entry is not None and entry.revision > report.revision:
             return False
-        self._record_leaving(server_id, revision, now_ms)
+        self._record_leaving(report, now_ms)
         if entry is not None and entry.server.state is ServerState.READY:
             entry.server = attrs.evolve(entry.server, state=ServerState.DRAINING)
             entry.updated_ms, entry.source = now_ms, source
             self._ready_by_service.clear()
         return True
 
-    def next_announcement(self, now_ms: int) -> dict[str, int]:
-        """Return servers that left, with their revisions, for the next heartbeat.
+    def next_announcement(self, now_ms: int) -> tuple[LeavingReport, ...]:
+        """Return reports on servers that left, for the next heartbeat.
 
         Each call continues with the latest records where the one before ended.  Records
         past their retention are evicted.
@@ -256,16 +273,13 @@
         ]:
             del self._leaving[server_id]
         latest = list(
-            itertools.islice(reversed(self._leaving.items()), MAX_ANNOUNCED_LEAVING)
+            itertools.islice(reversed(self._leaving.values()), MAX_ANNOUNCED_LEAVING)
         )
         if self._announcement_offset >= len(latest):
             self._announcement_offset = 0
-        start = self._announcement_offset
-        self._announcement_offset += MAX_LEAVING_PER_HEARTBEAT
-        return {
-            server_id: record.revision
-            for server_id, record in latest[start : self._announcement_offset]
-        }
+        start, count = self._announcement_offset, MAX_LEAVING_PER_HEARTBEAT
+        self._announcement_offset += count
+        return tuple(record.report for record in latest[start : start + count])
 
     def mark_misdirected(self, server_id: str) -> None:
         """Exclude a server at whose address another one answered."""
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -130,13 +130,14 @@
                 if checksum in id_by_checksum
             },
         )
-        for server_id, revision in heartbeat.leaving_servers.items():
-            if state.servers.mark_leaving(server_id, revision, now, heartbeat.name):
+        for report in heartbeat.leaving_servers:
+            if state.servers.mark_leaving(report, now, heartbeat.name):
                 event(
                     _LOGGER,
                     "server.leaving",
-                    server=server_id,
-                    revision=revision,
+                    server=report.server_id,
+                    revision=report.revision,
+                    was_removed=report.was_removed,
                     source=heartbeat.name,
                 )
         if heartbeat.suspect_parts:
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -13,6 +13,7 @@
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation, PromptPart
 from cowsliphitch.core.servers.load import ServerLoad
+from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
 
 from ..wire import fleet_pb2 as pb
@@ -47,8 +48,12 @@
         version=heartbeat.settings_version,
         leaving=heartbeat.leaving,
         leaving_servers=[
-            pb.LeavingServer(server=server, revision=revision)
-            for server, revision in heartbeat.leaving_servers.items()
+            pb.LeavingServer(
+                server=report.server_id,
+                revision=report.revision,
+                removed=report.was_removed,
+            )
+            for report in heartbeat.leaving_servers
         ],
         servers=[
             pb.ServerShare(server=server, running=share.running)
@@ -95,7 +100,10 @@
         failure_domain=message.failure_domain,
         settings_version=message.version,
         leaving=message.leaving,
-        leaving_servers={row.server: row.revision for row in message.leaving_servers},
+        leaving_servers=tuple(
+            LeavingReport(row.server, row.revision, row.removed)
+            for row in message.leaving_servers
+        ),
         servers={row.server: ServerLoad(row.running) for row in message.servers},
         duties={row.duty: row.term for row in message.duties},
         interval_ms=message.interval_ms or HEARTBEAT_INTERVAL_MS,
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -11,6 +11,7 @@
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.load import ServerLoad
+from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.core.verdict import Refusal
 
 
@@ -26,8 +27,7 @@
     :param settings_version: version of the settings in force at the daemon
     :param interval_ms: time until the sender's next heartbeat to the same peer
     :param leaving: the daemon is shutting down
-    :param leaving_servers: servers that are draining or were removed, with
-        the store's revision at which they left
+    :param leaving_servers: servers that are draining or were removed
     :param servers: requests of the daemon at servers, by checksum of the server's
         identifier
     :param duties: term of each duty that the daemon holds, by checksum of the duty's
@@ -43,7 +43,7 @@
     failure_domain: str
     settings_version: int
     leaving: bool
-    leaving_servers: dict[str, int]
+    leaving_servers: tuple[LeavingReport, ...]
     servers: dict[int, ServerLoad]
     duties: dict[int, int]
     interval_ms: int = HEARTBEAT_INTERVAL_MS
