Let a daemon that knows no other one acquire a duty

It happens when the store lists no other daemon and no heartbeat has come, as after the start of a single one.

--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -47,6 +47,10 @@
     When the large daemons are silent for 700 ms
     Then the candidates for each of 20 duties are the small ones
 
+  Scenario: A daemon that knows no other acquires a duty
+    Given a daemon that knows no other daemon
+    Then it acquires the duty at once
+
   Scenario: A daemon that announces its shutdown holds no duty
     Given the first-ranked daemon for a duty leaves and the second acquires the duty
     Then the first daemon is not among the candidates
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -549,3 +549,14 @@
 def small_ones(context: Any, count: int) -> None:
     for names in candidates_of_duties(context, count):
         assert set(names) == {"self", *context.small}, names
+
+
+@given("a daemon that knows no other daemon")
+def lone_daemon(context: Any) -> None:
+    create_table(context)
+
+
+@then("it acquires the duty at once")
+def acquires_at_once(context: Any) -> None:
+    assert context.members.acquire_duty(DUTY, context.now_ms)
+    assert DUTY_HASH in context.members.claims
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -265,7 +265,7 @@
             return False
         if self._has_majority(now_ms):
             terms = (entry.claims.get(duty_hash, 0) for entry in self._entries.values())
-            self.claims[duty_hash] = 1 + max(PROVISIONAL_TERM, *terms)
+            self.claims[duty_hash] = 1 + max([PROVISIONAL_TERM, *terms])
         else:
             self.claims[duty_hash] = PROVISIONAL_TERM
         return own_term is None
