Refuse new stages while the owner's event loop is late

Suspected part of what comes late at scale. On the small twin of the grown clock site, where all VMs are equal and small, the owner's loop was up to 1.8 s late (loop.late) and it learned 0.72 s after the others that a server leaves, although heartbeats and watches are bounded; with more load the delay grows without a limit, since every request is admitted.

The owner measures how late a tick of 100 ms is, and refuses new requests as not run at once while that is 300 ms or more. News needs three to five passes of the loop, so it is applied within 2 s. Retries, which only choose another engine, are not refused.

--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -15,6 +15,7 @@
 from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
+from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.peers.fleet.models import PeerRequestHandlers
 from cowsliphitch.peers.fleet.rpc import PeerConnections, make_server
 from cowsliphitch.platform import headers as header_names
@@ -156,12 +157,10 @@
 
     async def _run_maintenance(self) -> None:
         """Expire, update and clean up the components' state until cancelled."""
-        previous_ms = self._clock.now_ms()
         while True:
-            await anyio.sleep(seconds(const.MAINTENANCE_INTERVAL_MS))
+            await anyio.sleep(seconds(TICK_INTERVAL_MS))
             now = self._clock.now_ms()
-            self._record_loop_delay(now - previous_ms - const.MAINTENANCE_INTERVAL_MS)
-            previous_ms = now
+            self._record_loop_delay(self._state.loop_delay.record_tick(now))
             self._store.expire_servers(now)
             self._server_client.update_reachability()
             self._stage_executor.run_maintenance()
@@ -176,7 +175,7 @@
 
         A busy loop applies changes of the store late.
         """
-        self._metrics.record_loop_delay(max(0, delay_ms))
+        self._metrics.record_loop_delay(delay_ms)
         if delay_ms >= const.LOOP_DELAY_WARNING_MS:
             event(_LOGGER, "loop.late", logging.WARNING, delay_ms=delay_ms)
 
@@ -202,7 +201,7 @@
             )
             if is_idle and self._clock.now_ms() >= balancer_removed_ms:
                 break
-            await anyio.sleep(seconds(const.MAINTENANCE_INTERVAL_MS))
+            await anyio.sleep(seconds(TICK_INTERVAL_MS))
         self._peer_connections.close()
         self._peer_server.close()
         event(
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -20,9 +20,6 @@
 MEMBER_LEASE_TTL_MS: Final = 15_000
 MEMBER_RENEWAL_INTERVAL_MS: Final = 4_000
 
-# Interval of the maintenance of connections, queues and the server list.
-MAINTENANCE_INTERVAL_MS: Final = 100
-
 # Delay of the maintenance from which it is logged.
 LOOP_DELAY_WARNING_MS: Final = 200
 
@@ -81,6 +78,9 @@
 # Number of owner candidates that are tried in turn for the stages of a request.
 MAX_OWNER_ATTEMPTS: Final = 3
 
+# Retry delay sent to a caller when the owner of the stage pools is overloaded.
+OVERLOAD_RETRY_AFTER_MS: Final = 500
+
 # Retry delay sent to a caller when no engine is ready.
 NO_ENGINE_RETRY_AFTER_MS: Final = 200
 
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -109,8 +109,10 @@
 
         Cancellation of the caller cancels the stages and frees their results.
         """
-        self._apply_settings()
         now = self._state.clock.now_ms()
+        if self._state.loop_delay.is_overloaded(now) and not request.excluded_engines:
+            return self._refuse_overload(request, now)
+        self._apply_settings()
         self._acquire_duty(request, now)
         objective_ms = now + request.objective_remaining_ms
         choice = self._choose_engine(request, objective_ms, ())
@@ -142,6 +144,15 @@
                 return StagesRefused(attrs.evolve(refusal, stage=str(stage)))
         raise AssertionError("the stages ended without an outcome")
 
+    def _refuse_overload(self, request: RunStagesRequest, now_ms: int) -> StagesRefused:
+        """Refuse a new request because this daemon can't keep up."""
+        delay_ms = self._state.loop_delay.delay_ms(now_ms)
+        event(_LOGGER, "stages.overload", request=request.request_id, delay_ms=delay_ms)
+        detail = f"the owner of the stages is overloaded by {delay_ms} ms"
+        return StagesRefused(
+            not_run(Reason.QUEUE_FULL, detail, const.OVERLOAD_RETRY_AFTER_MS)
+        )
+
     def _acquire_duty(self, request: RunStagesRequest, now_ms: int) -> None:
         """Acquire the duty for the request's pools if no better candidate is live."""
         deployment = self._state.deployment
