Attribute crashes to the part that explains most of them

Before any answer had come, a first part occurred with the cause in three crashes and alone in one; it was quarantined some ms before the cause, its quarantine cleared the cause of the crashes that both had, and peers adopted that.

A quarantined part now clears others, quarantined or not, only if it explains all their crashes and more. A step of the sound requests that a crashed engine lost was matched by another step's pattern and made wrong parts of its text; it has a text of its own now.

--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -31,11 +31,20 @@
 
   Scenario: Sound requests that a crashed engine lost are not quarantined with the cause
     Given 3 daemons that exchange reports
-    When engines crash at daemons 1, 2 on requests with the parts "first, bad" and lose "session, own", 1000 ms apart
+    When engines that also prefill "session, own" crash at daemons 1, 2 on requests with the parts "first, bad", 1000 ms apart
     And engines crash at daemons 3, 1 on requests with the parts "first, bad", 1000 ms apart
     Then each daemon refuses the parts "first, bad"
     And each daemon accepts the parts "session, own" and "session"
 
+  Scenario: A part that occurred with the cause before any answer is not quarantined with it
+    Given 3 daemons that exchange reports
+    When engines crash at daemons 1, 2 on requests with the parts "other, bad", 1000 ms apart
+    And engines that also prefill "first" crash at daemons 1, 2, 3 on requests with the parts "first, bad", 50 ms apart
+    And engines that also prefill "first" crash at daemons 2 on requests with the parts "first, bad", 1000 ms apart
+    And engines that also prefill "first" crash at daemons 3 on requests with the parts "first, bad", 1000 ms apart
+    Then each daemon refuses the parts "first, bad" and "other, bad"
+    And each daemon accepts the parts "first, good" and "first"
+
   Scenario: An answered part that begins to crash engines is quarantined
     Given 3 daemons that exchange reports
     And daemon 1 has seen the parts "first" answered
@@ -94,3 +103,9 @@
       | 3    |
       | 4    |
       | 5    |
+
+  Scenario: A first part that crashed engines with the cause is released once the cause is known
+    Given 9 daemons that exchange reports
+    When seed 31 plays 20 s of sound requests and 30 in 100 with a crashing part
+    Then at most 8 engines have crashed, and none later than 3 s after the fifth
+    And at most 3 sound requests in 100 were refused
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -79,8 +79,8 @@
 
 
 @when(
-    'engines crash at daemons {numbers} on requests with the parts "{parts}"'
-    ' and lose "{lost}", {ms:d} ms apart'
+    'engines that also prefill "{lost}" crash at daemons {numbers}'
+    ' on requests with the parts "{parts}", {ms:d} ms apart'
 )
 def engines_crash_and_lose(
     context: Any, numbers: str, parts: str, lost: str, ms: int
@@ -160,7 +160,9 @@
 @when(
     "seed {seed:d} plays {s:d} s of sound requests and of requests with a crashing part"
 )
-def play_random_load(context: Any, seed: int, s: int) -> None:
+def play_random_load(
+    context: Any, seed: int, s: int, crashing_share: float = CRASHING_SHARE
+) -> None:
     """Play a load: engines crash when they begin to answer the part, and restart."""
     fleet, rng = context.quarantine, random.Random(seed)
     context.crash_times, context.sound, context.refused = [], 0, 0
@@ -191,7 +193,7 @@
                 flights.remove(flight)
                 fleet.daemons[daemon].record_answer(parts, now)
         if rng.random() < 10 / REQUEST_INTERVAL_MS:
-            is_bad = rng.random() < CRASHING_SHARE
+            is_bad = rng.random() < crashing_share
             first = f"first-{min(rng.randrange(8), rng.randrange(8))}"
             other = "bad" if is_bad else f"session-{rng.randrange(30)}"
             parts = [first, other] if is_bad or rng.random() < 0.6 else [first]
@@ -208,6 +210,14 @@
                 )
 
 
+@when(
+    "seed {seed:d} plays {s:d} s of sound requests and {percent:d} in 100"
+    " with a crashing part"
+)
+def play_random_load_with_share(context: Any, seed: int, s: int, percent: int) -> None:
+    play_random_load(context, seed, s, percent / 100)
+
+
 @then(
     "at most {count:d} engines have crashed, and none later than {s:d} s"
     " after the fifth"
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -10,7 +10,7 @@
 
 - an answer to a request with it, since a part that crashes engines gets none;
 - for a part that was answered before, another part that explains the same crash;
-- for a suspect, that a quarantined part explains the same crash.
+- a quarantined part that explains all its crashes, and others besides.
 
 Crashes at almost the same time count once, as an outage may end many engines that
 prefill the same part.
@@ -338,16 +338,9 @@
         for part, record in self._records.items():
             if part in self._answered:
                 record.clear(record.crashes.keys() & by_unanswered)
-            if part in quarantined:
-                continue
-            # Of two parts that always occur together, either may be the cause.
-            record.clear(
-                record.crashes.keys()
-                & set().union(
-                    *(
-                        other.open_crashes
-                        for name, other in quarantined.items()
-                        if name not in record.company
-                    )
-                )
-            )
+            for name, other in quarantined.items():
+                # Of two parts that always occur together, either may be the cause.
+                if name in record.company:
+                    continue
+                if record.open_crashes < other.open_crashes:
+                    record.clear(record.open_crashes)
