Name a refusal after its reason and round up with the library

From the newcomer's read of the diff: a local name said only that it may be None, and negated floor division hid a ceiling. No behaviour changes; gateway and fleet features passed.

--- a/packages/core/src/cowsliphitch/core/fleet/heartbeat_schedule.py
+++ b/packages/core/src/cowsliphitch/core/fleet/heartbeat_schedule.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -45,7 +46,7 @@
         """
         number = next(self._round)
         ordered = sorted(addresses)
-        groups = max(1, -(-len(ordered) // MAX_RECIPIENTS))
+        groups = max(1, math.ceil(len(ordered) / MAX_RECIPIENTS))
         if holds_duty:
             self._sent_to_all = True
             return Recipients(tuple(ordered), HEARTBEAT_INTERVAL_MS)
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -123,9 +123,9 @@
         budget.record_request(self._state.clock.now_ms())
         while True:
             server = await self._select_server(ctx)
-            refusal_or_none = self._quarantine.refusal_of(ctx.request)
-            if refusal_or_none is not None:
-                return self._final_refusal(ctx, refusal_or_none)
+            quarantine_refusal = self._quarantine.refusal_of(ctx.request)
+            if quarantine_refusal is not None:
+                return self._final_refusal(ctx, quarantine_refusal)
             if server is None:
                 detail = f"no server of {ctx.service} is ready"
                 return self._final_refusal(
