Log the limits on requests that servers name

Nothing told a limited server from another one: the header was not decoded, and the log of a send did not say what the server takes. A table keeps what this daemon heard, with age and source; server.limit is logged for each change, server.send has the limit, and two gauges show a server's limit and what is used of it. Nothing is sent differently yet.

--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -15,6 +15,7 @@
 from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
+from cowsliphitch.core.limits.const import WINDOW_MS
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.peers.fleet.models import PeerRequestHandlers
 from cowsliphitch.peers.fleet.rpc import PeerConnections, make_server
@@ -166,6 +167,7 @@
             self._stage_executor.run_maintenance()
             servers = self._state.servers.all()
             self._state.placement.retain_servers({s.id for s in servers})
+            self._state.server_limits.retain_servers(servers, now)
             await self._server_connections.close_stale(
                 server.address for server in servers
             )
@@ -245,6 +247,8 @@
             "cowsliphitch_prompt_parts_quarantined",
             lambda: [(len(state.prompt_parts.quarantined), {})],
         )
+        observe("cowsliphitch_server_limit", self._read_limits)
+        observe("cowsliphitch_server_limit_used", self._read_limit_use)
         observe("cowsliphitch_store_lost_ms", lambda: [(self._store.outage_ms, {})])
         observe(
             "cowsliphitch_store_view_age_ms",
@@ -273,6 +277,21 @@
             "cowsliphitch_log_lines_dropped", lambda: [(self._log_handler.dropped, {})]
         )
 
+    def _read_limits(self) -> list[tuple[float, dict[str, str]]]:
+        limits = self._state.server_limits.limits(self._clock.now_ms())
+        return [(limit.per_s, {"server": limit.server_id}) for limit in limits]
+
+    def _read_limit_use(self) -> list[tuple[float, dict[str, str]]]:
+        """Return the share of each server's limit that all daemons use."""
+        limits = self._state.server_limits.limits(self._clock.now_ms())
+        return [
+            (
+                limit.sent / (limit.per_s * seconds(WINDOW_MS)),
+                {"server": limit.server_id},
+            )
+            for limit in limits
+        ]
+
 
 def _cost_weights(cfg: GatewaySettings) -> CostWeights:
     return CostWeights(cfg.costs.read_again, cfg.costs.result_moved)
--- a/packages/gateway/src/cowsliphitch/gateway/diagnostics.py
+++ b/packages/gateway/src/cowsliphitch/gateway/diagnostics.py
@@ -39,6 +39,16 @@
             }
             for server in state.servers.all()
         ],
+        "server_limits": [
+            {
+                "server": limit.server_id,
+                "per_s": limit.per_s,
+                "source": limit.source,
+                "age_ms": limit.age_ms,
+                "sent": limit.sent,
+            }
+            for limit in state.server_limits.limits(now)
+        ],
         "members": [
             {
                 "member": member.name,
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -21,11 +21,17 @@
     UNREACHABLE_AFTER_REFUSALS,
     Reachability,
 )
+from cowsliphitch.core.limits.models import LimitChange, UnreadableLimit
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.verdict import Reason, may_have_run, not_run
+from cowsliphitch.platform import servers as wire
 from cowsliphitch.telemetry.logs import event
 from cowsliphitch.upstreams.http1.connection import connect
-from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
+from cowsliphitch.upstreams.http1.models import (
+    AnswerHead,
+    OutgoingRequest,
+    UpstreamError,
+)
 from cowsliphitch.upstreams.http1.pool import Answer, ConnectionPool
 
 from . import const
@@ -76,6 +82,7 @@
             # The server may have left while the connection was opened.
             self._check_usable(server, purpose)
             self._log_send(server, request, purpose, chosen_ms)
+            self._state.server_limits.record_sent(server.id, self._state.clock.now_ms())
 
         try:
             async with self._pool.exchange(
@@ -83,6 +90,7 @@
             ) as answer:
                 has_answered = True
                 self._reachability.record_answer(server.failure_domain)
+                self._observe_limit(server, answer.head)
                 yield answer
         except UpstreamError as exc:
             if not has_answered:
@@ -123,10 +131,30 @@
             source=knowledge.source if knowledge else None,
             known_ms=now - knowledge.updated_ms if knowledge else None,
             view_ms=self._state.servers.view_age_ms(now),
+            limit_per_s=self._state.server_limits.rate_of(server.id),
             chosen_ms=now - chosen_ms,
             bytes=len(request.body),
         )
 
+    def _observe_limit(self, server: Server, head: AnswerHead) -> None:
+        """Record the limit that an answer names, unless another server sent it."""
+        if wire.decode_head(head).wrong_server:
+            return
+        named = wire.decode_limit(head)
+        if isinstance(named, UnreadableLimit):
+            event(
+                _LOGGER,
+                "server.limit_unreadable",
+                logging.WARNING,
+                server=server.id,
+                value=named.text,
+            )
+        change = self._state.server_limits.observe(
+            server.id, named, self._state.clock.now_ms()
+        )
+        if change is not None:
+            log_limit_change(change)
+
     def _record_failure(self, server: Server, reason: Reason) -> None:
         """Record a failed connection as evidence on the server's failure domain."""
         now = self._state.clock.now_ms()
@@ -200,6 +228,19 @@
         self._reachability.record_answer(server.failure_domain)
 
 
+def log_limit_change(change: LimitChange) -> None:
+    """Log that the limit of a server changed, with what is known of its source."""
+    event(
+        _LOGGER,
+        "server.limit",
+        server=change.server_id,
+        per_s=change.per_s,
+        before=change.previous_per_s,
+        source=change.source,
+        age_ms=change.age_ms,
+    )
+
+
 def _probe_targets(servers: Sequence[Server], round_number: int) -> Sequence[Server]:
     """Return the servers of one domain to probe in a round.
 
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -10,6 +10,7 @@
 from cowsliphitch.core.deployment.models import CallerLimits, Deployment
 from cowsliphitch.core.deployment.versions import VersionGuard
 from cowsliphitch.core.fleet.members import MemberTable
+from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.overload.loop_delay import LoopDelayMonitor
 from cowsliphitch.core.quarantine.prompt_parts import PromptPartRegistry
 from cowsliphitch.core.servers.placement import ServerPlacement
@@ -26,6 +27,7 @@
     :param members: the daemons of the platform and the duties that they hold
     :param versions: the active version of the operator's settings
     :param placement: load and failures of the servers, to choose the least loaded one
+    :param server_limits: limits on requests that servers name
     :param prompt_parts: prompt parts that are suspected of crashing engines
     :param loop_delay: how late this daemon's event loop is
     :param stopping: SIGTERM was received
@@ -38,6 +40,7 @@
     versions: VersionGuard = attrs.Factory(VersionGuard)
     servers: ServerRegistry = attrs.Factory(ServerRegistry)
     placement: ServerPlacement = attrs.Factory(ServerPlacement)
+    server_limits: LimitTable = attrs.Factory(LimitTable)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
