Add a failing test for servers that get more than the limit they name

Two desks or two engines name a limit of 1 a second, and two daemons get 8 to 10 requests a second for 8 s.

--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -45,6 +45,8 @@
     :param prefill_ms: time from the receipt of a prompt to its first event
     :param crashing_part: prompt part on which it crashes instead of answering
     :param crashes: number of its crashes
+    :param limit: the limit on requests a second that its answers name, as sent
+    :param arrivals_ms: monotonic times at which requests arrived
     """
 
     id: str
@@ -62,6 +64,8 @@
     prefill_ms: int = 0
     crashing_part: str = ""
     crashes: int = 0
+    limit: str | None = None
+    arrivals_ms: list[int] = attrs.Factory(list)
     _crash_scope: anyio.CancelScope | None = None
     _handle_numbers: Any = attrs.Factory(itertools.count)
 
@@ -127,6 +131,7 @@
         await self._answer(reply, 200, json.dumps({"items": results}).encode())
 
     async def _run_request(self, req: EdgeRequest, reply: Reply) -> None:
+        self.arrivals_ms.append(req.received_ms)
         request = req.get(b"cowsliphitch-request-id") or ""
         if req.get(b"cowsliphitch-expect-instance") != self.id:
             await self._answer(reply, 421, b"")
@@ -157,11 +162,17 @@
         else:
             await self._answer(reply, 200, b"done", id_header + seal)
 
+    def _limit_header(self) -> tuple[tuple[bytes, bytes], ...]:
+        if self.limit is None:
+            return ()
+        return ((b"server-limit", self.limit.encode()),)
+
     async def _stream(self, req: EdgeRequest, reply: Reply, headers: Any) -> None:
         after = int(req.get(b"last-event-id") or "0")
         await anyio.sleep(seconds(self.prefill_ms))
         content_type = ((b"content-type", b"text/event-stream"),)
-        await reply.start(200, headers + content_type, None)
+        headers += content_type + self._limit_header()
+        await reply.start(200, headers, None)
         for number in range(after + 1, EVENT_COUNT + 1):
             await reply.send(b"id: %d\ndata: event\n\n" % number)
             await anyio.sleep(0.02)
@@ -173,7 +184,7 @@
     async def _answer(
         self, reply: Reply, status: int, body: bytes, headers: Any = ()
     ) -> None:
-        await reply.start(status, headers, len(body))
+        await reply.start(status, (*headers, *self._limit_header()), len(body))
         if body:
             await reply.send(body)
         await reply.end()
--- a/script/summary.py
+++ b/script/summary.py
@@ -23,7 +23,7 @@
         for element in feature.get("elements", []):
             if element["type"] == "scenario":
                 yield (
-                    f"{feature_path}: {element['name']}",
+                    f"{feature_path}: {element['name'].strip()}",
                     element.get("status", "failed"),
                 )
 
