--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -48,7 +48,7 @@
     assert state.loop_delay.record_tick(clock.now_ms()) == ms
     context.clock = clock
     unused: Any = None
-    context.executor = StageExecutor(state, unused, CostWeights(), unused)
+    context.executor = StageExecutor(state, unused, unused, CostWeights(), unused)
 
 
 @when("it gets a {kind} {ms:d} ms after the tick")
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -19,8 +19,10 @@
 from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.forwarding import Forwarder, RequestContext
+from cowsliphitch.gateway.permits import PermitOffice
 from cowsliphitch.gateway.server_client import Purpose, ServerClient
 from cowsliphitch.gateway.state import GatewayState
+from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.upstreams.http1 import pool as pool_module
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
@@ -151,8 +153,9 @@
 
                 group.start_soon(listener.serve, serve)
             pool = ConnectionPool(b"cowsliphitch-request-id", group, self.state.clock)
+            permits = PermitOffice(self.state, PeerConnections())
             with anyio.fail_after(8):
-                await action(ServerClient(self.state, pool), group)
+                await action(ServerClient(self.state, pool, permits), group)
             group.cancel_scope.cancel()
 
     async def send(self, client: ServerClient, name: str, purpose: Purpose) -> None:
--- /dev/null
+++ b/features/steps/server_limit_steps.py
@@ -0,0 +1,244 @@
+"""Steps on the limits that servers name, with emulated daemons and servers."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from behave import given, then, when
+
+from cowsliphitch.core.limits.models import (
+    LimitReport,
+    NamedLimit,
+    RequestRate,
+    Unlimited,
+    UnreadableLimit,
+)
+from cowsliphitch.core.limits.table import LimitTable
+from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.platform.servers import decode_limit
+from cowsliphitch.standins.emulator.limits import LimitedFleet
+from cowsliphitch.upstreams.http1.models import AnswerHead
+
+# Seeds of a run in CI; more are run by hand with ``behave -D seeds=50``.
+DEFAULT_SEEDS = 2
+LIMITED_FROM_MS = 3_000
+
+# The limit counts from 3 s after a server first named it.
+COUNTED_FROM_MS = LIMITED_FROM_MS + 3_000
+USED_FROM_MS = COUNTED_FROM_MS + 2_000
+
+
+def restart_granting(fleet: LimitedFleet) -> None:
+    for ms in (8_000, 11_000, 20_000):
+        fleet.at(ms, lambda: fleet.restart(fleet.granting_daemon()))
+
+
+def freeze_granting(fleet: LimitedFleet) -> None:
+    for ms in (8_000, 17_000):
+        fleet.at(ms, lambda: fleet.freeze(fleet.granting_daemon(), 2_500))
+
+
+def restart_in_turn(fleet: LimitedFleet) -> None:
+    for n in range(len(fleet.daemons)):
+        fleet.at(8_000 + 900 * n, lambda n=n: fleet.restart(n))
+
+
+def cut_domain(fleet: LimitedFleet) -> None:
+    fleet.at(8_000, lambda: fleet.cut("d1", 5_000))
+
+
+DISTURBANCES: dict[str, Callable[[LimitedFleet], None]] = {
+    "nothing else happens": lambda _fleet: None,
+    "one daemon gets all of them": lambda _fleet: None,
+    "the granting daemon restarts": restart_granting,
+    "the granting daemon freezes": freeze_granting,
+    "all daemons restart in turn": restart_in_turn,
+    "a failure domain is cut off": cut_domain,
+}
+NAMED: dict[str, NamedLimit] = {
+    "nothing": Unlimited(),
+    "endless": RequestRate(math.inf),
+    "unreadable": UnreadableLimit("ten"),
+}
+
+
+def seeds(context: Any) -> range:
+    """Return the seeds of this run."""
+    count = int(context.config.userdata.get("seeds", DEFAULT_SEEDS))
+    return range(1, count + 1)
+
+
+def named(text: str) -> NamedLimit:
+    return NAMED.get(text) or RequestRate(float(text))
+
+
+@given(
+    "{count:d} daemons and {servers:d} servers that name {limit} requests a second"
+    " from 3 s on"
+)
+def given_fleet(context: Any, count: int, servers: int, limit: str) -> None:
+    rows = [(0, Unlimited()), (LIMITED_FROM_MS, named(limit))]
+    context.fleets = [
+        LimitedFleet(count, [rows] * servers, seed) for seed in seeds(context)
+    ]
+
+
+@given("{count:d} daemons and a server that names {before} and after 12 s {after}")
+def given_changing(context: Any, count: int, before: str, after: str) -> None:
+    rows = [(0, named(before)), (12_000, named(after))]
+    context.fleets = [LimitedFleet(count, [rows], seed) for seed in seeds(context)]
+
+
+@when("callers send {load:d} requests a second for {s:d} s, and {disturbance}")
+def send_load(context: Any, load: int, s: int, disturbance: str) -> None:
+    context.ran_ms = s * 1_000
+    for fleet in context.fleets:
+        count = len(fleet.daemons)
+        weights = [1 / (n + 1) for n in range(count)]
+        fleet.rng.shuffle(weights)
+        if disturbance == "one daemon gets all of them":
+            weights = [1.0] + [0.0] * (count - 1)
+        fleet.send_load(load, weights, context.ran_ms)
+        DISTURBANCES[disturbance](fleet)
+        fleet.run(context.ran_ms)
+
+
+@then(
+    "no server gets more than {count:d} requests in {s:d} s from daemons that know"
+    " its limit"
+)
+def keeps_limit(context: Any, count: int, s: int) -> None:
+    for seed, fleet in enumerate(context.fleets, start=1):
+        for server in fleet.servers:
+            most = fleet.most_in_window(server, COUNTED_FROM_MS, context.ran_ms)
+            assert most <= count, f"seed {seed}: {most} requests"
+
+
+@then("at least {share:f} of each limit is used")
+def uses_limit(context: Any, share: float) -> None:
+    for seed, fleet in enumerate(context.fleets, start=1):
+        for server in fleet.servers:
+            from_ms = fleet.start_ms + USED_FROM_MS
+            count = sum(ms >= from_ms for ms, _ in server.arrivals)
+            used = count / ((context.ran_ms - USED_FROM_MS) / 1_000)
+            assert used >= share, f"seed {seed}: {used:.2f} of the limit was used"
+
+
+@then("at most 1 in {count:d} requests are denied")
+def few_denied(context: Any, count: int) -> None:
+    for seed, fleet in enumerate(context.fleets, start=1):
+        outcomes = fleet.outcomes
+        total = outcomes.sent + outcomes.denied
+        assert outcomes.denied * count <= total, f"seed {seed}: {outcomes}"
+
+
+@then("it gets {least:d} to {most:d} requests in the last {s:d} s")
+def gets_between(context: Any, least: int, most: int, s: int) -> None:
+    for seed, fleet in enumerate(context.fleets, start=1):
+        from_ms = fleet.start_ms + context.ran_ms - s * 1_000
+        count = sum(ms >= from_ms for ms, _ in fleet.servers[0].arrivals)
+        assert least <= count <= most, f"seed {seed}: {count} requests"
+
+
+@when('a server\'s answer names the limit "{text}"')
+def decode_named(context: Any, text: str) -> None:
+    head = AnswerHead(200, ((b"server-limit", text.encode()),))
+    context.named = decode_limit(head)
+
+
+@when('a server\'s answer names the limit ""')
+def decode_empty(context: Any) -> None:
+    decode_named(context, "")
+
+
+@then("it is read as {meaning}")
+def is_read_as(context: Any, meaning: str) -> None:
+    match context.named:
+        case RequestRate(per_s):
+            assert meaning == f"{per_s} a second", per_s
+        case UnreadableLimit():
+            assert meaning == "unreadable"
+        case _:
+            raise AssertionError(context.named)
+
+
+NOW_MS = 1_000_000
+
+
+@given("a daemon that heard nothing")
+def heard_nothing(context: Any) -> None:
+    context.limit_table = LimitTable()
+
+
+@given('a daemon that heard a limit of {per_s:f} for "{server}" {ms:d} ms ago')
+def heard_limit(context: Any, per_s: float, server: str, ms: int) -> None:
+    context.limit_table = LimitTable()
+    context.limit_table.observe(server, RequestRate(per_s), NOW_MS - ms)
+    context.limit_table.retain_servers([listed(server, 1)], NOW_MS)
+
+
+def listed(server: str, started_ms: int) -> Server:
+    return Server(server, "desk", "a:1", "d0", ServerState.READY, 4, started_ms)
+
+
+@when('a peer reports a limit of {per_s:f} for "{server}" that it heard {ms:d} ms ago')
+def peer_reports(context: Any, per_s: float, server: str, ms: int) -> None:
+    context.limit_table.merge({server: LimitReport(per_s, ms, 0)}, "peer", NOW_MS)
+
+
+@when('a peer reports that "{server}" named no limit {ms:d} ms ago')
+def peer_reports_end(context: Any, server: str, ms: int) -> None:
+    context.limit_table.merge({server: LimitReport(None, ms, 0)}, "peer", NOW_MS)
+
+
+@then('the limit of "{server}" is {per_s:f}')
+def limit_is(context: Any, server: str, per_s: float) -> None:
+    assert context.limit_table.rate_of(server) == per_s, context.limit_table.rate_of(
+        server
+    )
+
+
+@then('"{server}" has no limit')
+def has_no_limit(context: Any, server: str) -> None:
+    assert context.limit_table.rate_of(server) is None, context.limit_table.rate_of(
+        server
+    )
+
+
+@then("the daemon reports no limit to its peers")
+def reports_nothing(context: Any) -> None:
+    assert not context.limit_table.next_reports(NOW_MS)
+
+
+@when('"{server}" has restarted under its identifier')
+def has_restarted(context: Any, server: str) -> None:
+    context.limit_table.retain_servers([listed(server, 2)], NOW_MS)
+
+
+@given("a daemon that heard limits of {count:d} servers")
+def heard_limits(context: Any, count: int) -> None:
+    context.limit_table = LimitTable()
+    context.names = {f"s{n}" for n in range(count)}
+    for name in context.names:
+        context.limit_table.observe(name, RequestRate(1.0), NOW_MS)
+    for n in range(2 * count):
+        context.limit_table.next_reports(NOW_MS + n)
+
+
+@when('the limit of "{server}" changes')
+def limit_changes(context: Any, server: str) -> None:
+    context.limit_table.observe(server, RequestRate(2.0), NOW_MS + 2_000)
+
+
+@then('the next heartbeat reports "{server}" and at most {count:d} servers')
+def next_reports(context: Any, server: str, count: int) -> None:
+    reports = context.limit_table.next_reports(NOW_MS + 2_001)
+    assert server in reports and len(reports) <= count, reports
+
+
+@then("{count:d} heartbeats report all servers")
+def all_are_reported(context: Any, count: int) -> None:
+    reported: set[str] = set()
+    for n in range(count):
+        reported |= context.limit_table.next_reports(NOW_MS + 3_000 + n).keys()
+    assert reported == context.names, len(reported)
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cowsliphitch.core.deployment.models import StagePool
+from cowsliphitch.core.limits.models import NoRates, ServerRates
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
@@ -58,10 +59,12 @@
     and carries out the returned commands.
 
     :param servers: returns the servers of a pool that accept new work
+    :param rates: limits of the servers, ``None`` without any
     """
 
-    def __init__(self, servers: ServerLookup) -> None:
+    def __init__(self, servers: ServerLookup, rates: ServerRates | None = None) -> None:
         """Initialize a planner without pools and requests."""
+        self._rates = rates or NoRates()
         self._servers = servers
         self._queues: dict[str, StageQueue] = {}
         self._pools: dict[str, StagePool] = {}
@@ -93,7 +96,7 @@
             if service in self._queues:
                 self._queues[service].set_pool(pool)
             else:
-                self._queues[service] = StageQueue(pool)
+                self._queues[service] = StageQueue(pool, self._rates)
 
     def admit(self, request: StageRequest, now_ms: int) -> Admission | Refusal:
         """Admit a request and queue its first stages, or refuse it.
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -12,7 +12,9 @@
 
 import attrs
 
+from cowsliphitch.core.clock import MS_PER_SECOND
 from cowsliphitch.core.deployment.models import StagePool
+from cowsliphitch.core.limits.models import NoRates, ServerRates
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, not_run
 
@@ -53,10 +55,12 @@
     """Assign the pieces of queued jobs to calls on the servers of one stage pool.
 
     :param pool: capacity and timing of one server
+    :param rates: limits of the servers, ``None`` without any
     """
 
-    def __init__(self, pool: StagePool) -> None:
+    def __init__(self, pool: StagePool, rates: ServerRates | None = None) -> None:
         """Initialize an empty queue."""
+        self._rates = rates or NoRates()
         self._pool = pool
         self._jobs: dict[int, JobProgress] = {}
         self._calls: dict[int, Call] = {}
@@ -115,19 +119,30 @@
             due_times_ms = [
                 c.due_ms for c in self._calls.values() if c.server.id == server.id
             ]
-            busy_ms[index] = max(0.0, max(due_times_ms, default=now_ms) - now_ms)
+            busy_ms[index] = max(
+                self._rates.wait_ms(server, now_ms),
+                max(due_times_ms, default=now_ms) - now_ms,
+            )
         if pieces_ahead == 0:
             return min(busy_ms)
         return sum(busy_ms) / len(busy_ms) + pieces_ahead / throughput_per_ms
 
     def throughput_per_ms(self, servers: tuple[Server, ...], now_ms: int) -> float:
         """Return the throughput of the servers with full calls, in pieces per ms."""
-        batch = self._pool.batch
         return sum(
-            batch / (self._expected_call_ms(batch) * self._slowdown(server, now_ms))
+            self._server_throughput_per_ms(server, now_ms)
             for server in self._usable_servers(servers, now_ms)
         )
 
+    def _server_throughput_per_ms(self, server: Server, now_ms: int) -> float:
+        batch = self._pool.batch
+        call_ms = self._expected_call_ms(batch) * self._slowdown(server, now_ms)
+        rate_per_s = self._rates.rate_per_s(server)
+        if rate_per_s is not None:
+            # Each call is followed by one that frees its results.
+            call_ms = max(call_ms, 2 * MS_PER_SECOND / rate_per_s)
+        return batch / call_ms
+
     def job_duration_ms(
         self, pieces: int, servers: tuple[Server, ...], now_ms: int
     ) -> float:
@@ -164,6 +179,7 @@
             for server in self._usable_servers(servers, now_ms)
             if running_calls.get(server.id, 0) < self._pool.slots
             and self._health(server).out_of_memory_until_ms <= now_ms
+            and self._rates.wait_ms(server, now_ms) == 0
         ]
         idle.sort(key=lambda server: self._slowdown(server, now_ms))
         self._hedge_overdue_calls(now_ms)
--- a/packages/core/src/cowsliphitch/core/engines/selector.py
+++ b/packages/core/src/cowsliphitch/core/engines/selector.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from cowsliphitch.core.limits.models import NoRates, ServerRates
 from cowsliphitch.core.membership.ranking import rank
 from cowsliphitch.core.requests.models import Generation, PromptPart
 from cowsliphitch.core.servers.models import Server
@@ -93,9 +94,13 @@
 class EngineSelector:
     """Select engines and track the requests dispatched to them."""
 
-    def __init__(self, costs: CostWeights) -> None:
-        """Initialize the selector without any engine state."""
+    def __init__(self, costs: CostWeights, rates: ServerRates | None = None) -> None:
+        """Initialize the selector without any engine state.
+
+        :param rates: limits of the engines, ``None`` without any
+        """
         self._costs = costs
+        self._rates = rates or NoRates()
         self._engines: dict[str, _EngineState] = {}
         self._dispatches: dict[str, _Dispatch] = {}
 
@@ -130,7 +135,7 @@
         choices = [
             EngineChoice(
                 e,
-                self.first_token_ms(e, generation),
+                self._rates.wait_ms(e, now_ms) + self.first_token_ms(e, generation),
                 max_cached_tokens - cached_tokens[e.id],
                 is_affinity_miss=preferred not in (None, e.id),
             )
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -280,6 +280,15 @@
         member_count = 1 + sum(not entry.leaving for entry in self._entries.values())
         return 2 * len(self.live(now_ms)) > member_count
 
+    def fleet_share(self, now_ms: int) -> float:
+        """Return the part of fleet-wide rates that this side of a partition may use.
+
+        A side with a majority takes the others for dead and uses the whole.
+        """
+        if self._has_majority(now_ms):
+            return 1.0
+        return len(self.live(now_ms)) / self.allowance_divisor(now_ms)
+
     def release_duties(self) -> None:
         """Release all duties before this daemon shuts down."""
         self.claims.clear()
--- a/packages/core/src/cowsliphitch/core/limits/const.py
+++ b/packages/core/src/cowsliphitch/core/limits/const.py
@@ -22,3 +22,9 @@
 # The end of a limit is remembered for this long, so that an older report of the limit
 # does not bring it back.
 ENDED_RETENTION_MS: Final = 60_000
+
+# Requests that a limited server may get at once after it had none for a while.
+BURST: Final = 2.0
+
+# Longest time after which a caller is told to return to a limited server.
+MAX_RETRY_AFTER_MS: Final = 10_000
--- a/packages/core/src/cowsliphitch/core/limits/table.py
+++ b/packages/core/src/cowsliphitch/core/limits/table.py
@@ -22,6 +22,7 @@
 from . import const
 from .models import (
     LimitChange,
+    LimitedServer,
     LimitReport,
     NamedLimit,
     RequestRate,
@@ -124,6 +125,25 @@
             entry.peer_sent[peer] = (report.sent, now_ms)
         return [change for change in changes if change is not None]
 
+    def learn(self, servers: Iterable[LimitedServer], peer: str, now_ms: int) -> None:
+        """Apply the limits that a peer knows of, whoever heard them first."""
+        for server in servers:
+            heard_ms = now_ms - server.age_ms
+            observation = _Observation(server.per_s, heard_ms, peer)
+            entry = self._entries.get(server.server_id)
+            if entry is None:
+                self._entries[server.server_id] = _Entry(observation)
+            elif heard_ms > entry.latest.heard_ms:
+                entry.latest = observation
+
+    def describe(self, server_id: str, now_ms: int) -> LimitedServer | None:
+        """Return what is known of a limited server, ``None`` if it is not limited."""
+        entry = self._entries.get(server_id)
+        if entry is None or entry.latest.per_s is None:
+            return None
+        age_ms = now_ms - entry.latest.heard_ms
+        return LimitedServer(server_id, entry.latest.per_s, age_ms)
+
     def _update(
         self, server_id: str, entry: _Entry, observation: _Observation, now_ms: int
     ) -> LimitChange | None:
@@ -181,18 +201,18 @@
         entry = self._entries.get(server_id)
         return entry.latest.per_s if entry is not None else None
 
-    def sent(self, server_id: str, now_ms: int) -> int:
+    def sent(self, server_id: str, now_ms: int) -> float:
         """Return the requests of all daemons to a server within the window.
 
-        Those of the peers are as of their latest reports.
+        Those of the peers are as of their latest reports, less the part of them that
+        has left the window since.
         """
         entry = self._entries.get(server_id)
         if entry is None:
-            return 0
+            return 0.0
         reported = sum(
-            count
+            count * max(0.0, 1 - (now_ms - reported_ms) / const.WINDOW_MS)
             for count, reported_ms in entry.peer_sent.values()
-            if now_ms - reported_ms < const.WINDOW_MS
         )
         return self._own_sent(entry, now_ms) + reported
 
@@ -204,7 +224,7 @@
                 entry.latest.per_s,
                 entry.latest.source,
                 now_ms - entry.latest.heard_ms,
-                self.sent(server_id, now_ms),
+                round(self.sent(server_id, now_ms), 1),
             )
             for server_id, entry in self._entries.items()
             if entry.latest.per_s is not None
--- a/packages/core/src/cowsliphitch/core/servers/placement.py
+++ b/packages/core/src/cowsliphitch/core/servers/placement.py
@@ -90,13 +90,23 @@
         :param excluded: servers that already failed this request
         :returns: ``None`` if no server is eligible
         """
+        return next(iter(self.ranked(servers, now_ms, excluded)), None)
+
+    def ranked(
+        self,
+        servers: Sequence[Server],
+        now_ms: int,
+        excluded: frozenset[str] = frozenset(),
+    ) -> list[Server]:
+        """Return the eligible servers, the least loaded first; ties are random.
+
+        :param excluded: servers that already failed this request
+        """
         eligible = [s for s in servers if s.id not in excluded]
         healthy = [
             s for s in eligible if self._stats_of(s.id).backoff_until_ms <= now_ms
         ]
         candidates = healthy or eligible
-        if not candidates:
-            return None
         latencies_ms = [
             latency_ms
             for s in candidates
@@ -105,7 +115,7 @@
         median_ms = (
             sorted(latencies_ms)[len(latencies_ms) // 2] if latencies_ms else 0.0
         )
-        return min(
+        return sorted(
             candidates,
             key=lambda s: (self._load(s, median_ms, now_ms), self._rng.random()),
         )
--- a/packages/core/src/cowsliphitch/core/verdict.py
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -29,6 +29,7 @@
     DEADLINE_UNREACHABLE = "deadline-unreachable"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     QUEUE_FULL = "queue-full"
+    RATE_LIMITED = "rate-limited"
     NO_UPSTREAM = "no-upstream"
     CONNECT_FAILED = "connect-failed"
     CONNECT_TIMEOUT = "connect-timeout"
@@ -59,6 +60,7 @@
     Reason.DEADLINE_UNREACHABLE: 503,
     Reason.DEADLINE_EXCEEDED: 504,
     Reason.QUEUE_FULL: 429,
+    Reason.RATE_LIMITED: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.CONNECT_FAILED: 502,
     Reason.CONNECT_TIMEOUT: 502,
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -32,6 +32,7 @@
 from .forwarding import Forwarder
 from .handler import RequestHandler
 from .metrics import RequestMetrics
+from .permits import PermitOffice
 from .server_client import ServerClient
 from .settings import GatewaySettings
 from .stage_executor import StageExecutor
@@ -98,9 +99,12 @@
         )
         self._peer_connections = PeerConnections()
         self._server_connections = ConnectionPool(header_names.REQUEST_ID, group, clock)
-        self._server_client = ServerClient(state, self._server_connections)
+        self._permits = PermitOffice(state, self._peer_connections)
+        self._server_client = ServerClient(
+            state, self._server_connections, self._permits
+        )
         self._stage_executor = StageExecutor(
-            state, self._server_client, _cost_weights(cfg), group
+            state, self._server_client, self._permits, _cost_weights(cfg), group
         )
         quarantine = EngineQuarantine(state, group)
         self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, group)
@@ -136,6 +140,7 @@
         handlers = PeerRequestHandlers(
             self._stage_executor.run_stages,
             self._stage_executor.record_progress,
+            self._permits.grant,
             self._newer_document,
         )
         host, _, port = cfg.listen.peers.rpartition(":")
@@ -168,6 +173,7 @@
             servers = self._state.servers.all()
             self._state.placement.retain_servers({s.id for s in servers})
             self._state.server_limits.retain_servers(servers, now)
+            self._permits.evict_expired()
             await self._server_connections.close_stale(
                 server.address for server in servers
             )
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -88,3 +88,13 @@
 # over the engine's network link.  With this delay before the inputs are freed, engines
 # no longer refused requests because of lost inputs.
 RESULT_FETCH_TIME_MS: Final = 100
+
+# Part of the time left to its objective that a request waits for a limited server.
+MAX_PERMIT_WAIT_SHARE: Final = 0.5
+
+# Time for which a denied permit also denies later requests to the same servers, so that
+# an overload of limited servers does not become one of the daemon that grants permits.
+DENIAL_CACHE_MS: Final = 200
+
+# Longest wait of a request that frees stage results at a limited server.
+MAX_FREE_RESULTS_WAIT_MS: Final = 800
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -20,6 +20,7 @@
 from cowsliphitch.telemetry.logs import event
 
 from .engine_quarantine import EngineQuarantine
+from .server_client import log_limit_change
 from .state import GatewayState
 from .store_coordinator import StoreCoordinator
 
@@ -101,6 +102,12 @@
             interval_ms=interval_ms,
             capacity=state.members.own.capacity,
             suspect_parts=state.prompt_parts.next_reports(state.clock.now_ms()),
+            limits={
+                server_checksum(server_id): report
+                for server_id, report in state.server_limits.next_reports(
+                    state.clock.now_ms()
+                ).items()
+            },
         )
 
     async def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -140,6 +147,17 @@
                     was_removed=report.was_removed,
                     source=heartbeat.name,
                 )
+        limit_changes = state.server_limits.merge(
+            {
+                id_by_checksum[checksum]: report
+                for checksum, report in heartbeat.limits.items()
+                if checksum in id_by_checksum
+            },
+            heartbeat.name,
+            now,
+        )
+        for change in limit_changes:
+            log_limit_change(change)
         if heartbeat.suspect_parts:
             self._quarantine.merge(heartbeat.suspect_parts, heartbeat.name)
         if (
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -34,6 +34,7 @@
 
 from . import const
 from .engine_quarantine import EngineQuarantine
+from .permits import Permit
 from .relay import EventSplitter, StreamProgress, last_event_id, relay_buffered_answer
 from .server_client import Purpose, ServerClient
 from .state import GatewayState
@@ -47,6 +48,12 @@
 # returns one may have run it, so its answer is not passed on.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# Failures of a server that was sent nothing.
+NOT_SENT_REASONS = frozenset({Reason.UPSTREAM_LEAVING, Reason.RATE_LIMITED})
+
+# Failures that are no evidence against the server.
+BLAMELESS_REASONS = frozenset({Reason.RESULT_LOST, Reason.RATE_LIMITED})
+
 # Failures after which a server is avoided for a while.
 UNREACHABLE_REASONS = frozenset(
     {Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT, Reason.CONNECTION_LOST}
@@ -60,6 +67,7 @@
     :param priority: 0 goes first
     :param deadline_ms: monotonic time by which the final answer must be sent
     :param preferred_server: server of the first attempt, if it is still usable
+    :param permit: permit for the preferred or chosen server, if it is limited
     :param stage_results: handles of the stage results that the engine reads as inputs
     :param choose_server: chooses the server of an attempt instead of the forwarder,
         ``None`` if the forwarder chooses
@@ -77,6 +85,7 @@
     priority: int
     deadline_ms: int
     preferred_server: Server | None = None
+    permit: Permit | None = None
     stage_results: tuple[str, ...] = ()
     choose_server: Callable[[], Awaitable[Server | None]] | None = None
     on_sent: Callable[[], None] = lambda: None
@@ -109,20 +118,35 @@
         self._allowance = allowance
         self._budgets: dict[str, SlidingWindowRetryBudget] = {}
 
-    def choose_server(self, ctx: RequestContext) -> Server | None:
-        """Return the server for the next attempt, ``None`` if none is ready."""
-        return self._state.placement.choose(
+    async def choose_server(self, ctx: RequestContext) -> Server | None:
+        """Return the server for the next attempt, ``None`` if none is ready.
+
+        :raises UpstreamError: all servers limit their requests
+        """
+        now = self._state.clock.now_ms()
+        servers = self._state.placement.ranked(
             self._state.servers.ready(ctx.service),
-            self._state.clock.now_ms(),
+            now,
             frozenset(ctx.attempts.tried_servers),
         )
+        if not servers:
+            return None
+        objective_left_ms = ctx.request.received_ms + ctx.route.objective_ms - now
+        max_wait_ms = max(0, round(objective_left_ms * const.MAX_PERMIT_WAIT_SHARE))
+        server, ctx.permit = await self._client.choose_permitted(
+            servers, max_wait_ms, ctx.request.id
+        )
+        return server
 
     async def run(self, ctx: RequestContext, reply: Reply) -> Refusal | None:
         """Forward a request; return the refusal if no complete answer was passed on."""
         budget = self._retry_budget(ctx.service)
         budget.record_request(self._state.clock.now_ms())
         while True:
-            server = await self._select_server(ctx)
+            try:
+                server = await self._select_server(ctx)
+            except UpstreamError as exc:
+                return self._final_refusal(ctx, exc.refusal)
             quarantine_refusal = self._quarantine.refusal_of(ctx.request)
             if quarantine_refusal is not None:
                 return self._final_refusal(ctx, quarantine_refusal)
@@ -147,7 +171,7 @@
                 and not self._quarantine.may_retry(ctx.request)
             ):
                 return self._final_refusal(ctx, refusal)
-            if refusal.reason is Reason.UPSTREAM_LEAVING:
+            if refusal.reason in NOT_SENT_REASONS:
                 # Nothing was sent, so the next attempt is not a retry.
                 continue
             if not budget.try_acquire(self._state.members.allowance_divisor(now), now):
@@ -160,7 +184,7 @@
             return server
         if ctx.choose_server is not None:
             return await ctx.choose_server()
-        return self.choose_server(ctx)
+        return await self.choose_server(ctx)
 
     def _record_failure(
         self, ctx: RequestContext, server: Server, refusal: Refusal
@@ -168,8 +192,7 @@
         ctx.attempts.record(server.id, refusal.verdict)
         is_unreachable = refusal.reason in UNREACHABLE_REASONS
         now = self._state.clock.now_ms()
-        if refusal.reason is not Reason.RESULT_LOST:
-            # Lost stage results are no evidence against the engine.
+        if refusal.reason not in BLAMELESS_REASONS:
             self._state.placement.record_failure(server.id, now, is_unreachable)
             ctx.on_failure()
         if ctx.stream_progress.first_event_ms is None:
@@ -206,6 +229,9 @@
         :raises UpstreamError: the server gave no answer that may be passed on
         """
         ctx.server_id = server.id
+        permit, ctx.permit = ctx.permit, None
+        if permit is not None:
+            await self._client.wait_for(permit)
         now = self._state.clock.now_ms()
         options = wire.ForwardingOptions(
             remaining_ms=ctx.deadline_ms - now,
@@ -222,7 +248,7 @@
         placement.record_sent(server.id)
         ctx.on_sent()
         try:
-            async with self._exchange(ctx, server, request) as answer:
+            async with self._exchange(ctx, server, request, permit) as answer:
                 metadata = wire.decode_head(answer.head)
                 await self._check_answer(answer, metadata, ctx)
                 placement.record_answer(server.id, self._state.clock.now_ms() - now)
@@ -239,7 +265,11 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, ctx: RequestContext, server: Server, request: OutgoingRequest
+        self,
+        ctx: RequestContext,
+        server: Server,
+        request: OutgoingRequest,
+        permit: Permit | None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield the answer.
 
@@ -253,7 +283,7 @@
             self._client.cancel_if_unreachable(server) if may_repeat else nullcontext()
         ):
             async with self._client.exchange(
-                server, request, max_connections, Purpose.REQUEST
+                server, request, max_connections, Purpose.REQUEST, permit
             ) as answer:
                 yield answer
 
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -23,7 +23,11 @@
     may_have_run,
     not_run,
 )
-from cowsliphitch.peers.fleet.models import EngineProgress, EngineProgressReport
+from cowsliphitch.peers.fleet.models import (
+    EngineProgress,
+    EngineProgressReport,
+    StagesCompleted,
+)
 from cowsliphitch.platform.callers import decode_request, encode_refusal
 from cowsliphitch.telemetry.logs import event
 
@@ -31,6 +35,7 @@
 from .engine_quarantine import EngineQuarantine
 from .forwarding import Forwarder, RequestContext
 from .metrics import RequestMetrics
+from .permits import Permit
 from .stage_runner import StageError, StageRunner, StageRunParams, StageRunResult
 from .state import GatewayState
 
@@ -315,6 +320,7 @@
         log_fields.stages_ms = self._state.clock.now_ms() - started_ms
         ctx.stage_results = result.completed.handles
         ctx.preferred_server = self._state.servers.get(result.completed.engine_id)
+        ctx.permit = self._permit_of(result.completed)
         reporter = EngineProgressReporter(self._stage_runner, ctx.request.id, result)
 
         async def choose_engine() -> Server | None:
@@ -340,6 +346,7 @@
             if not engine_only:
                 ctx.stage_results = chosen.completed.handles
             reporter.set_assignment(chosen)
+            ctx.permit = self._permit_of(chosen.completed)
             return self._state.servers.get(chosen.completed.engine_id)
 
         ctx.choose_server = choose_engine
@@ -351,6 +358,13 @@
         finally:
             reporter.close()
 
+    def _permit_of(self, completed: StagesCompleted) -> Permit | None:
+        """Return the permit that the owner gave with the choice of an engine."""
+        if completed.permit_wait_ms is None:
+            return None
+        now = self._state.clock.now_ms()
+        return Permit(completed.engine_id, now + completed.permit_wait_ms)
+
     async def _send_refusal(
         self, request: CallerRequest | None, refusal: Refusal, reply: Reply
     ) -> None:
--- /dev/null
+++ b/packages/gateway/src/cowsliphitch/gateway/permits.py
@@ -0,0 +1,187 @@
+"""Permits for requests to servers that name a limit.
+
+The daemon that holds the duty for a service's pool group grants them.  For model
+engines and stage servers it chooses the server anyway; for other services, the daemons
+ask it for each request to a limited server.
+"""
+
+import logging
+import random
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from cowsliphitch.core.limits.grants import RateGrants
+from cowsliphitch.core.limits.models import (
+    Decision,
+    Denied,
+    Granted,
+    LimitedServer,
+    PermitRequest,
+)
+from cowsliphitch.core.servers.models import Server
+from cowsliphitch.peers.fleet.models import PeerCallFailed
+from cowsliphitch.peers.fleet.rpc import PeerConnections
+from cowsliphitch.telemetry.logs import event
+
+from . import const
+from .state import GatewayState, duty_name
+
+_LOGGER = logging.getLogger(__name__)
+
+# Source in logs of a limit that a daemon named when it asked for a permit.
+_REQUEST_SOURCE = "permit request"
+
+
+@attrs.frozen
+class Permit:
+    """Permit to send one request to a limited server.
+
+    :param send_ms: monotonic time from which it may be sent
+    """
+
+    server_id: str
+    send_ms: int
+
+
+class PermitOffice:
+    """Get permits from the granting daemon, and grant them if this is the one."""
+
+    def __init__(self, state: GatewayState, peers: PeerConnections) -> None:
+        """Initialize without any grant.
+
+        :param peers: connections to the other daemons
+        """
+        self._state = state
+        self._peers = peers
+        self._grants = RateGrants(state.server_limits)
+        # Monotonic time until which requests for a service's servers are denied without
+        # a call, by the servers.
+        self._denied_until_ms: dict[tuple[str, ...], int] = {}
+        self._rng = random.Random(0)
+
+    def limited(self, servers: Sequence[Server]) -> list[LimitedServer]:
+        """Return what is known of those servers that are limited, in their order."""
+        now = self._state.clock.now_ms()
+        described = (self._state.server_limits.describe(s.id, now) for s in servers)
+        return [limited for limited in described if limited is not None]
+
+    async def acquire(
+        self, service: str, servers: Sequence[Server], max_wait_ms: int, request_id: str
+    ) -> Permit | Denied:
+        """Get a permit for one of a service's limited servers, the preferred one first.
+
+        :param max_wait_ms: longest time until the request may be sent
+        """
+        limited = self.limited(servers)
+        now = self._state.clock.now_ms()
+        if not limited:
+            return Permit(servers[0].id, now)
+        key = tuple(sorted(server.server_id for server in limited))
+        denied_ms = self._denied_until_ms.get(key, 0) - now
+        if denied_ms > 0:
+            # Callers that were denied together would return together.
+            spread_ms = self._rng.uniform(0, const.DENIAL_CACHE_MS)
+            return Denied(key[0], denied_ms + round(spread_ms))
+        request = PermitRequest(request_id, service, limited, max_wait_ms)
+        match await self._ask(request):
+            case Granted(server_id, wait_ms):
+                return Permit(server_id, self._state.clock.now_ms() + wait_ms)
+            case Denied(retry_after_ms=retry_after_ms) as denied:
+                cached_ms = min(retry_after_ms - max_wait_ms, const.DENIAL_CACHE_MS)
+                self._denied_until_ms[key] = self._state.clock.now_ms() + cached_ms
+                return denied
+
+    async def _ask(self, request: PermitRequest) -> Decision:
+        own = self._state.members.own.address
+        now = self._state.clock.now_ms()
+        owner = self._state.members.owner_candidates(self._duty(request.service), now)
+        if owner[0].address == own:
+            return self.grant(request)
+        reply = await self._peers.acquire_permit(owner[0].address, request)
+        if isinstance(reply, PeerCallFailed):
+            event(
+                _LOGGER,
+                "permit.owner_lost",
+                request=request.request_id,
+                owner=owner[0].address,
+                cause=reply.detail,
+            )
+            return self.grant(request)
+        return reply
+
+    def grant(self, request: PermitRequest) -> Decision:
+        """Grant or deny a request, of a peer or of this daemon."""
+        now = self._state.clock.now_ms()
+        self._state.server_limits.learn(request.servers, _REQUEST_SOURCE, now)
+        return self.decide(
+            request.service,
+            [server.server_id for server in request.servers],
+            request.max_wait_ms,
+            request.request_id,
+        )
+
+    def decide(
+        self,
+        service: str,
+        server_ids: Sequence[str],
+        max_wait_ms: float,
+        request_id: str,
+    ) -> Decision:
+        """Grant a request to one of a service's servers, or deny it, and log that."""
+        now = self._state.clock.now_ms()
+        share = self._share(service, now)
+        decision = self._grants.decide(server_ids, share, max_wait_ms, now)
+        known = self._state.server_limits.describe(decision.server_id, now)
+        if known is None:
+            return decision
+        fields: dict[str, Any] = {
+            "request": request_id,
+            "server": decision.server_id,
+            "per_s": known.per_s,
+            "age_ms": known.age_ms,
+            "share": round(share, 3),
+            "sent": round(self._state.server_limits.sent(decision.server_id, now), 1),
+        }
+        match decision:
+            case Granted(wait_ms=wait_ms):
+                event(_LOGGER, "permit.granted", wait_ms=wait_ms, **fields)
+            case Denied(retry_after_ms=retry_after_ms):
+                event(_LOGGER, "permit.denied", retry_after_ms=retry_after_ms, **fields)
+        return decision
+
+    def rate_per_s(self, server: Server) -> float | None:
+        """Return the requests a second to a server, ``None`` without a limit."""
+        return self._state.server_limits.rate_of(server.id)
+
+    def wait_ms(self, server: Server, now_ms: int) -> float:
+        """Return the time until this daemon could grant a request to a server."""
+        if self._state.server_limits.rate_of(server.id) is None:
+            return 0.0
+        share = self._share(server.service, now_ms)
+        return self._grants.wait_ms(server.id, share, now_ms)
+
+    def _share(self, service: str, now_ms: int) -> float:
+        """Return the part of the servers' rates that this daemon may grant."""
+        members = self._state.members
+        duty = self._duty(service)
+        if not self._state.stopping and members.acquire_duty(duty, now_ms):
+            event(_LOGGER, "duty.taken", duty=duty)
+        if members.owner_candidates(duty, now_ms)[0].address == members.own.address:
+            return members.fleet_share(now_ms)
+        return 1 / members.allowance_divisor(now_ms)
+
+    def _duty(self, service: str) -> str:
+        deployment = self._state.deployment
+        return duty_name(deployment.pool_group(service) if deployment else service)
+
+    def evict_expired(self) -> None:
+        """Forget the servers that are no longer limited, and denials that are over."""
+        self._grants.retain_limited()
+        now = self._state.clock.now_ms()
+        self._denied_until_ms = {
+            key: until_ms
+            for key, until_ms in self._denied_until_ms.items()
+            if until_ms > now
+        }
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -11,6 +11,7 @@
 import enum
 import itertools
 import logging
+import operator
 from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 
@@ -21,7 +22,7 @@
     UNREACHABLE_AFTER_REFUSALS,
     Reachability,
 )
-from cowsliphitch.core.limits.models import LimitChange, UnreadableLimit
+from cowsliphitch.core.limits.models import Denied, LimitChange, UnreadableLimit
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.verdict import Reason, may_have_run, not_run
 from cowsliphitch.platform import servers as wire
@@ -35,6 +36,7 @@
 from cowsliphitch.upstreams.http1.pool import Answer, ConnectionPool
 
 from . import const
+from .permits import Permit, PermitOffice
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -51,12 +53,16 @@
 class ServerClient:
     """Send requests to servers and track the reachability of failure domains."""
 
-    def __init__(self, state: GatewayState, pool: ConnectionPool) -> None:
+    def __init__(
+        self, state: GatewayState, pool: ConnectionPool, permits: PermitOffice
+    ) -> None:
         """Initialize with all failure domains reachable.
 
         :param pool: connections to the servers
+        :param permits: where permits for limited servers are got
         """
         self._state = state
+        self._permits = permits
         self._pool = pool
         self._reachability = Reachability(state.members.own.failure_domain)
         self._cancel_scopes: dict[str, set[anyio.CancelScope]] = {}
@@ -68,15 +74,22 @@
         request: OutgoingRequest,
         max_connections: int,
         purpose: Purpose,
+        permit: Permit | None = None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer, once the head has been read.
 
+        Without a permit, a request to a limited server gets one first.
+
         :param max_connections: connections to the server that may be open at a time
         :raises UpstreamError: the server sent no answer, or may get nothing more
         """
         has_answered = False
         chosen_ms = self._state.clock.now_ms()
         self._check_usable(server, purpose)
+        if permit is None or permit.server_id != server.id:
+            permit = await self._acquire_permit(server, request, purpose)
+        if permit is not None:
+            await self.wait_for(permit)
 
         def before_send() -> None:
             # The server may have left while the connection was opened.
@@ -97,6 +110,60 @@
                 self._record_failure(server, exc.refusal.reason)
             raise
 
+    async def choose_permitted(
+        self, servers: Sequence[Server], max_wait_ms: int, request_id: str
+    ) -> tuple[Server, Permit | None]:
+        """Choose the first server that takes a request now or soon.
+
+        :param servers: servers of one service, the preferred one first
+        :param max_wait_ms: longest time until the request may be sent
+        :raises UpstreamError: all servers are limited, and none takes it in time
+        """
+        is_limited = [self._permits.rate_per_s(s) is not None for s in servers]
+        if not is_limited[0]:
+            return servers[0], None
+        limited = list(itertools.compress(servers, is_limited))
+        unlimited = next(
+            itertools.compress(servers, map(operator.not_, is_limited)), None
+        )
+        decision = await self._permits.acquire(
+            servers[0].service,
+            limited,
+            0 if unlimited is not None else max_wait_ms,
+            request_id,
+        )
+        match decision:
+            case Permit(server_id):
+                return next(s for s in limited if s.id == server_id), decision
+            case Denied() if unlimited is not None:
+                return unlimited, None
+            case Denied(retry_after_ms=retry_after_ms):
+                detail = f"all {len(servers)} servers limit their requests"
+                raise UpstreamError(
+                    not_run(Reason.RATE_LIMITED, detail, retry_after_ms)
+                )
+
+    async def _acquire_permit(
+        self, server: Server, request: OutgoingRequest, purpose: Purpose
+    ) -> Permit | None:
+        """Get a permit for a server, ``None`` if it is not limited.
+
+        :raises UpstreamError: the server takes no more requests for now
+        """
+        if self._permits.rate_per_s(server) is None:
+            return None
+        max_wait_ms = (
+            const.MAX_FREE_RESULTS_WAIT_MS if purpose is Purpose.FREE_RESULTS else 0
+        )
+        request_id = request.request_id.decode("latin-1")
+        _, permit = await self.choose_permitted((server,), max_wait_ms, request_id)
+        return permit
+
+    async def wait_for(self, permit: Permit) -> None:
+        """Wait until a permit's request may be sent."""
+        wait_ms = permit.send_ms - self._state.clock.now_ms()
+        await anyio.sleep(seconds(max(0, wait_ms)))
+
     def _check_usable(self, server: Server, purpose: Purpose) -> None:
         """Check that a server still takes what is about to be sent.
 
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -28,8 +28,9 @@
     StagesDone,
     StagesFailed,
 )
-from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.clock import MS_PER_SECOND, seconds
 from cowsliphitch.core.engines.selector import CostWeights, EngineChoice, EngineSelector
+from cowsliphitch.core.limits.models import Denied, Granted
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
 from cowsliphitch.peers.fleet.models import (
@@ -46,8 +47,9 @@
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
 
 from . import const
+from .permits import PermitOffice
 from .server_client import Purpose, ServerClient
-from .state import GatewayState
+from .state import GatewayState, duty_name
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -56,10 +58,12 @@
 class _PendingRequest:
     """A request whose stages are running.
 
+    :param engine_service: service whose engines it needs afterwards
     :param done: set when the stages have ended
     :param outcome: set before ``done``
     """
 
+    engine_service: str
     done: anyio.Event = attrs.Factory(anyio.Event)
     outcome: StagesDone | StagesFailed | None = None
 
@@ -84,18 +88,21 @@
         self,
         state: GatewayState,
         client: ServerClient,
+        permits: PermitOffice,
         costs: CostWeights,
         group: TaskGroup,
     ) -> None:
         """Initialize without stage pools.
 
+        :param permits: grants requests to limited servers
         :param group: task group of the calls to servers
         """
         self._state = state
         self._client = client
+        self._permits = permits
         self._group = group
-        self.planner = StagePlanner(state.servers.ready)
-        self.engine_selector = EngineSelector(costs)
+        self.planner = StagePlanner(state.servers.ready, permits)
+        self.engine_selector = EngineSelector(costs, permits)
         self._pending: dict[int, _PendingRequest] = {}
         self._applied_version = 0
 
@@ -124,11 +131,16 @@
             return StagesRefused(refusal)
         if not any(request.piece_counts):
             return self._assign_engine(request, choice, ())
+        limit_refusal = self._check_engine_limits(request, now)
+        if limit_refusal is not None:
+            return StagesRefused(limit_refusal)
         admitted = self.planner.admit(_stage_request(request, choice, now), now)
         if isinstance(admitted, Refusal):
             return StagesRefused(admitted)
         _log_admission(request, admitted)
-        pending = self._pending[admitted.execution_id] = _PendingRequest()
+        pending = self._pending[admitted.execution_id] = _PendingRequest(
+            request.engine_service
+        )
         self._start_calls()
         try:
             await pending.done.wait()
@@ -144,6 +156,33 @@
                 return StagesRefused(attrs.evolve(refusal, stage=str(stage)))
         raise AssertionError("the stages ended without an outcome")
 
+    def _check_engine_limits(
+        self, request: RunStagesRequest, now_ms: int
+    ) -> Refusal | None:
+        """Return the refusal of a request whose place at an engine comes too late.
+
+        The requests whose stages are running get their places first.
+        """
+        engines = self._state.servers.ready(request.engine_service)
+        rates = [self._permits.rate_per_s(engine) for engine in engines]
+        total_per_s = sum(rate for rate in rates if rate is not None)
+        if None in rates or not total_per_s:
+            return None
+        ahead = sum(
+            pending.engine_service == request.engine_service
+            for pending in self._pending.values()
+        )
+        wait_ms = min(self._permits.wait_ms(engine, now_ms) for engine in engines)
+        wait_ms += ahead / total_per_s * MS_PER_SECOND
+        late_ms = wait_ms - max(0, request.objective_remaining_ms)
+        if late_ms <= 0:
+            return None
+        detail = (
+            f"all engines limit their requests; a place is free in {wait_ms:.0f} ms"
+        )
+        retry_after_ms = max(const.NO_ENGINE_RETRY_AFTER_MS, round(late_ms))
+        return not_run(Reason.RATE_LIMITED, detail, retry_after_ms)
+
     def _refuse_overload(self, request: RunStagesRequest, now_ms: int) -> StagesRefused:
         """Refuse a new request because this daemon can't keep up."""
         delay_ms = self._state.loop_delay.delay_ms(now_ms)
@@ -196,8 +235,26 @@
 
     def _assign_engine(
         self, request: RunStagesRequest, choice: EngineChoice, results: StageResults
-    ) -> StagesCompleted:
+    ) -> RunStagesReply:
+        """Dispatch a request to an engine, if the engine's limit allows it."""
         now = self._state.clock.now_ms()
+        permit_wait_ms: int | None = None
+        if self._permits.rate_per_s(choice.server) is not None:
+            decision = self._permits.decide(
+                request.engine_service,
+                (choice.server.id,),
+                self._max_engine_wait_ms(request, results),
+                request.request_id,
+            )
+            match decision:
+                case Denied(retry_after_ms=retry_after_ms):
+                    self._execute_commands(itertools.starmap(FreeResults, results))
+                    detail = f"{choice.server.id} limits its requests"
+                    return StagesRefused(
+                        not_run(Reason.RATE_LIMITED, detail, retry_after_ms)
+                    )
+                case Granted(wait_ms=permit_wait_ms):
+                    pass
         event(
             _LOGGER,
             "engine.chosen",
@@ -211,7 +268,17 @@
         self.engine_selector.record_dispatch(
             request.request_id, choice.server, request.generation, now
         )
-        return StagesCompleted(results, choice.server.id)
+        return StagesCompleted(results, choice.server.id, permit_wait_ms)
+
+    def _max_engine_wait_ms(
+        self, request: RunStagesRequest, results: StageResults
+    ) -> float:
+        """Return the longest wait for a limited engine.
+
+        A request whose stages have run waits longer, since their work would be lost.
+        """
+        left_ms = request.remaining_ms if results else request.objective_remaining_ms
+        return max(0.0, left_ms * const.MAX_PERMIT_WAIT_SHARE)
 
     def _bytes_by_domain(
         self, request: RunStagesRequest, results: StageResults
@@ -428,11 +495,6 @@
     return exc.refusal.verdict is not Verdict.NOT_RUN
 
 
-def duty_name(group: str) -> str:
-    """Return the name of the duty to run the stages of a group of pools."""
-    return f"stages/{group}"
-
-
 def _stage_request(
     request: RunStagesRequest, choice: EngineChoice, now_ms: int
 ) -> StageRequest:
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -28,8 +28,8 @@
 from cowsliphitch.telemetry.logs import event
 
 from . import const
-from .stage_executor import StageExecutor, duty_name
-from .state import GatewayState
+from .stage_executor import StageExecutor
+from .state import GatewayState, duty_name
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -64,3 +64,8 @@
     def can_serve(self) -> bool:
         """Return whether settings are active and the servers were listed."""
         return self.deployment is not None and self.servers.has_listing
+
+
+def duty_name(group: str) -> str:
+    """Return the name of the duty to call the servers of a group of pools."""
+    return f"stages/{group}"
--- a/packages/peers/src/cowsliphitch/peers/fleet/const.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/const.py
@@ -10,6 +10,10 @@
 REPORT_PROGRESS_TIMEOUT_S: Final = 1.0
 FETCH_DOCUMENT_TIMEOUT_S: Final = 1.0
 
+# A request waits for this call, and the daemon that grants permits answers without
+# waiting for anything.
+ACQUIRE_PERMIT_TIMEOUT_S: Final = 0.15
+
 # Added to a request's remaining time, so that the peer can answer at the deadline.
 RUN_STAGES_TIMEOUT_MARGIN_S: Final = 0.1
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -5,11 +5,20 @@
 """
 
 import functools
+import math
 import zlib
 from collections.abc import Iterable
 
 from cowsliphitch.core.deployment.models import StageSpec
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
+from cowsliphitch.core.limits.models import (
+    Decision,
+    Denied,
+    Granted,
+    LimitedServer,
+    LimitReport,
+    PermitRequest,
+)
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation, PromptPart
 from cowsliphitch.core.servers.load import ServerLoad
@@ -75,6 +84,15 @@
             )
             for report in heartbeat.suspect_parts
         ],
+        limits=[
+            pb.ServerLimit(
+                server=server,
+                per_s=report.per_s or 0.0,
+                age_ms=report.age_ms,
+                sent=report.sent,
+            )
+            for server, report in heartbeat.limits.items()
+        ],
     )
     return bytes(message.SerializeToString())
 
@@ -119,6 +137,10 @@
             )
             for row in message.suspect_parts
         ),
+        limits={
+            row.server: LimitReport(row.per_s or None, row.age_ms, row.sent)
+            for row in message.limits
+        },
     )
 
 
@@ -228,8 +250,13 @@
 def reply_to_wire(reply: RunStagesReply) -> pb.StagesReply:
     """Encode the reply to a request to run stages."""
     match reply:
-        case StagesCompleted(results, engine_id):
-            return pb.StagesReply(results=_results_to_wire(results), engine=engine_id)
+        case StagesCompleted(results, engine_id, permit_wait_ms):
+            return pb.StagesReply(
+                results=_results_to_wire(results),
+                engine=engine_id,
+                permitted=permit_wait_ms is not None,
+                permit_wait_ms=permit_wait_ms or 0,
+            )
         case StagesRefused(refusal):
             return pb.StagesReply(
                 reason=refusal.reason.value,
@@ -245,7 +272,11 @@
     :raises ValueError: the reason of the refusal is unknown
     """
     if not message.reason:
-        return StagesCompleted(_results_from_wire(message.results), message.engine)
+        return StagesCompleted(
+            _results_from_wire(message.results),
+            message.engine,
+            message.permit_wait_ms if message.permitted else None,
+        )
     return StagesRefused(
         Refusal(
             Verdict.NOT_RUN,
@@ -255,3 +286,47 @@
             retry_after_ms=message.retry_after_ms or None,
         )
     )
+
+
+def permit_request_to_wire(request: PermitRequest) -> pb.PermitRequest:
+    """Encode a request for a permit."""
+    return pb.PermitRequest(
+        request=request.request_id,
+        service=request.service,
+        servers=[
+            pb.LimitedServer(
+                server=server.server_id, per_s=server.per_s, age_ms=server.age_ms
+            )
+            for server in request.servers
+        ],
+        max_wait_ms=max(0, request.max_wait_ms),
+    )
+
+
+def permit_request_from_wire(message: pb.PermitRequest) -> PermitRequest:
+    """Decode a request for a permit.
+
+    :raises ValueError: it names no server, or a rate that is not positive
+    """
+    servers = tuple(
+        LimitedServer(row.server, row.per_s, row.age_ms) for row in message.servers
+    )
+    if not servers or not all(0 < server.per_s < math.inf for server in servers):
+        raise ValueError("the request for a permit names no server or no rate")
+    return PermitRequest(message.request, message.service, servers, message.max_wait_ms)
+
+
+def decision_to_wire(decision: Decision) -> pb.PermitReply:
+    """Encode the decision on a request for a permit."""
+    match decision:
+        case Granted(server_id, wait_ms):
+            return pb.PermitReply(granted=True, server=server_id, wait_ms=wait_ms)
+        case Denied(server_id, retry_after_ms):
+            return pb.PermitReply(server=server_id, retry_after_ms=retry_after_ms)
+
+
+def decision_from_wire(message: pb.PermitReply) -> Decision:
+    """Decode the decision on a request for a permit."""
+    if message.granted:
+        return Granted(message.server, message.wait_ms)
+    return Denied(message.server, message.retry_after_ms)
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -8,6 +8,7 @@
 
 from cowsliphitch.core.deployment.models import StageSpec
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
+from cowsliphitch.core.limits.models import Decision, LimitReport, PermitRequest
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.load import ServerLoad
@@ -34,6 +35,8 @@
         name
     :param capacity: processor capacity of the daemon's VM
     :param suspect_parts: prompt parts that may crash engines
+    :param limits: limits that servers named to the daemon, by checksum of the server's
+        identifier
     """
 
     name: str
@@ -49,6 +52,7 @@
     interval_ms: int = HEARTBEAT_INTERVAL_MS
     capacity: float = DEFAULT_CAPACITY
     suspect_parts: tuple[PartReport, ...] = ()
+    limits: dict[int, LimitReport] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -93,10 +97,13 @@
 
     :param results: service and result handles of each final stage
     :param engine_id: identifier of the engine that was chosen for the request
+    :param permit_wait_ms: time until the request may be sent to a limited engine,
+        ``None`` if no permit was given since the engine is not limited
     """
 
     results: StageResults
     engine_id: str
+    permit_wait_ms: int | None = None
 
     @property
     def handles(self) -> tuple[str, ...]:
@@ -153,10 +160,12 @@
 
     :param run_stages: runs the stages of a request
     :param record_progress: records the progress of a request at its engine
+    :param grant_permit: grants or denies a request to a limited server
     :param get_document: returns version and content of the operator's document if it
         is newer than the given version, otherwise version 0 and no content
     """
 
     run_stages: Callable[[RunStagesRequest], Awaitable[RunStagesReply]]
     record_progress: Callable[[EngineProgressReport], None]
+    grant_permit: Callable[[PermitRequest], Decision]
     get_document: Callable[[int], tuple[int, bytes]]
--- a/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
@@ -11,6 +11,7 @@
 from grpclib.server import Server
 
 from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.limits.models import Decision, PermitRequest
 
 from ..wire import fleet_pb2 as pb
 from ..wire.fleet_grpc import FleetBase, FleetStub
@@ -59,6 +60,16 @@
         )
         await stream.send_message(pb.ProgressReply())
 
+    async def AcquirePermit(self, stream: Any) -> None:
+        """Grant or deny a peer's request to a limited server."""
+        message = await _receive(stream)
+        try:
+            request = convert.permit_request_from_wire(message)
+        except ValueError as exc:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
+        decision = self._handlers.grant_permit(request)
+        await stream.send_message(convert.decision_to_wire(decision))
+
     async def FetchDocument(self, stream: Any) -> None:
         """Return the operator's document if it is newer than the peer's."""
         message = await _receive(stream)
@@ -132,6 +143,24 @@
             return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
         return None
 
+    async def acquire_permit(
+        self, address: str, request: PermitRequest
+    ) -> Decision | PeerCallFailed:
+        """Ask a peer for a request to a limited server.
+
+        :returns: the decision, or why there is none
+        """
+        try:
+            reply = await _run_in_own_task(
+                self._stub(address).AcquirePermit(
+                    convert.permit_request_to_wire(request),
+                    timeout=const.ACQUIRE_PERMIT_TIMEOUT_S,
+                )
+            )
+        except _CALL_ERRORS as exc:
+            return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
+        return convert.decision_from_wire(reply)
+
     async def fetch_document(
         self, address: str, above_version: int
     ) -> bytes | PeerCallFailed | None:
--- a/packages/peers/src/cowsliphitch/peers/wire/fleet_grpc.py
+++ b/packages/peers/src/cowsliphitch/peers/wire/fleet_grpc.py
@@ -22,6 +22,10 @@
     async def Note(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.ProgressNote, cowsliphitch.peers.wire.fleet_pb2.ProgressReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AcquirePermit(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.PermitRequest, cowsliphitch.peers.wire.fleet_pb2.PermitReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchDocument(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.DocumentRequest, cowsliphitch.peers.wire.fleet_pb2.Document]') -> None:
         pass
@@ -40,6 +44,12 @@
                 cowsliphitch.peers.wire.fleet_pb2.ProgressNote,
                 cowsliphitch.peers.wire.fleet_pb2.ProgressReply,
             ),
+            '/cowsliphitch.fleet.Fleet/AcquirePermit': grpclib.const.Handler(
+                self.AcquirePermit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cowsliphitch.peers.wire.fleet_pb2.PermitRequest,
+                cowsliphitch.peers.wire.fleet_pb2.PermitReply,
+            ),
             '/cowsliphitch.fleet.Fleet/FetchDocument': grpclib.const.Handler(
                 self.FetchDocument,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -64,6 +74,12 @@
             cowsliphitch.peers.wire.fleet_pb2.ProgressNote,
             cowsliphitch.peers.wire.fleet_pb2.ProgressReply,
         )
+        self.AcquirePermit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cowsliphitch.fleet.Fleet/AcquirePermit',
+            cowsliphitch.peers.wire.fleet_pb2.PermitRequest,
+            cowsliphitch.peers.wire.fleet_pb2.PermitReply,
+        )
         self.FetchDocument = grpclib.client.UnaryUnaryMethod(
             channel,
             '/cowsliphitch.fleet.Fleet/FetchDocument',
