--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, Final, cast
 
 import attrs
@@ -134,9 +135,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         for n in range(daemon_count):
-            self.at(
-                self.rng.randrange(HEARTBEAT_INTERVAL_MS), lambda n=n: self._beat(n)
-            )
+            self.at(self.rng.randrange(HEARTBEAT_INTERVAL_MS), partial(self._beat, n))
 
     def _start(self, number: int) -> EmulatedDaemon:
         now = self.clock.now_ms()
@@ -175,7 +174,7 @@
 
     def _beat(self, number: int) -> None:
         daemon, now = self.daemons[number], self.clock.now_ms()
-        self.at(HEARTBEAT_INTERVAL_MS, lambda: self._beat(number))
+        self.at(HEARTBEAT_INTERVAL_MS, partial(self._beat, number))
         if daemon.frozen_ms > now:
             return
         members = daemon.state.members
@@ -190,7 +189,8 @@
         reports = daemon.state.server_limits.next_reports(now)
         claims, sequence = dict(members.claims), daemon.sequence
 
-        def receive(peer: EmulatedDaemon) -> None:
+        def receive(address: str) -> None:
+            peer = self.by_address(address)
             if not self.is_connected(daemon, peer):
                 return
             arrived_ms = self.clock.now_ms()
@@ -206,7 +206,7 @@
 
         for address in recipients.addresses:
             delay_ms = HEARTBEAT_DELAY_MS + self.rng.randrange(3)
-            self.at(delay_ms, lambda a=address: receive(self.by_address(a)))
+            self.at(delay_ms, partial(receive, address))
 
     def restart(self, number: int) -> None:
         """Kill a daemon; another process takes its place after ``RESTART_MS``."""
@@ -231,7 +231,7 @@
             if daemon.member.failure_domain == domain:
                 daemon.is_cut = True
                 daemon.excused_ms = self.clock.now_ms() + ms + EXCUSE_MS
-                self.at(ms, lambda d=daemon: setattr(d, "is_cut", False))
+                self.at(ms, partial(setattr, daemon, "is_cut", False))
 
     def granting_daemon(self) -> int:
         """Return the number of the daemon that grants permits, 0 if none does yet."""
@@ -247,7 +247,7 @@
         at_ms = 0.0
         while (at_ms := at_ms + self.rng.expovariate(per_s / MS_PER_SECOND)) < ms:
             (number,) = self.rng.choices(range(len(self.daemons)), weights)
-            self.at(at_ms, lambda n=number: self._request(n, is_return=False))
+            self.at(at_ms, partial(self._request, number, is_return=False))
 
     def _request(self, number: int, is_return: bool) -> None:
         daemon = self.daemons[number]
@@ -266,12 +266,12 @@
             self.outcomes.promises_ms.append(retry_after_ms)
             if not is_return:
                 other = self.rng.randrange(len(self.daemons))
-                self.at(retry_after_ms, lambda: self._request(other, is_return=True))
+                self.at(retry_after_ms, partial(self._request, other, is_return=True))
             return
         self.outcomes.returned_sent += is_return
         wait_ms = permit.send_ms - self.clock.now_ms() if permit else 0
         target = next(s for s in self.servers if s.server is server)
-        self.at(wait_ms, lambda: self._send(daemon, target))
+        self.at(wait_ms, partial(self._send, daemon, target))
 
     def _send(self, daemon: EmulatedDaemon, target: EmulatedServer) -> None:
         now = self.clock.now_ms()
@@ -280,7 +280,7 @@
         self.outcomes.sent += 1
         daemon.state.server_limits.record_sent(target.server.id, now)
         target.arrivals.append((now, daemon))
-        self.at(ANSWER_MS, lambda: self._answer(daemon, target))
+        self.at(ANSWER_MS, partial(self._answer, daemon, target))
 
     def _answer(self, daemon: EmulatedDaemon, target: EmulatedServer) -> None:
         now = self.clock.now_ms()
