--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -91,7 +91,12 @@
                     if events:
                         await anyio.sleep(seconds(self._watch_pause_ms()))
                 case Err(Compacted()):
-                    event(_LOGGER, "store.history_lost", revision=revision)
+                    event(
+                        _LOGGER,
+                        "store.history_lost",
+                        revision=revision,
+                        era=self._kv.era,
+                    )
                     return
                 case Err(Unavailable() as unavailable):
                     self._record_store_failure(unavailable)
@@ -144,7 +149,7 @@
         lease_id = granted.ok_value
         if isinstance(await self._kv.put(key, value, None, lease_id), Applied):
             self._lease_id = lease_id
-            event(_LOGGER, "member.registered", lease=lease_id)
+            event(_LOGGER, "member.registered", lease=lease_id, era=self._kv.era)
 
     def expire_servers(self, now_ms: int) -> None:
         """Remove the servers that did not register again after a store outage."""
@@ -175,6 +180,7 @@
             _LOGGER,
             "store.listed",
             revision=listing.at,
+            era=self._kv.era,
             servers=len(self._state.servers.all()),
             members=len(self._members),
             settings=self._state.versions.version,
@@ -195,7 +201,13 @@
         match change:
             case Deleted(revision=revision):
                 self._state.servers.remove(server_id, revision, now_ms)
-                event(_LOGGER, "server.removed", server=server_id, revision=revision)
+                event(
+                    _LOGGER,
+                    "server.removed",
+                    server=server_id,
+                    revision=revision,
+                    era=self._kv.era,
+                )
             case Entry():
                 server = self._decode_server(change)
                 if server is not None:
@@ -211,6 +223,7 @@
             address=server.address,
             state=server.state.value,
             revision=revision,
+            era=self._kv.era,
         )
 
     def _decode_server(self, entry: Entry) -> Server | None:
