--- a/packages/standins/src/cowsliphitch/standins/kv.py
+++ b/packages/standins/src/cowsliphitch/standins/kv.py
@@ -2,18 +2,24 @@
 
 It implements the HTTP interface that the platform publishes: reads, range queries,
 watches, conditional transactions and leases.  Data is kept in memory and lost on exit.
+
+It can come back from a copy of itself: what was written since is gone, revisions and
+lease identifiers are given out again, and the era rises.  The operator and the servers
+write again what they had written.
 """
 
-import itertools
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Final
 
 import anyio
 import attrs
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from cowsliphitch.core.clock import Clock, seconds
 
@@ -22,6 +28,10 @@
 MAX_VALUE_BYTES: Final = 1_048_576
 MAX_RANGE_ITEMS: Final = 500
 MAX_HISTORY_EVENTS: Final = 4_096
+FIRST_ERA: Final = 1
+
+# The operator and the servers write under these keys.
+FOREIGN_PREFIXES: Final = ("op/", "servers/")
 
 
 @attrs.define
@@ -48,6 +58,16 @@
     expires_ms: int
 
 
+@attrs.frozen
+class Copy:
+    """State of the store to which it can come back."""
+
+    items: dict[str, Item]
+    leases: dict[int, Lease]
+    revision: int
+    next_lease_id: int
+
+
 @attrs.define
 class CallCounts:
     """Number of calls by kind, counted as the platform bills them."""
@@ -58,6 +78,23 @@
     conflicts: int = 0
 
 
+class _EraHeader:
+    """ASGI middleware that adds the store's era to all answers."""
+
+    def __init__(self, app: ASGIApp, read_era: Callable[[], int]) -> None:
+        self._app = app
+        self._read_era = read_era
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_with_era(message: Message) -> None:
+            if message["type"] == "http.response.start":
+                era = (b"store-era", str(self._read_era()).encode())
+                message["headers"] = [*message.get("headers", ()), era]
+            await send(message)
+
+        await self._app(scope, receive, send_with_era)
+
+
 class KeyValueService:
     """In-memory key-value store with its HTTP handlers and fault switches."""
 
@@ -66,11 +103,18 @@
         self._clock = clock
         self._items: dict[str, Item] = {}
         self._leases: dict[int, Lease] = {}
-        self._lease_id_sequence = itertools.count(1)
+        self._next_lease_id = 1
+        self._granted_in_era = 0
         self._revision = 1
         self._history: deque[dict[str, Any]] = deque(maxlen=MAX_HISTORY_EVENTS)
         self._compacted_revision = 0
         self._change_event = anyio.Event()
+        self._era = FIRST_ERA
+        self._copy = self._take_copy()
+        # What the operator and the servers last wrote since the copy, by key, and what
+        # they have not written again after the drill; None for a deletion.
+        self._foreign_changes: dict[str, str | None] = {}
+        self._lost_changes: dict[str, str | None] = {}
         self.faults = Faults()
         self.counts = CallCounts()
 
@@ -92,9 +136,14 @@
                     methods=["DELETE"],
                 ),
                 Route("/compact", self._handle_compaction, methods=["POST"]),
+                Route("/copy", self._handle_copy, methods=["POST"]),
+                Route("/restore", self._handle_restore, methods=["POST"]),
+                Route("/rewrite", self._handle_rewrite, methods=["POST"]),
+                Route("/leases", self._handle_leases, methods=["GET"]),
                 Route("/stats", self._handle_stats, methods=["GET"]),
                 self.faults.route(),
-            ]
+            ],
+            middleware=[Middleware(_EraHeader, read_era=lambda: self._era)],
         )
 
     async def _apply_faults(self) -> Response | None:
@@ -182,14 +231,17 @@
         prefix = req.query_params.get("prefix", "")
         after_revision = int(req.query_params["after"])
         wait_ms = int(req.query_params["wait_ms"])
+        era = self._era
         with anyio.move_on_after(seconds(wait_ms)):
-            while after_revision >= self._compacted_revision and not self._events_after(
-                prefix, after_revision
+            while (
+                era == self._era
+                and self._has_history(after_revision)
+                and not self._events_after(prefix, after_revision)
             ):
                 await self._change_event.wait()
-        if self.faults.down:
+        if self.faults.down or era != self._era:
             return Response(status_code=503)
-        if after_revision < self._compacted_revision:
+        if not self._has_history(after_revision):
             return Response(status_code=410)
         body = {
             "events": self._events_after(prefix, after_revision),
@@ -197,6 +249,9 @@
         }
         return JSONResponse(body)
 
+    def _has_history(self, after_revision: int) -> bool:
+        return self._compacted_revision <= after_revision <= self._revision
+
     def _events_after(self, prefix: str, after_revision: int) -> list[dict[str, Any]]:
         return [
             event
@@ -236,6 +291,12 @@
         self, writes: list[dict[str, Any]], deleted_keys: list[str]
     ) -> None:
         self._revision += 1
+        changes = {write["key"]: write["value"] for write in writes}
+        changes |= dict.fromkeys(deleted_keys)
+        for key, value in changes.items():
+            if key.startswith(FOREIGN_PREFIXES):
+                self._foreign_changes[key] = value
+                self._lost_changes.pop(key, None)
         for write in writes:
             key, previous = write["key"], self._items.get(write["key"])
             created = previous.created if previous else self._revision
@@ -263,7 +324,9 @@
         if (fault_response := await self._apply_faults()) is not None:
             return fault_response
         ttl_ms = int((await req.json())["ttl_ms"])
-        lease_id = next(self._lease_id_sequence)
+        lease_id = self._next_lease_id
+        self._next_lease_id += 1
+        self._granted_in_era += 1
         self._leases[lease_id] = Lease(ttl_ms, self._clock.now_ms() + ttl_ms)
         return JSONResponse({"lease": lease_id, "ttl_ms": ttl_ms})
 
@@ -294,5 +357,48 @@
         self._wake_watchers()
         return Response(status_code=204)
 
+    def _take_copy(self) -> Copy:
+        return Copy(
+            dict(self._items),
+            {lease_id: attrs.evolve(lease) for lease_id, lease in self._leases.items()},
+            self._revision,
+            self._next_lease_id,
+        )
+
+    async def _handle_copy(self, _req: Request) -> Response:
+        """Keep a copy of the store to come back to."""
+        self._copy = self._take_copy()
+        self._foreign_changes.clear()
+        return Response(status_code=204)
+
+    async def _handle_restore(self, _req: Request) -> Response:
+        """Come back from the copy; what was written since is gone."""
+        self._items = dict(self._copy.items)
+        self._leases = dict(self._copy.leases)
+        self._revision = self._copy.revision
+        self._next_lease_id = self._copy.next_lease_id
+        self._history.clear()
+        self._compacted_revision = self._revision
+        self._lost_changes, self._foreign_changes = self._foreign_changes, {}
+        self._era += 1
+        self._granted_in_era = 0
+        self._wake_watchers()
+        return Response(status_code=204)
+
+    async def _handle_rewrite(self, _req: Request) -> Response:
+        """Write again what the operator and the servers last wrote before the drill.
+
+        Keys that they have written since are left as they are.
+        """
+        lost, self._lost_changes = self._lost_changes, {}
+        for key, value in lost.items():
+            writes = [] if value is None else [{"key": key, "value": value}]
+            self._apply_transaction(writes, [key] if value is None else [])
+        return Response(status_code=204)
+
+    async def _handle_leases(self, _req: Request) -> Response:
+        """Return the number of leases that were granted in this era."""
+        return JSONResponse({"era_granted": self._granted_in_era})
+
     async def _handle_stats(self, _req: Request) -> Response:
         return JSONResponse(attrs.asdict(self.counts))
