Order what the store says by era, then by revision

All daemons had read the reports and went on: server.send logged the servers as ready, as of before the drill.

Cause: revisions were compared as if they only rose. The store had come back from a copy at revision 50; a report of revision 56 was dropped beside an entry of revision 82. Class: an order that is valid within one history, used across two.

Now a revision is one type, (era, number), that compares with nothing else; the client reads the era from every answer, discards answers of an earlier one, and ends a watch whose answer is of another era than its revision, so that the store is listed anew. Reports between daemons carry era and start of the server: of an entry that may be a copy (a later era, a number not above the report's), the report holds, and a server that said that it drains takes no requests before it restarts. In a new era, entries that are missing get the time in which servers write again, also where the outage went unnoticed. store.restored is logged, server.send has the era.

--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -77,6 +77,71 @@
     And the registry waits 3000 ms
     Then the ready servers are "s1, s2"
 
+  Scenario: A server that drains after the store came back from a copy gets no requests
+    Given servers "s1, s2" of a service
+    And "s1" was written at revision 82
+    When the store comes back from a copy of revision 50
+    And a listing of revision 56 shows "s1" as draining
+    Then the ready servers are "s2"
+
+  Scenario: A peer's report of the new era holds before the store was read again
+    Given servers "s1, s2" of a service
+    And "s1" was written at revision 82
+    When a peer of the next era reports that "s1" left at revision 56
+    Then the ready servers are "s2"
+
+  Scenario Outline: A server that left before the drill does not come back with the copy
+    Given servers "s1, s2" of a service that started at 5000
+    When <left>
+    And the store comes back from a copy of revision 9
+    And the copy of "s1" with revision 1 is listed as ready
+    And the registry waits 3000 ms
+    Then the ready servers are "s2"
+
+    Examples:
+      | left                                  |
+      | "s1" is listed as draining            |
+      | a peer reports that "s1" is draining  |
+      | the entry of "s1" vanishes            |
+
+  Scenario: A daemon that was born after the drill hears that a server left before it
+    Given servers "s1, s2" of a service that started at 5000
+    When the store comes back from a copy of revision 9
+    And the copy of "s1" with revision 1 is listed as ready
+    And a peer of the era before reports that "s1" left at revision 12
+    Then the ready servers are "s2"
+
+  Scenario: A server that drained does not take requests again in the same lifetime
+    Given servers "s1, s2" of a service that started at 5000
+    When "s1" is listed as draining
+    And the store comes back from a copy of revision 9
+    And the copy of "s1" with revision 40 is listed as ready
+    Then the ready servers are "s2"
+    When "s1" restarts under the same identifier
+    Then the ready servers are "s1, s2"
+
+  Scenario: A server that was removed and wrote again after the drill gets requests
+    Given servers "s1, s2" of a service that started at 5000
+    When the entry of "s1" vanishes
+    And the store comes back from a copy of revision 9
+    And the copy of "s1" with revision 40 is listed as ready
+    Then the ready servers are "s1, s2"
+
+  Scenario: The copy of an entry from before a restart does not replace the newer one
+    Given servers "s1, s2" of a service that started at 5000
+    When "s1" restarts under the same identifier
+    And the store comes back from a copy of revision 9
+    And the copy of "s1" with revision 1 is listed as ready
+    Then "s1" is known to have started at 6000
+
+  Scenario: Servers whose entries were lost in the drill are kept until they write again
+    Given servers "s1, s2" of a service
+    And "s1" was written at revision 82
+    When the store comes back from a copy of revision 50 without "s1"
+    Then the ready servers are "s1, s2"
+    When the registry waits 2400 ms
+    Then the ready servers are "s2"
+
   Scenario: A server whose address belongs to another process gets no requests
     Given servers "s1, s2" of a service
     When another server answers a request at the address of "s1"
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -8,6 +8,7 @@
 
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.config.models import Manifest, Snapshot, branch_values
+from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
@@ -56,7 +57,7 @@
 def apply_stored_root(context: Any, revision: int) -> None:
     context.store = CountingStore()
     context.coordinator._store = context.store
-    root = Root(Manifest(revision, "change"), 1)
+    root = Root(Manifest(revision, "change"), Revision(1, 1))
     anyio.run(context.coordinator._apply_root, root)
 
 
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -9,14 +9,19 @@
 
 from cowsliphitch.core.orders import log
 from cowsliphitch.core.orders.models import Head, Record, State
+from cowsliphitch.core.revisions import NO_REVISION, Revision
 
 SEED = 5
 EXPIRED_MS = 10_000
 
 
+def next_revision(view: log.LogView) -> Revision:
+    return Revision(view.revision.era, view.revision.number + 1)
+
+
 @given("an empty order log")
 def empty_log(context: Any) -> None:
-    context.view = log.LogView(Head(), 0, {})
+    context.view = log.LogView(Head(), NO_REVISION, {})
     context.time_ms = 1
 
 
@@ -32,7 +37,7 @@
     segments = {n: s for n, s in view.segments.items() if n not in plan.dropped}
     if plan.segment is not None:
         segments[plan.segment[0]] = plan.segment[1]
-    return log.LogView(plan.head, view.revision + 1, segments)
+    return log.LogView(plan.head, next_revision(view), segments)
 
 
 @when('attempt "{attempt}" of key "{key}" is appended')
@@ -111,7 +116,7 @@
 
     :returns: the number of granted claims
     """
-    view = log.LogView(Head(), 0, {})
+    view = log.LogView(Head(), NO_REVISION, {})
     owners: dict[str, Record] = {}
     now_ms, granted = 1, 0
     for step in range(rng.randint(5, 60)):
@@ -138,4 +143,4 @@
     name = f"sealed-{step}"
     segment = log.Segment(view.head.open)
     head = attrs.evolve(view.head, sealed=(*view.head.sealed, name), open=())
-    return log.LogView(head, view.revision + 1, view.segments | {name: segment})
+    return log.LogView(head, next_revision(view), view.segments | {name: segment})
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -15,6 +15,7 @@
 from cowsliphitch.core.deployment.models import Route, RouteKind
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.requests.models import CallerRequest
+from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
@@ -105,8 +106,9 @@
         clock = Clock()
         own = Member("127.0.0.1:1", "daemon", "domain", 1)
         self.state = GatewayState(clock, 1, MemberTable(own, clock.now_ms()))
+        first = Revision(1, 1)
         self.state.servers.replace(
-            ((self.server(name), 1) for name in names), 1, clock.now_ms()
+            ((self.server(name), first) for name in names), first, clock.now_ms()
         )
 
     def server(self, name: str) -> Server:
@@ -114,7 +116,7 @@
         return Server(name, "service", address, "domain", ServerState.READY, 4)
 
     def leave(self, name: str) -> None:
-        report = LeavingReport(name, 5, was_removed=False)
+        report = LeavingReport(name, Revision(1, 5), was_removed=False)
         self.state.servers.mark_leaving(report, self.state.clock.now_ms(), "peer")
 
     async def serve(self, name: str, stream: SocketStream) -> None:
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -5,6 +5,7 @@
 import attrs
 from behave import given, then, when
 
+from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.servers.placement import ServerPlacement
@@ -24,16 +25,20 @@
     return Server(id=server_id, **(defaults | fields))
 
 
-def next_revision(context: Any) -> int:
+def revision_at(context: Any, number: int) -> Revision:
+    return Revision(context.era, number)
+
+
+def next_revision(context: Any) -> Revision:
     context.revision += 1
-    return int(context.revision)
+    return revision_at(context, context.revision)
 
 
 def put(context: Any, changed: Server) -> None:
     context.registry.put(changed, next_revision(context), context.now_ms)
 
 
-def report_leaving(context: Any, name: str, revision: int) -> None:
+def report_leaving(context: Any, name: str, revision: Revision) -> None:
     report = LeavingReport(name, revision, was_removed=False)
     assert context.registry.mark_leaving(report, context.now_ms, "peer")
 
@@ -43,20 +48,84 @@
     context.now_ms = 1_000
     context.registry = ServerRegistry()
     context.placement = ServerPlacement()
-    context.revision = 10
+    context.revision, context.era = 10, 1
+    first = revision_at(context, 1)
     context.registry.replace(
-        ((server(name), 1) for name in names.split(", ")), 1, context.now_ms
+        ((server(name), first) for name in names.split(", ")), first, context.now_ms
     )
 
 
+@given('servers "{names}" of a service that started at {ms:d}')
+def started_servers(context: Any, names: str, ms: int) -> None:
+    servers(context, names)
+    for name in names.split(", "):
+        put(context, server(name, started_ms=ms))
+
+
+@given('"{name}" was written at revision {revision:d}')
+def was_written(context: Any, name: str, revision: int) -> None:
+    context.revision = revision
+    context.registry.put(server(name), revision_at(context, revision), context.now_ms)
+
+
+@when("the store comes back from a copy of revision {revision:d}")
+def store_restored(context: Any, revision: int) -> None:
+    """Begin the next era."""
+    context.era += 1
+    context.revision = revision
+    context.registry.mark_store_restored(context.now_ms)
+
+
+@when('the store comes back from a copy of revision {revision:d} without "{name}"')
+def store_restored_without(context: Any, revision: int, name: str) -> None:
+    store_restored(context, revision)
+    at = revision_at(context, revision)
+    others = [(s, at) for s in context.registry.all() if s.id != name]
+    context.registry.replace(others, at, context.now_ms)
+
+
+@when('the copy of "{name}" with revision {revision:d} is listed as ready')
+def copy_is_listed(context: Any, name: str, revision: int) -> None:
+    at = revision_at(context, revision)
+    context.revision = max(context.revision, revision)
+    others = [
+        (s, revision_at(context, 2)) for s in context.registry.all() if s.id != name
+    ]
+    copy = server(name, started_ms=5_000)
+    context.registry.replace([(copy, at), *others], at, context.now_ms)
+
+
+@when('a peer of the next era reports that "{name}" left at revision {revision:d}')
+def peer_of_next_era(context: Any, name: str, revision: int) -> None:
+    report_leaving(context, name, Revision(context.era + 1, revision))
+
+
+@when('a peer of the era before reports that "{name}" left at revision {revision:d}')
+def peer_of_era_before(context: Any, name: str, revision: int) -> None:
+    at = Revision(context.era - 1, revision)
+    report = LeavingReport(name, at, was_removed=False, started_ms=5_000)
+    assert context.registry.mark_leaving(report, context.now_ms, "peer")
+
+
+@then('"{name}" is known to have started at {ms:d}')
+def known_start(context: Any, name: str, ms: int) -> None:
+    assert context.registry.get(name).started_ms == ms
+
+
 @when('"{name}" is listed as draining')
 def listed_as_draining(context: Any, name: str) -> None:
-    put(context, server(name, state=ServerState.DRAINING))
+    started_ms = context.registry.get(name).started_ms
+    draining = server(name, state=ServerState.DRAINING, started_ms=started_ms)
+    put(context, draining)
 
 
 @when('a peer reports that "{name}" is draining')
 def peer_reports_draining(context: Any, name: str) -> None:
-    report_leaving(context, name, next_revision(context))
+    started_ms = context.registry.get(name).started_ms
+    report = LeavingReport(
+        name, next_revision(context), was_removed=False, started_ms=started_ms
+    )
+    assert context.registry.mark_leaving(report, context.now_ms, "peer")
 
 
 @when('the entry of "{name}" vanishes')
@@ -144,7 +213,8 @@
 @when('"{name}" restarts under the same identifier')
 def restarts(context: Any, name: str) -> None:
     previous = context.registry.get(name)
-    put(context, attrs.evolve(previous, started_ms=previous.started_ms + 1_000))
+    started_ms = previous.started_ms + 1_000
+    put(context, attrs.evolve(server(name), started_ms=started_ms))
 
 
 @then('the request may not be sent to "{name}" anymore')
@@ -155,23 +225,24 @@
 
 @when('a peer reports that "{name}" left at revision {revision:d}')
 def peer_reports_left(context: Any, name: str, revision: int) -> None:
-    report_leaving(context, name, revision)
+    report_leaving(context, name, revision_at(context, revision))
 
 
 @when('the entry of "{name}" of revision {revision:d} is read as ready')
 def old_entry_is_read(context: Any, name: str, revision: int) -> None:
-    context.registry.put(server(name), revision, context.now_ms)
+    context.registry.put(server(name), revision_at(context, revision), context.now_ms)
 
 
 @when('a listing of revision {revision:d} shows "{name}" as draining')
 def listing_shows_draining(context: Any, name: str, revision: int) -> None:
+    at = revision_at(context, revision)
     listed = [
-        (attrs.evolve(s, state=ServerState.DRAINING), revision)
+        (attrs.evolve(s, state=ServerState.DRAINING), at)
         if s.id == name
-        else (s, 1)
+        else (s, revision_at(context, 1))
         for s in context.registry.all()
     ]
-    context.registry.replace(listed, revision, context.now_ms)
+    context.registry.replace(listed, at, context.now_ms)
 
 
 @then(
@@ -180,7 +251,8 @@
 )
 def peer_hears(context: Any, count: int, name: str) -> None:
     peer = ServerRegistry()
-    peer.replace([(server(s), 1) for s in ("s1", "s2")], 1, context.now_ms)
+    first = revision_at(context, 1)
+    peer.replace([(server(s), first) for s in ("s1", "s2")], first, context.now_ms)
     for _ in range(count):
         for report in context.registry.next_announcement(context.now_ms):
             peer.mark_leaving(report, context.now_ms, "peer")
@@ -197,7 +269,9 @@
 
 @when('a peer that saw no outage reports that the entry of "{name}" was removed')
 def peer_reports_removed(context: Any, name: str) -> None:
-    report = LeavingReport(name, context.revision, was_removed=True)
+    report = LeavingReport(
+        name, revision_at(context, context.revision), was_removed=True
+    )
     context.registry.mark_leaving(report, context.now_ms, "peer")
 
 
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -8,6 +8,7 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.fleet.members import Member, MemberTable
+from cowsliphitch.core.revisions import Revision
 from cowsliphitch.gateway.state import GatewayState
 from cowsliphitch.gateway.store_coordinator import StoreCoordinator
 from cowsliphitch.platform.store.models import Changes, Deleted, Listing
@@ -20,14 +21,15 @@
         self.watches = 0
 
     async def scan(self, _prefix: str) -> Result[Listing, Any]:
-        return Ok(Listing((), 1))
+        return Ok(Listing((), Revision(1, 1)))
 
     async def watch(
-        self, _prefix: str, after: int, _wait_ms: int
+        self, _prefix: str, after: Revision, _wait_ms: int
     ) -> Result[Changes, Any]:
         self.watches += 1
         await anyio.sleep(0.001)
-        return Ok(Changes((Deleted("other/key", after + 1),), after + 1))
+        at = Revision(after.era, after.number + 1)
+        return Ok(Changes((Deleted("other/key", at),), at))
 
 
 @given("a daemon among {count:d} whose store has a change for every watch")
--- a/packages/core/src/cowsliphitch/core/fencing/lease.py
+++ b/packages/core/src/cowsliphitch/core/fencing/lease.py
@@ -6,19 +6,25 @@
 
 import attrs
 
+from cowsliphitch.core.revisions import LeaseRef
+
 
 @attrs.frozen
 class HeldLease:
     """A lease that was granted to this daemon.
 
-    :param id: increases with each grant of the platform; serves as fencing token
     :param valid_until_ms: expiry in monotonic time, counted from before the grant or
         renewal was sent, so the platform never expires the lease earlier
     """
 
-    id: int
+    lease: LeaseRef
     valid_until_ms: int
 
+    @property
+    def fencing_token(self) -> int:
+        """Return the number that orders this lease among all of its duty."""
+        return self.lease.fencing_token
+
     def covers(self, now_ms: int, call_ms: int) -> bool:
         """Return whether a call that starts now ends before the lease expires.
 
--- a/packages/core/src/cowsliphitch/core/orders/log.py
+++ b/packages/core/src/cowsliphitch/core/orders/log.py
@@ -10,6 +10,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.verdict import Reason, Refusal, may_have_run, not_run
 
 from . import const
@@ -20,12 +21,13 @@
 class LogView:
     """A snapshot of a log: its head and every segment that the head references.
 
-    :param revision: revision of the head in the key-value service, 0 if absent
+    :param revision: revision of the head in the key-value service, ``NO_REVISION`` if
+        absent
     :param segments: the sealed segments by name
     """
 
     head: Head
-    revision: int
+    revision: Revision
     segments: dict[str, Segment]
 
     def find(self, key: str) -> Record | None:
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -5,6 +5,9 @@
 
 Daemons also tell each other which servers leave.  Such a report and the store's entries
 arrive in any order, so both carry the store's revision, and the higher one holds.
+
+The store may come back from an older copy, with entries that were replaced since.  Of
+an entry that may be such a copy, the report of an earlier era holds.
 """
 
 import itertools
@@ -13,6 +16,8 @@
 
 import attrs
 
+from cowsliphitch.core.revisions import Revision
+
 from .models import Server, ServerState
 
 # The platform guarantees that running servers are registered again within 2 s of the
@@ -41,11 +46,13 @@
 
     :param source: ``STORE_SOURCE`` or the name of the peer that reported it
     :param updated_ms: monotonic time at which this daemon learned it
+    :param revision: revision of the store at which its entry was written
     """
 
     state: ServerState
     source: str
     updated_ms: int
+    revision: Revision
 
 
 @attrs.frozen
@@ -54,11 +61,14 @@
 
     :param revision: revision of the store at which it left
     :param was_removed: its entry was removed, and it had not reported that it drains
+    :param started_ms: Unix time of its start, 0 if unknown; a server does not take
+        requests again before it restarts
     """
 
     server_id: str
-    revision: int
+    revision: Revision
     was_removed: bool
+    started_ms: int = 0
 
 
 @attrs.frozen
@@ -83,7 +93,7 @@
     """
 
     server: Server
-    revision: int
+    revision: Revision
     updated_ms: int
     source: str = STORE_SOURCE
     expires_ms: int | None = None
@@ -118,6 +128,10 @@
             self._outage_start_ms = None
             self._outage_end_ms = now_ms
 
+    def mark_store_restored(self, now_ms: int) -> None:
+        """Start the grace period in which servers write their lost entries again."""
+        self._outage_end_ms = now_ms
+
     def _in_grace(self, now_ms: int) -> bool:
         if self._outage_start_ms is not None:
             return True
@@ -135,9 +149,11 @@
         entry = self._entries.get(server_id)
         if entry is None:
             return None
-        return Knowledge(entry.server.state, entry.source, entry.updated_ms)
+        return Knowledge(
+            entry.server.state, entry.source, entry.updated_ms, entry.revision
+        )
 
-    def put(self, server: Server, revision: int, now_ms: int) -> None:
+    def put(self, server: Server, revision: Revision, now_ms: int) -> None:
         """Add a server or replace its entry.
 
         An entry that was written before the server's report of leaving keeps it
@@ -147,13 +163,16 @@
         :param revision: revision of the store at which the entry was written
         """
         previous = self._entries.get(server.id)
-        if previous is not None and revision < previous.revision:
+        if previous is not None and (
+            revision < previous.revision or _is_older_copy(server, revision, previous)
+        ):
             return
         source = STORE_SOURCE
         if server.state is ServerState.DRAINING:
-            self._record_leaving(LeavingReport(server.id, revision, False), now_ms)
+            report = LeavingReport(server.id, revision, False, server.started_ms)
+            self._record_leaving(report, now_ms)
         elif (record := self._leaving.get(server.id)) is not None:
-            if record.report.revision < revision:
+            if _supersedes(server, revision, record.report):
                 del self._leaving[server.id]
             else:
                 server = attrs.evolve(server, state=ServerState.DRAINING)
@@ -165,7 +184,7 @@
             )
         self._ready_by_service.clear()
 
-    def remove(self, server_id: str, revision: int, now_ms: int) -> None:
+    def remove(self, server_id: str, revision: Revision, now_ms: int) -> None:
         """Remove a server whose entry vanished.
 
         During an outage of the store, and in the grace period after it, a ready server
@@ -185,15 +204,16 @@
             return
         self._delete(server_id, revision, now_ms)
 
-    def _delete(self, server_id: str, revision: int, now_ms: int) -> None:
-        state = self._entries.pop(server_id).server.state
-        was_removed = state is not ServerState.DRAINING
-        self._record_leaving(LeavingReport(server_id, revision, was_removed), now_ms)
+    def _delete(self, server_id: str, revision: Revision, now_ms: int) -> None:
+        server = self._entries.pop(server_id).server
+        was_removed = server.state is not ServerState.DRAINING
+        report = LeavingReport(server_id, revision, was_removed, server.started_ms)
+        self._record_leaving(report, now_ms)
         self._ready_by_service.clear()
 
     def _record_leaving(self, report: LeavingReport, now_ms: int) -> None:
         record = self._leaving.pop(report.server_id, None)
-        if record is not None:
+        if record is not None and record.report.started_ms == report.started_ms:
             report = attrs.evolve(
                 report,
                 revision=max(report.revision, record.report.revision),
@@ -205,7 +225,10 @@
             del self._leaving[next(iter(self._leaving))]
 
     def replace(
-        self, servers: Iterable[tuple[Server, int]], revision: int, now_ms: int
+        self,
+        servers: Iterable[tuple[Server, Revision]],
+        revision: Revision,
+        now_ms: int,
     ) -> None:
         """Replace all servers by a complete listing.
 
@@ -238,9 +261,10 @@
     def mark_leaving(self, report: LeavingReport, now_ms: int, source: str) -> bool:
         """Record that a server is leaving, as a peer reported.
 
-        The record holds against entries that are read later but were written before.  A
-        removal that a peer saw is no news during an outage of the store and in the
-        grace period after it, since the lease may have expired in the outage.
+        The record holds against entries that are read later but were written before, or
+        that the store may have from an older copy.  A removal that a peer saw is no
+        news during an outage of the store and in the grace period after it, since the
+        lease may have expired in the outage.
 
         :param source: name of the peer
         :returns: whether the report is new
@@ -251,7 +275,7 @@
         if record is not None and record.report.revision >= report.revision:
             return False
         entry = self._entries.get(report.server_id)
-        if entry is not None and entry.revision > report.revision:
+        if entry is not None and _supersedes(entry.server, entry.revision, report):
             return False
         self._record_leaving(report, now_ms)
         if entry is not None and entry.server.state is ServerState.READY:
@@ -331,3 +355,30 @@
     def all(self) -> tuple[Server, ...]:
         """Return all servers, draining, misdirected and unreachable ones included."""
         return tuple(entry.server for entry in self._entries.values())
+
+
+def _supersedes(server: Server, revision: Revision, report: LeavingReport) -> bool:
+    """Return whether an entry is news after a report that its server is leaving.
+
+    :param revision: revision at which the entry was written
+    """
+    known = 0 not in (server.started_ms, report.started_ms)
+    if known and server.started_ms != report.started_ms:
+        return server.started_ms > report.started_ms
+    if revision.era == report.revision.era:
+        return revision > report.revision
+    if revision.era < report.revision.era:
+        return False
+    # An entry of the copy has a lower number than what was lost.  A server that said
+    # that it drains does not take requests again.
+    is_rewritten = revision.number > report.revision.number
+    return is_rewritten and (report.was_removed or not known)
+
+
+def _is_older_copy(server: Server, revision: Revision, known: _Entry) -> bool:
+    """Return whether an entry of a later era describes the server before a restart."""
+    return (
+        revision.era > known.revision.era
+        and revision.number < known.revision.number
+        and server.started_ms < known.server.started_ms
+    )
--- a/packages/daemon/src/cowsliphitch/daemon/duties/engine_orders.py
+++ b/packages/daemon/src/cowsliphitch/daemon/duties/engine_orders.py
@@ -86,7 +86,7 @@
             if held_lease is None:
                 return
             adapters = tuple(str(adapter) for adapter in pool.cfg.pool.adapters)
-            order = EngineOrder(held_lease.id, adapters)
+            order = EngineOrder(held_lease.fencing_token, adapters)
             if self._is_due(upstream.name, order):
                 await self._send_order(upstream.name, upstream.address, order)
 
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -255,7 +255,7 @@
         )
         observe("cowsliphitch_server_limit", self._read_limits)
         observe("cowsliphitch_server_limit_used", self._read_limit_use)
-        observe("cowsliphitch_store_era", lambda: [(self._kv.era, {})])
+        observe("cowsliphitch_store_era", lambda: [(self._store.era, {})])
         observe("cowsliphitch_store_lost_ms", lambda: [(self._store.outage_ms, {})])
         observe(
             "cowsliphitch_store_view_age_ms",
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -102,6 +102,7 @@
             interval_ms=interval_ms,
             capacity=state.members.own.capacity,
             suspect_parts=state.prompt_parts.next_reports(state.clock.now_ms()),
+            store_era=self.store.era if self.store is not None else 0,
             limits={
                 server_checksum(server_id): report
                 for server_id, report in state.server_limits.next_reports(
@@ -143,7 +144,8 @@
                     _LOGGER,
                     "server.leaving",
                     server=report.server_id,
-                    revision=report.revision,
+                    revision=report.revision.number,
+                    era=report.revision.era,
                     was_removed=report.was_removed,
                     source=heartbeat.name,
                 )
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -196,6 +196,7 @@
             server=server.id,
             state=knowledge.state.value if knowledge else "unlisted",
             source=knowledge.source if knowledge else None,
+            era=knowledge.revision.era if knowledge else None,
             known_ms=now - knowledge.updated_ms if knowledge else None,
             view_ms=self._state.servers.view_age_ms(now),
             limit_per_s=self._state.server_limits.rate_of(server.id),
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -1,8 +1,8 @@
 """Synchronization with the store: operator's document, servers and other daemons.
 
-Fault: the store is unavailable for seconds, or has compacted changes that this daemon
-has not read.  The daemon keeps its last view meanwhile, and reads a new listing after a
-compaction.
+Fault: the store is unavailable for seconds, has compacted changes that this daemon has
+not read, or has come back from an older copy.  The daemon keeps its last view
+meanwhile, and reads a new listing after a compaction or in a new era.
 """
 
 import json
@@ -15,6 +15,7 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.versions import ActiveDeployment
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, Member
+from cowsliphitch.core.revisions import LeaseRef, Revision
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.platform import operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
@@ -27,6 +28,7 @@
     Event,
     LeaseExpired,
     Listing,
+    Restored,
     Unavailable,
 )
 from cowsliphitch.telemetry.logs import event
@@ -57,7 +59,13 @@
         self._on_settings_activated = on_settings_activated
         self._members: dict[str, Member] = {}
         self._outage_since_ms: int | None = None
-        self._lease_id: int | None = None
+        self._lease: LeaseRef | None = None
+        self._listed_at: Revision | None = None
+
+    @property
+    def era(self) -> int:
+        """Return the era of the store that this daemon has listed, 0 before that."""
+        return 0 if self._listed_at is None else self._listed_at.era
 
     @property
     def outage_ms(self) -> int:
@@ -69,7 +77,8 @@
     async def run(self) -> None:
         """Read all entries and apply their changes until cancelled.
 
-        All entries are read again when the store has compacted missed changes.
+        All entries are read again when the store has compacted missed changes or has
+        come back from an older copy.
         """
         while True:
             match await self._kv.scan(""):
@@ -81,8 +90,8 @@
                     self._record_store_failure(unavailable)
                     await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
 
-    async def _watch(self, revision: int) -> None:
-        """Apply the changes after a revision until the store has compacted some."""
+    async def _watch(self, revision: Revision) -> None:
+        """Apply the changes after a revision until they are no longer complete."""
         while True:
             match await self._kv.watch("", revision, const.WATCH_WAIT_MS):
                 case Ok(Changes(events, at=revision)):
@@ -94,10 +103,12 @@
                     event(
                         _LOGGER,
                         "store.history_lost",
-                        revision=revision,
-                        era=self._kv.era,
+                        revision=revision.number,
+                        era=revision.era,
                     )
                     return
+                case Err(Restored()):
+                    return
                 case Err(Unavailable() as unavailable):
                     self._record_store_failure(unavailable)
                     await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
@@ -114,23 +125,23 @@
     async def register(self) -> None:
         """Register this daemon under a leased key and renew it until cancelled."""
         while True:
-            if self._lease_id is None:
+            if self._lease is None:
                 await self._acquire_lease()
-            elif await self._kv.renew_lease(self._lease_id) == Err(LeaseExpired()):
-                event(_LOGGER, "member.lease_lost", lease=self._lease_id)
-                self._lease_id = None
+            elif await self._kv.renew_lease(self._lease) == Err(LeaseExpired()):
+                event(_LOGGER, "member.lease_lost", lease=self._lease.id)
+                self._lease = None
                 continue
             wait_ms = (
                 const.MEMBER_RENEWAL_INTERVAL_MS
-                if self._lease_id
+                if self._lease
                 else const.STORE_RETRY_INTERVAL_MS
             )
             await anyio.sleep(seconds(wait_ms))
 
     async def unregister(self) -> None:
         """Revoke the lease, which deletes the key at once."""
-        if self._lease_id is not None:
-            await self._kv.revoke_lease(self._lease_id)
+        if self._lease is not None:
+            await self._kv.revoke_lease(self._lease)
 
     async def _acquire_lease(self) -> None:
         granted = await self._kv.grant_lease(const.MEMBER_LEASE_TTL_MS)
@@ -146,10 +157,10 @@
             }
         )
         key = const.MEMBER_PREFIX + own.address
-        lease_id = granted.ok_value
-        if isinstance(await self._kv.put(key, value, None, lease_id), Applied):
-            self._lease_id = lease_id
-            event(_LOGGER, "member.registered", lease=lease_id, era=self._kv.era)
+        lease = granted.ok_value
+        if isinstance(await self._kv.put(key, value, None, lease), Applied):
+            self._lease = lease
+            event(_LOGGER, "member.registered", lease=lease.id, era=lease.era)
 
     def expire_servers(self, now_ms: int) -> None:
         """Remove the servers that did not register again after a store outage."""
@@ -158,6 +169,18 @@
 
     def _apply_listing(self, listing: Listing) -> None:
         now = self._state.clock.now_ms()
+        if self._listed_at is not None and listing.at.era != self._listed_at.era:
+            self._state.servers.mark_store_restored(now)
+            event(
+                _LOGGER,
+                "store.restored",
+                logging.WARNING,
+                era=listing.at.era,
+                revision=listing.at.number,
+                before_era=self._listed_at.era,
+                before_revision=self._listed_at.number,
+            )
+        self._listed_at = listing.at
         servers = (
             (self._decode_server(e), e.revision)
             for e in _entries_under(server_entries.PREFIX, listing.entries)
@@ -179,8 +202,8 @@
         event(
             _LOGGER,
             "store.listed",
-            revision=listing.at,
-            era=self._kv.era,
+            revision=listing.at.number,
+            era=listing.at.era,
             servers=len(self._state.servers.all()),
             members=len(self._members),
             settings=self._state.versions.version,
@@ -205,8 +228,8 @@
                     _LOGGER,
                     "server.removed",
                     server=server_id,
-                    revision=revision,
-                    era=self._kv.era,
+                    revision=revision.number,
+                    era=revision.era,
                 )
             case Entry():
                 server = self._decode_server(change)
@@ -214,7 +237,7 @@
                     self._state.servers.put(server, change.revision, now_ms)
                     self._report_server(server, change.revision)
 
-    def _report_server(self, server: Server, revision: int) -> None:
+    def _report_server(self, server: Server, revision: Revision) -> None:
         event(
             _LOGGER,
             "server.listed",
@@ -222,14 +245,20 @@
             service=server.service,
             address=server.address,
             state=server.state.value,
-            revision=revision,
-            era=self._kv.era,
+            revision=revision.number,
+            era=revision.era,
         )
 
     def _decode_server(self, entry: Entry) -> Server | None:
         server = server_entries.decode_entry(entry.key, entry.value)
         if server is None:
-            event(_LOGGER, "server.unreadable", key=entry.key, revision=entry.revision)
+            event(
+                _LOGGER,
+                "server.unreadable",
+                key=entry.key,
+                revision=entry.revision.number,
+                era=entry.revision.era,
+            )
         return server
 
     def _apply_member_event(self, change: Event, now_ms: int) -> None:
@@ -306,5 +335,11 @@
             capacity=float(fields.get("capacity", DEFAULT_CAPACITY)),
         )
     except (ValueError, KeyError, TypeError):
-        event(_LOGGER, "member.unreadable", key=entry.key, revision=entry.revision)
+        event(
+            _LOGGER,
+            "member.unreadable",
+            key=entry.key,
+            revision=entry.revision.number,
+            era=entry.revision.era,
+        )
         return None
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -21,6 +21,7 @@
 )
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation, PromptPart
+from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
@@ -59,7 +60,9 @@
         leaving_servers=[
             pb.LeavingServer(
                 server=report.server_id,
-                revision=report.revision,
+                revision=report.revision.number,
+                era=report.revision.era,
+                started_ms=report.started_ms,
                 removed=report.was_removed,
             )
             for report in heartbeat.leaving_servers
@@ -93,6 +96,7 @@
             )
             for server, report in heartbeat.limits.items()
         ],
+        store_era=heartbeat.store_era,
     )
     return bytes(message.SerializeToString())
 
@@ -119,7 +123,12 @@
         settings_version=message.version,
         leaving=message.leaving,
         leaving_servers=tuple(
-            LeavingReport(row.server, row.revision, row.removed)
+            LeavingReport(
+                row.server,
+                Revision(row.era, row.revision),
+                row.removed,
+                row.started_ms,
+            )
             for row in message.leaving_servers
         ),
         servers={row.server: ServerLoad(row.running) for row in message.servers},
@@ -141,6 +150,7 @@
             row.server: LimitReport(row.per_s or None, row.age_ms, row.sent)
             for row in message.limits
         },
+        store_era=message.store_era,
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -37,6 +37,7 @@
     :param suspect_parts: prompt parts that may crash engines
     :param limits: limits that servers named to the daemon, by checksum of the server's
         identifier
+    :param store_era: era of the store as the daemon knows it
     """
 
     name: str
@@ -53,6 +54,7 @@
     capacity: float = DEFAULT_CAPACITY
     suspect_parts: tuple[PartReport, ...] = ()
     limits: dict[int, LimitReport] = attrs.Factory(dict)
+    store_era: int = 0
 
 
 @attrs.frozen
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -15,6 +15,7 @@
 from cowsliphitch.core.config import const as keys
 from cowsliphitch.core.config.build import SettingsBuilder
 from cowsliphitch.core.config.models import Manifest, Snapshot, is_newer
+from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import Unavailable
@@ -57,7 +58,7 @@
         self._is_watcher = is_watcher
         self._builder = SettingsBuilder()
         self._listeners: list[Listener] = []
-        self._key_revision = 0
+        self._key_revision = NO_REVISION
         self._available = True
         self.snapshot: Snapshot | None = None
         self.settings = EMPTY_SETTINGS
--- a/packages/state/src/cowsliphitch/state/config/models.py
+++ b/packages/state/src/cowsliphitch/state/config/models.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cowsliphitch.core.config.models import Conflict, Manifest
+from cowsliphitch.core.revisions import Revision
 
 
 @attrs.frozen
@@ -65,8 +66,9 @@
 class Root:
     """The root key, which references the values in force, as read from the store.
 
-    :param key_revision: revision of the root's key in the store, 0 if absent
+    :param key_revision: revision of the root's key in the store, ``NO_REVISION`` if
+        absent
     """
 
     manifest: Manifest
-    key_revision: int
+    key_revision: Revision
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -22,6 +22,7 @@
     Snapshot,
     plan_change,
 )
+from cowsliphitch.core.revisions import NO_REVISION, Revision
 from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import (
@@ -66,11 +67,11 @@
     async def read_root(self) -> Result[Root, Unavailable]:
         """Read the root.
 
-        :returns: the root; an empty manifest with key revision 0 if none is stored
+        :returns: the root; an empty manifest with ``NO_REVISION`` if none is stored
         """
         return (await self._kv.get(keys.ROOT_KEY)).and_then(
             lambda entry: (
-                Ok(Root(Manifest(), 0))
+                Ok(Root(Manifest(), NO_REVISION))
                 if entry is None
                 else parse_root(entry.value, entry.revision)
             )
@@ -157,7 +158,7 @@
         :returns: whether the key has the value now; ``False`` after the deadline
         """
         while self._clock.now_ms() < deadline_ms:
-            match await self._kv.put(key, text, expected_revision=0):
+            match await self._kv.put(key, text, expected_revision=NO_REVISION):
                 case Applied() | KeyConflict():
                     return True
                 case WriteOutcomeUnknown():
@@ -229,7 +230,7 @@
             conflict.current.change,
         )
         key = keys.REJECTED_KEY.format(base=conflict.base_revision, change=entry.change)
-        await self._kv.put(key, to_json(rejected), expected_revision=0)
+        await self._kv.put(key, to_json(rejected), expected_revision=NO_REVISION)
         match await self._read_change(conflict.current.change):
             case Ok(winner) if winner is not None:
                 return SubmitConflict(conflict, winner.who)
@@ -289,7 +290,7 @@
         )
 
 
-def parse_root(text: str, key_revision: int) -> Result[Root, Unavailable]:
+def parse_root(text: str, key_revision: Revision) -> Result[Root, Unavailable]:
     """Decode the root from the value of its key."""
     parsed = from_json(text, Manifest).map_err(Unavailable)
     return parsed.map(lambda manifest: Root(manifest, key_revision))
--- a/packages/state/src/cowsliphitch/state/leases/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/leases/coordinator.py
@@ -10,6 +10,7 @@
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.codec import to_json
 from cowsliphitch.core.fencing.lease import HeldLease, renew_at_ms
+from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import Applied, LeaseExpired
 
@@ -68,21 +69,26 @@
         match await self._kv.grant_lease(const.LEASE_TTL_MS):
             case Err(_):
                 return
-            case Ok(lease_id):
+            case Ok(lease):
                 pass
         key = const.DUTY_KEY.format(duty=self._duty)
-        value = to_json(Holder(self._daemon, lease_id))
-        result = await self._kv.put(key, value, expected_revision=0, lease_id=lease_id)
+        value = to_json(Holder(self._daemon, lease.fencing_token))
+        result = await self._kv.put(key, value, NO_REVISION, lease)
         if isinstance(result, Applied):
-            self._lease = HeldLease(lease_id, started_ms + const.LEASE_TTL_MS)
+            self._lease = HeldLease(lease, started_ms + const.LEASE_TTL_MS)
             self.diagnostics.taken += 1
-            _LOGGER.info("Acquired duty %s with lease %d", self._duty, lease_id)
+            _LOGGER.info(
+                "Acquired duty %s with lease %d of era %d",
+                self._duty,
+                lease.id,
+                lease.era,
+            )
 
     async def _renew(self, lease: HeldLease) -> None:
         started_ms = self._clock.now_ms()
-        match await self._kv.renew_lease(lease.id):
+        match await self._kv.renew_lease(lease.lease):
             case Ok(_):
-                self._lease = HeldLease(lease.id, started_ms + const.LEASE_TTL_MS)
+                self._lease = HeldLease(lease.lease, started_ms + const.LEASE_TTL_MS)
             case Err(LeaseExpired()):
                 self._mark_lost()
 
--- a/packages/state/src/cowsliphitch/state/orders/writer.py
+++ b/packages/state/src/cowsliphitch/state/orders/writer.py
@@ -24,6 +24,7 @@
     plan_append,
 )
 from cowsliphitch.core.orders.models import Head, Record, Segment, State
+from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.core.settings.models import Orders
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
 from cowsliphitch.platform.store.client import KeyValueClient
@@ -235,7 +236,9 @@
             name, segment = plan.segment
             segment_key = self._segment_key(name)
             if not isinstance(
-                await self._kv.put(segment_key, to_json(segment), expected_revision=0),
+                await self._kv.put(
+                    segment_key, to_json(segment), expected_revision=NO_REVISION
+                ),
                 Applied,
             ):
                 return False
@@ -290,7 +293,7 @@
             case Err(unavailable):
                 return Err(unavailable)
             case Ok(None):
-                return Ok(LogView(Head(), 0, {}))
+                return Ok(LogView(Head(), NO_REVISION, {}))
             case Ok(entry):
                 assert entry is not None
         match from_json(entry.value, Head):
