Add failing tests for a stored configuration that goes back in a drill

Own interface, with the stand-in of the store as a process. A confirmed change that the store lost stays in force in the daemons that have it and in no other (a daemon that starts gets the one before), the next change gets the lost one's revision and is applied by no daemon that had it, and nothing is stored again.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -34,3 +34,21 @@
     Given a daemon with configuration 5 in force
     When the store's root has configuration 4
     Then configuration 5 is in force and no value was read
+
+  Scenario: A confirmed change that the store lost in a drill stays in force everywhere
+    Given a store with configuration A, a copy of it, and two daemons
+    When an operator stores configuration B, and the store comes back from the copy
+    Then within 1500 ms a daemon that starts has configuration B
+    And the two daemons had no other configuration after B
+
+  Scenario: A change after a drill is in force in daemons that had a lost one
+    Given a store with configuration A, a copy of it, and two daemons
+    When an operator stores configuration B, and the store comes back from the copy
+    And an operator stores configuration C
+    Then within 1500 ms a daemon that starts has configuration C
+    And the two daemons have configuration C in force
+
+  Scenario: The audit trail says which change was stored again after a drill
+    Given a store with configuration A, a copy of it, and two daemons
+    When an operator stores configuration B, and the store comes back from the copy
+    Then within 1500 ms the audit trail ends with a change by "cowsliphitch"
--- /dev/null
+++ b/features/steps/config_drill_steps.py
@@ -0,0 +1,177 @@
+"""Steps on configurations in a store that comes back from an older copy."""
+
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import attrs
+import httpx
+from anyio.abc import TaskGroup
+from behave import given, then, when
+
+from cowsliphitch.core.clock import Clock, seconds
+from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
+from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.standins.processes import free_port
+from cowsliphitch.state.config.coordinator import ConfigCoordinator
+from cowsliphitch.state.config.models import Stored
+from cowsliphitch.state.config.store import Author, ConfigStore
+
+CLAIM_INTERVAL_MS = {"A": 11, "B": 12, "C": 13}
+OUTAGE_S = 0.3
+
+
+def settings_of(name: str) -> Settings:
+    orders = attrs.evolve(
+        EMPTY_SETTINGS.fleet.orders, claim_interval=CLAIM_INTERVAL_MS[name]
+    )
+    fleet = attrs.evolve(EMPTY_SETTINGS.fleet, orders=orders)
+    return attrs.evolve(EMPTY_SETTINGS, fleet=fleet)
+
+
+def name_of(settings: Settings) -> str:
+    interval_ms = settings.fleet.orders.claim_interval
+    names = [n for n, ms in CLAIM_INTERVAL_MS.items() if ms == interval_ms]
+    return names[0] if names else "none"
+
+
+class Drill:
+    """A store in a process, its operator, and daemons that read from it."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.url = f"http://127.0.0.1:{free_port()}"
+        self.daemons: list[ConfigCoordinator] = []
+        self.received: list[list[str]] = []
+        self.clients: list[KeyValueClient] = []
+        self.client()
+
+    def client(self) -> KeyValueClient:
+        client = KeyValueClient(self.url, self.clock)
+        self.clients.append(client)
+        return client
+
+    def start_daemon(self, group: TaskGroup) -> ConfigCoordinator:
+        daemon = ConfigCoordinator(self.client(), self.clock, lambda: True)
+        names: list[str] = []
+        daemon.add_listener(lambda settings: names.append(name_of(settings)))
+        self.daemons.append(daemon)
+        self.received.append(names)
+        group.start_soon(daemon.run)
+        return daemon
+
+    async def post(self, path: str, body: Any = None) -> None:
+        async with httpx.AsyncClient() as client:
+            (await client.post(self.url + path, json=body)).raise_for_status()
+
+    async def store(self, name: str) -> None:
+        """Store a configuration as an operator who retries on a conflict."""
+        store = ConfigStore(self.client(), self.clock)
+        for _ in range(20):
+            root = (await store.read_root()).ok_value
+            base = root.manifest.revision
+            result = await store.submit(settings_of(name), base, Author("olga", ""))
+            if isinstance(result, Stored):
+                return
+            await anyio.sleep(0.02)
+        raise AssertionError(result)
+
+    async def run(self, actions: list[Callable[..., Awaitable[None]]]) -> None:
+        port = self.url.rpartition(":")[2]
+        arguments = ["-m", "cowsliphitch.standins", "kv", "--port", port]
+        process = subprocess.Popen(
+            [sys.executable, *arguments], stderr=subprocess.DEVNULL
+        )
+        try:
+            async with anyio.create_task_group() as group:
+                with anyio.fail_after(20):
+                    while (await self.clients[0].get("x")).is_err():
+                        await anyio.sleep(0.02)
+                    for action in actions:
+                        await action(self, group)
+                group.cancel_scope.cancel()
+            for client in self.clients:
+                await client.close()
+        finally:
+            process.kill()
+            process.wait()
+
+
+async def wait_until(condition: Callable[[], bool], ms: int, what: str) -> None:
+    with anyio.move_on_after(seconds(ms)):
+        while not condition():
+            await anyio.sleep(0.02)
+        return
+    raise AssertionError(f"not within {ms} ms: {what}")
+
+
+@given("a store with configuration A, a copy of it, and two daemons")
+def store_with_copy(context: Any) -> None:
+    async def prepare(drill: Drill, group: TaskGroup) -> None:
+        await drill.store("A")
+        for _ in range(2):
+            drill.start_daemon(group)
+        await drill.post("/copy")
+
+    context.actions = [prepare]
+
+
+@when("an operator stores configuration B, and the store comes back from the copy")
+def store_and_restore(context: Any) -> None:
+    async def act(drill: Drill, _group: TaskGroup) -> None:
+        await drill.store("B")
+        for names in drill.received:
+            await wait_until(lambda n=names: n[-1:] == ["B"], 1_500, "B is in force")
+        await drill.post("/faults", {"down": True})
+        await anyio.sleep(OUTAGE_S)
+        await drill.post("/restore")
+        await drill.post("/faults", {"down": False})
+
+    context.actions.append(act)
+
+
+@when("an operator stores configuration C")
+def store_c(context: Any) -> None:
+    context.actions.append(lambda drill, _group: drill.store("C"))
+
+
+@then("within {ms:d} ms a daemon that starts has configuration {name}")
+def starting_daemon_has(context: Any, ms: int, name: str) -> None:
+    context.drill = Drill()
+
+    async def check(drill: Drill, group: TaskGroup) -> None:
+        daemon = drill.start_daemon(group)
+        await wait_until(
+            lambda: name_of(daemon.settings) == name, ms, f"{name} is in force"
+        )
+        await anyio.sleep(0.3)
+
+    anyio.run(context.drill.run, [*context.actions, check])
+
+
+@then("the two daemons had no other configuration after B")
+def only_b(context: Any) -> None:
+    for names in context.drill.received[:2]:
+        assert set(names[names.index("B") :]) == {"B"}, names
+
+
+@then("the two daemons have configuration {name} in force")
+def in_force(context: Any, name: str) -> None:
+    found = [name_of(daemon.settings) for daemon in context.drill.daemons[:2]]
+    assert found == [name, name], found
+
+
+@then('within {ms:d} ms the audit trail ends with a change by "{who}"')
+def audit_trail_ends(context: Any, ms: int, who: str) -> None:
+    async def check(drill: Drill, _group: TaskGroup) -> None:
+        store = ConfigStore(drill.client(), drill.clock)
+        with anyio.fail_after(seconds(ms)):
+            while True:
+                history = (await store.read_history(10)).ok_value
+                if history and history[0].who == who:
+                    return
+                await anyio.sleep(0.02)
+
+    anyio.run(Drill().run, [*context.actions, check])
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -1,13 +1,12 @@
 """Steps on the store's coordinator, with a scripted client of the store."""
 
-from functools import partial
+import subprocess
+import sys
 from typing import Any
 
 import anyio
 import httpx
 from behave import given, then, when
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 from result import Err, Ok, Result
 
 from cowsliphitch.core.clock import Clock, seconds
@@ -23,7 +22,6 @@
     LeaseExpired,
     Listing,
 )
-from cowsliphitch.standins.kv import KeyValueService
 from cowsliphitch.standins.processes import free_port
 
 
@@ -92,24 +90,21 @@
     """Run the stand-in of the store with two clients over a drill."""
     clock = Clock()
     port = free_port()
-    service = KeyValueService(clock)
-    config = Config()
-    config.bind = [f"127.0.0.1:{port}"]
-    stop = anyio.Event()
-    async with anyio.create_task_group() as group:
-        group.start_soon(
-            partial(serve, service.app(), config, shutdown_trigger=stop.wait)
-        )
-        url = f"http://127.0.0.1:{port}"
-        own, other = KeyValueClient(url, clock), KeyValueClient(url, clock)
-        with anyio.fail_after(5):
+    arguments = ["-m", "cowsliphitch.standins", "kv", "--port", str(port)]
+    process = subprocess.Popen([sys.executable, *arguments], stderr=subprocess.DEVNULL)
+    url = f"http://127.0.0.1:{port}"
+    own, other = KeyValueClient(url, clock), KeyValueClient(url, clock)
+    try:
+        with anyio.fail_after(10):
             while isinstance(await own.get("x"), Err):
                 await anyio.sleep(0.02)
             await httpx_post(f"{url}/copy")
             await run_over_drill(context, url, own, other, copy_has)
         await own.close()
         await other.close()
-        stop.set()
+    finally:
+        process.kill()
+        process.wait()
 
 
 async def httpx_post(url: str) -> None:
