--- a/features/gateway/store.feature
+++ b/features/gateway/store.feature
@@ -25,6 +25,11 @@
       | lacks the lease                       |
       | gave its identifier to another daemon |
 
+  Scenario: A watch from a revision that was given out again does not wait for a change
+    Given a client that watches a store
+    When the store comes back and gives out revisions up to the client's again
+    Then within 1 s the client learns that the store was restored
+
   Scenario: A write that expects a revision of an earlier era is not applied
     Given a store whose client has read a key
     When the store comes back from a copy, and another client writes the key at the same revision
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -2,6 +2,8 @@
 
 import subprocess
 import sys
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -21,6 +23,7 @@
     Deleted,
     LeaseExpired,
     Listing,
+    Restored,
 )
 from cowsliphitch.standins.processes import free_port
 
@@ -86,8 +89,10 @@
     assert context.view_age_ms <= ms, context.view_age_ms
 
 
-async def restored_store(context: Any, copy_has: str) -> None:
-    """Run the stand-in of the store with two clients over a drill."""
+async def with_store(
+    action: Callable[[str, KeyValueClient, KeyValueClient], Awaitable[None]],
+) -> None:
+    """Run an action with the stand-in of the store and two clients of it."""
     clock = Clock()
     port = free_port()
     arguments = ["-m", "cowsliphitch.standins", "kv", "--port", str(port)]
@@ -99,7 +104,7 @@
             while isinstance(await own.get("x"), Err):
                 await anyio.sleep(0.02)
             await httpx_post(f"{url}/copy")
-            await run_over_drill(context, url, own, other, copy_has)
+            await action(url, own, other)
         await own.close()
         await other.close()
     finally:
@@ -113,7 +118,7 @@
 
 
 async def run_over_drill(
-    context: Any, url: str, own: KeyValueClient, other: KeyValueClient, copy_has: str
+    context: Any, copy_has: str, url: str, own: KeyValueClient, other: KeyValueClient
 ) -> None:
     lease = (await own.grant_lease(10_000)).ok_value
     await own.put("key", "before", NO_REVISION, lease)
@@ -141,7 +146,7 @@
 @when("the store comes back from a copy that {has}")
 def comes_back(context: Any, has: str) -> None:
     context.copy_has = has
-    anyio.run(restored_store, context, has)
+    anyio.run(with_store, partial(run_over_drill, context, has))
 
 
 @when(
@@ -149,7 +154,8 @@
     " revision"
 )
 def comes_back_and_written(context: Any) -> None:
-    anyio.run(restored_store, context, "gave its identifier to another daemon")
+    has = "gave its identifier to another daemon"
+    anyio.run(with_store, partial(run_over_drill, context, has))
 
 
 @then("the client takes its lease for expired, and the other lease lasts")
@@ -173,3 +179,31 @@
 def token_is_higher(context: Any) -> None:
     first, second = context.leases
     assert first.fencing_token < second.fencing_token
+
+
+@given("a client that watches a store")
+def watching_client(context: Any) -> None:
+    context.watched = Ok(None)
+
+
+async def watch_over_drill(
+    context: Any, url: str, own: KeyValueClient, other: KeyValueClient
+) -> None:
+    """Watch from a revision that the store has just given out again."""
+    await other.put("key", "before", None)
+    at = (await own.scan("")).ok_value.at
+    await httpx_post(f"{url}/restore")
+    await other.put("key", "after", None)
+    await anyio.sleep(0.3)
+    with anyio.move_on_after(1):
+        context.watched = await own.watch("", at, 5_000)
+
+
+@when("the store comes back and gives out revisions up to the client's again")
+def revisions_again(context: Any) -> None:
+    anyio.run(with_store, partial(watch_over_drill, context))
+
+
+@then("within 1 s the client learns that the store was restored")
+def learns_restored(context: Any) -> None:
+    assert context.watched == Err(Restored(2)), context.watched
