Store settings in force again after the store has lost them

Own interface: a confirmed change that the store lost stayed in force only where it was already; a daemon that started got the configuration before it, and the next change got the lost one's revision, so that daemons that had the lost one never applied it.

Cause: the revision of a configuration was the stored one and 1, though the stored one can go back. Class: as of the order of the store's revisions.

A manifest has the era in which it was stored. The first change of a new era skips 100,000 revisions, so it is above every lost one, and the rule that a daemon's configuration never goes back stays a comparison of two numbers, between daemons, too. A daemon that reads a root of an earlier era below its own configuration stores that again, as a change by cowsliphitch in the audit trail; of several daemons one succeeds. An operator who edited a revision that the store doesn't have gets a conflict, as before.

The step of an older root now gives the manifest the era of its key, as a daemon writes it: the check is the same. Not mended: a root that the copy lacks as a whole is not stored again.

--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -16,8 +16,8 @@
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
-from cowsliphitch.state.config.models import Stored
-from cowsliphitch.state.config.store import Author, ConfigStore
+from cowsliphitch.state.config.models import Author, Stored
+from cowsliphitch.state.config.store import ConfigStore
 
 CLAIM_INTERVAL_MS = {"A": 11, "B": 12, "C": 13}
 OUTAGE_S = 0.3
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -57,7 +57,7 @@
 def apply_stored_root(context: Any, revision: int) -> None:
     context.store = CountingStore()
     context.coordinator._store = context.store
-    root = Root(Manifest(revision, "change"), Revision(1, 1))
+    root = Root(Manifest(revision, "change", era=1), Revision(1, 1))
     anyio.run(context.coordinator._apply_root, root)
 
 
--- a/packages/core/src/cowsliphitch/core/config/models.py
+++ b/packages/core/src/cowsliphitch/core/config/models.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from typing import Final
 
 import attrs
 from result import Err, Ok, Result
@@ -12,6 +13,10 @@
 from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.core.settings.schema import dump_json
 
+# Revisions that the first change of a new era of the store skips.  The store has lost
+# changes, fewer than these, whose revisions are in force somewhere.
+REVISIONS_SKIPPED_PER_ERA: Final = 100_000
+
 
 @attrs.frozen
 class Manifest:
@@ -20,11 +25,13 @@
     :param revision: number of the configuration, counted from 1; 0 if none is stored
     :param change: identifier of the change that created this manifest
     :param branches: digest of the stored value by branch path
+    :param era: era of the store in which it was stored
     """
 
     revision: int = 0
     change: str = ""
     branches: dict[str, str] = attrs.Factory(dict)
+    era: int = 0
 
 
 @attrs.frozen
@@ -131,7 +138,11 @@
 
 
 def plan_change(
-    current: Manifest, base_revision: int, settings: Settings, entry: Change
+    current: Manifest,
+    base_revision: int,
+    settings: Settings,
+    entry: Change,
+    era: int,
 ) -> Result[PlannedChange, Conflict]:
     """Plan the writes that replace the configuration in force.
 
@@ -139,6 +150,7 @@
     :param base_revision: the revision that the operator edited
     :param entry: change identifier, operator, time and note; the other fields are set
         here
+    :param era: era of the store that has the current manifest
     """
     if current.revision != base_revision:
         return Err(Conflict(base_revision, current))
@@ -150,7 +162,9 @@
         if current.branches.get(path) != branches.get(path)
     )
     revision = current.revision + 1
-    manifest = Manifest(revision, entry.change, branches)
+    if current.revision and era > current.era:
+        revision += REVISIONS_SKIPPED_PER_ERA
+    manifest = Manifest(revision, entry.change, branches, era)
     entry = attrs.evolve(
         entry, revision=revision, previous=current.change, branches=branch_changes
     )
--- a/packages/daemon/src/cowsliphitch/daemon/control.py
+++ b/packages/daemon/src/cowsliphitch/daemon/control.py
@@ -22,6 +22,7 @@
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.state.config.models import (
+    Author,
     OutcomeUnknown,
     Stored,
     StoreUnavailable,
@@ -29,7 +30,7 @@
     SubmitResult,
     Unchanged,
 )
-from cowsliphitch.state.config.store import Author, ConfigStore
+from cowsliphitch.state.config.store import ConfigStore
 from cowsliphitch.state.orders.coordinator import OrderCoordinator
 from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
 
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -107,10 +107,16 @@
     async def _apply_root(self, root: Root) -> None:
         """Read the values of a root and apply them, if the root is newer.
 
-        If a value can't be read, the root is read again.
+        If a value can't be read, the root is read again.  If the store has come back
+        from an older copy, the settings in force are stored again.
         """
         if not is_newer(self.snapshot, root.manifest):
             self._key_revision = root.key_revision
+            if (
+                root.manifest.revision < self.revision
+                and root.manifest.era < root.key_revision.era
+            ):
+                await self._store_again(root)
             return
         match await self._store.read_snapshot(root.manifest, self.snapshot):
             case Ok(snapshot):
@@ -119,6 +125,18 @@
             case Err(_):
                 await anyio.sleep(seconds(const.RETRY_DELAY_MS))
 
+    async def _store_again(self, root: Root) -> None:
+        """Store the settings in force again; of several daemons, one succeeds."""
+        result = await self._store.store_again(self.settings, root)
+        _LOGGER.warning(
+            "The store came back in era %d with configuration %d, not %d; "
+            "the latter was stored again: %s",
+            root.key_revision.era,
+            root.manifest.revision,
+            self.revision,
+            result,
+        )
+
     def is_newer_revision(self, revision: int) -> bool:
         """Return whether a revision is newer than the one in force."""
         return revision > self.revision
--- a/packages/state/src/cowsliphitch/state/config/models.py
+++ b/packages/state/src/cowsliphitch/state/config/models.py
@@ -1,4 +1,4 @@
-"""Outcomes of submitting a change, and the root as read from the store."""
+"""Author and outcomes of a change, and the root as read from the store."""
 
 import attrs
 
@@ -6,6 +6,18 @@
 from cowsliphitch.core.revisions import Revision
 
 
+@attrs.frozen
+class Author:
+    """The author of a change, as recorded in the audit trail.
+
+    :param who: name of the operator whose token was used
+    :param note: the operator's comment
+    """
+
+    who: str
+    note: str
+
+
 @attrs.frozen
 class Stored:
     """Result: the change was stored; only a later change can undo it.
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -6,7 +6,6 @@
 """
 
 import anyio
-import attrs
 from result import Err, Ok, Result
 
 from cowsliphitch.core import ids
@@ -34,6 +33,7 @@
 
 from . import const
 from .models import (
+    Author,
     OutcomeUnknown,
     Root,
     Stored,
@@ -44,18 +44,6 @@
 )
 
 
-@attrs.frozen
-class Author:
-    """The author of a change, as recorded in the audit trail.
-
-    :param who: name of the operator whose token was used
-    :param note: the operator's comment
-    """
-
-    who: str
-    note: str
-
-
 class ConfigStore:
     """Reads and writes configurations and their audit trail."""
 
@@ -117,23 +105,38 @@
             case Err(unavailable):
                 return StoreUnavailable(unavailable.detail)
             case Ok(root):
-                wall_ms = self._clock.wall_ms()
-                entry = Change(
-                    change=ids.new_id(wall_ms),
-                    revision=0,
-                    previous="",
-                    who=author.who,
-                    wall_ms=wall_ms,
-                    note=author.note,
-                    branches=(),
-                )
-                match plan_change(root.manifest, base_revision, settings, entry):
-                    case Err(conflict):
-                        return await self._record_rejected(entry, conflict)
-                    case Ok(plan) if not plan.entry.branches:
-                        return Unchanged(root.manifest.revision)
-                    case Ok(plan):
-                        return await self._write(plan, root)
+                return await self._submit_on(root, settings, base_revision, author)
+
+    async def store_again(self, settings: Settings, root: Root) -> SubmitResult:
+        """Store settings that are in force, after the store has lost them.
+
+        :param root: the root that the store came back with
+        """
+        return await self._submit_on(
+            root, settings, root.manifest.revision, const.RECOVERY_AUTHOR
+        )
+
+    async def _submit_on(
+        self, root: Root, settings: Settings, base_revision: int, author: Author
+    ) -> SubmitResult:
+        wall_ms = self._clock.wall_ms()
+        entry = Change(
+            change=ids.new_id(wall_ms),
+            revision=0,
+            previous="",
+            who=author.who,
+            wall_ms=wall_ms,
+            note=author.note,
+            branches=(),
+        )
+        era = root.key_revision.era or self._kv.era
+        match plan_change(root.manifest, base_revision, settings, entry, era):
+            case Err(conflict):
+                return await self._record_rejected(entry, conflict)
+            case Ok(plan) if not plan.entry.branches:
+                return Unchanged(root.manifest.revision)
+            case Ok(plan):
+                return await self._write(plan, root)
 
     async def _write(self, plan: PlannedChange, root: Root) -> SubmitResult:
         """Write the values and the audit entry, then replace the root."""
