Refuse keys from before a drill whose claims the store may have lost

Own interface: an order whose claim the store had acknowledged and then lost could be claimed again, by the daemon that ran it and by every other, and so run twice.

Cause: the log was taken for complete below its floor, though the store can come back without its last claims. Class: an acknowledgement that is believed for longer than the store keeps it.

The head of a log has the era whose claims it has in full. A daemon that reads a head of an earlier era raises the floor to the time from which it knows of the present one: a key from before it that has no record is refused as "may have run", later keys are claimed as always, and the next write keeps both in the log. A view of the log is not used in another era.

Three examples of features/state/orders.feature failed before (Owned, for the first, the second and a newly started daemon) and pass with the change; the other two scenarios passed and pass. features/daemon/orders.feature and features/core/orders.feature pass. Left: a key whose creator's clock is ahead of the daemon's by more than the time to the drill.

--- a/packages/core/src/cowsliphitch/core/orders/log.py
+++ b/packages/core/src/cowsliphitch/core/orders/log.py
@@ -47,6 +47,19 @@
         return None
 
 
+def head_in_era(head: Head, era: int, era_since_ms: int) -> Head:
+    """Return a head as it is to be used in an era of the store.
+
+    The store may have lost the claims of an earlier era that it had acknowledged last,
+    so keys that were created before the era can no longer be claimed.
+
+    :param era_since_ms: Unix time from which this daemon knows of the era
+    """
+    if head.era >= era:
+        return head
+    return attrs.evolve(head, era=era, floor_ms=max(head.floor_ms, era_since_ms))
+
+
 @attrs.frozen
 class Owned:
     """The attempt's claim is in the log: the caller may dispatch the order.
@@ -135,11 +148,17 @@
     sealed = tuple(name for name in view.head.sealed if name not in dropped)
     open_records = _replace_records(view.head.open, records)
     if len(open_records) <= const.MAX_OPEN_RECORDS:
-        return AppendPlan(
-            Head(_floor_after_drop(view, dropped), sealed, open_records), None, dropped
+        head = Head(
+            _floor_after_drop(view, dropped), sealed, open_records, view.head.era
         )
+        return AppendPlan(head, None, dropped)
     segment = Segment(view.head.open)
-    head = Head(_floor_after_drop(view, dropped), (*sealed, segment_name), records)
+    head = Head(
+        _floor_after_drop(view, dropped),
+        (*sealed, segment_name),
+        records,
+        view.head.era,
+    )
     return AppendPlan(head, (segment_name, segment), dropped)
 
 
--- a/packages/core/src/cowsliphitch/core/orders/models.py
+++ b/packages/core/src/cowsliphitch/core/orders/models.py
@@ -88,11 +88,13 @@
     :param floor_ms: keys created before this Unix time can no longer be claimed
     :param sealed: names of the sealed segments, oldest first
     :param open: records since the last seal
+    :param era: era of the store whose claims the log has in full, above the floor
     """
 
     floor_ms: int = 0
     sealed: tuple[str, ...] = ()
     open: tuple[Record, ...] = ()
+    era: int = 0
 
 
 @attrs.frozen
--- a/packages/state/src/cowsliphitch/state/orders/writer.py
+++ b/packages/state/src/cowsliphitch/state/orders/writer.py
@@ -21,6 +21,7 @@
     Owned,
     Unclaimed,
     check_claim,
+    head_in_era,
     plan_append,
 )
 from cowsliphitch.core.orders.models import Head, Record, Segment, State
@@ -115,7 +116,7 @@
 
         A repeat of such an order needs no access to the store.
         """
-        if self._view is None:
+        if self._view is None or self._view.head.era != self._kv.era:
             return None
         match check_claim(self._view, record):
             case Ok(Done()) as done:
@@ -278,7 +279,7 @@
             await self._kv.delete(self._segment_key(name))
 
     async def _current_view(self) -> Result[LogView, Unavailable]:
-        if self._view is not None:
+        if self._view is not None and self._view.head.era == self._kv.era:
             return Ok(self._view)
         started_ms = self._clock.now_ms()
         loaded = await self._load()
@@ -293,7 +294,7 @@
             case Err(unavailable):
                 return Err(unavailable)
             case Ok(None):
-                return Ok(LogView(Head(), NO_REVISION, {}))
+                return Ok(LogView(self._in_era(Head()), NO_REVISION, {}))
             case Ok(entry):
                 assert entry is not None
         match from_json(entry.value, Head):
@@ -308,7 +309,20 @@
                     return Err(unavailable)
                 case Ok(segment):
                     segments[name] = segment
-        return Ok(LogView(head, entry.revision, segments))
+        return Ok(LogView(self._in_era(head), entry.revision, segments))
+
+    def _in_era(self, head: Head) -> Head:
+        current = head_in_era(head, self._kv.era, self._kv.era_since_ms)
+        if current.era != head.era and head.era:
+            _LOGGER.warning(
+                "Order log %d is of era %d and the store of era %d; "
+                "keys from before %d are refused",
+                self._shard,
+                head.era,
+                current.era,
+                current.floor_ms,
+            )
+        return current
 
     async def _load_segment(self, name: str) -> Result[Segment, Unavailable]:
         match await self._kv.get(self._segment_key(name)):
