Specify the view of a server over a store that comes back from a copy

The model has the store's era and numbers, the copy, a server that drains and a daemon that lists and watches. Proved for any number of steps: an up-to-date view knows that the server drains, and a daemon that has heard it never takes the server for ready again. Three faulty variants (order by number alone, a watch that goes on in another era, an entry of the copy that replaces a report) yield counterexamples. Drills of the own interface's configuration and orders are not in the model.

--- a/features/spec/model.feature
+++ b/features/spec/model.feature
@@ -29,3 +29,15 @@
       | a daemon takes a lower revision                    |
       | an operator writes without comparing the revision  |
       | an operator is told stored before the write is known |
+
+  Scenario: A view of a store that comes back from a copy misses no leaving server
+    Then the "drill" specification holds for any number of steps
+
+  Scenario Outline: A faulty variant of the view over a drill yields a counterexample
+    Then the "drill" specification breaks with "<variant>"
+
+    Examples:
+      | variant                                             |
+      | revisions are ordered by their number alone         |
+      | a watch goes on in another era                      |
+      | an entry of the copy replaces a report that was lost |
--- a/features/steps/spec_steps.py
+++ b/features/steps/spec_steps.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 from behave import then
-from spec import config, orders
+from spec import config, drill, orders
 from spec.machine import counterexample, holds
 
-SPECIFICATIONS = {"orders": orders, "config": config}
+SPECIFICATIONS = {"orders": orders, "config": config, "drill": drill}
 MAX_STEPS = 14
 
 
