--- a/spec/drill.py
+++ b/spec/drill.py
@@ -27,7 +27,7 @@
     """Return the state machine of a variant.
 
     ``written`` is the number of the server's entry, and ``says`` whether it drains
-    there; ``known_era`` and ``known`` are the revision of the entry that the daemon has.
+    there; ``known_era`` and ``known`` are the revision of the daemon's entry.
     """
     initial = {
         "era": 1,
