Grant the first request to a limited server at once

The bucket began empty, so the first place came after a whole interval. It begins with one request now; what all daemons report to have sent still bounds the 4 s.

--- a/packages/core/src/cowsliphitch/core/limits/const.py
+++ b/packages/core/src/cowsliphitch/core/limits/const.py
@@ -26,5 +26,8 @@
 # Requests that a limited server may get at once after it had none for a while.
 BURST: Final = 2.0
 
+# Requests that a daemon may grant at once when it begins to grant those to a server.
+INITIAL_LEVEL: Final = 1.0
+
 # Longest time after which a caller is told to return to a limited server.
 MAX_RETRY_AFTER_MS: Final = 10_000
--- a/packages/core/src/cowsliphitch/core/limits/grants.py
+++ b/packages/core/src/cowsliphitch/core/limits/grants.py
@@ -99,9 +99,8 @@
     def _refill(self, server_id: str, granted_rate: float, now_ms: int) -> _Bucket:
         bucket = self._buckets.get(server_id)
         if bucket is None:
-            # Requests that were sent before the limit was known, or that another daemon
-            # granted, are not counted exactly.
-            bucket = self._buckets[server_id] = _Bucket(0.0, now_ms)
+            # Requests that another daemon granted are not counted exactly.
+            bucket = self._buckets[server_id] = _Bucket(const.INITIAL_LEVEL, now_ms)
         elapsed_s = seconds(max(0, now_ms - bucket.updated_ms))
         bucket.level = min(const.BURST, bucket.level + elapsed_s * granted_rate)
         bucket.updated_ms = now_ms
--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -80,13 +80,16 @@
 
 @attrs.define
 class Outcomes:
-    """What became of the callers' requests."""
+    """What became of the callers' requests.
+
+    :param denied_ms: times of the denials
+    """
 
     sent: int = 0
     denied: int = 0
     returned: int = 0
     returned_sent: int = 0
-    promises_ms: list[int] = attrs.Factory(list)
+    denied_ms: list[int] = attrs.Factory(list)
 
 
 class _Peers:
@@ -257,13 +260,13 @@
         servers = [server.server for server in self.servers]
         self.rng.shuffle(servers)
         try:
-            server, permit = _result(
+            server, permit = result_of(
                 daemon.client.choose_permitted(servers, MAX_WAIT_MS, "r")
             )
         except UpstreamError as exc:
             self.outcomes.denied += 1
             retry_after_ms = exc.refusal.retry_after_ms or 0
-            self.outcomes.promises_ms.append(retry_after_ms)
+            self.outcomes.denied_ms.append(self.clock.now_ms())
             if not is_return:
                 other = self.rng.randrange(len(self.daemons))
                 self.at(retry_after_ms, partial(self._request, other, is_return=True))
@@ -304,7 +307,7 @@
         return max((sum(t <= u < t + 4_000 for u in times) for t in times), default=0)
 
 
-def _result(coroutine: Coroutine[Any, Any, Any]) -> Any:
+def result_of(coroutine: Coroutine[Any, Any, Any]) -> Any:
     """Run a coroutine that waits for nothing outside of the emulation."""
     try:
         coroutine.send(None)
