Tell callers of a cached denial when there is a place for them

A denial holds for 200 ms without another call, and the refusals in that time named at most 400 ms, whatever the first one named: [4174, 336, 205, 327, ...] ms for eight callers at the same moment to a server that takes two a second. They would all have been refused again.

Cause: the cached denial kept how long it holds, not when there is a place. It keeps the latter now, and each further refusal names a place one interval later. The scenario "Callers that are denied are told to return one after the other" failed before and passes.

--- a/features/core/limits.feature
+++ b/features/core/limits.feature
@@ -27,6 +27,11 @@
     When callers send 2 requests a second for 30 s, and nothing else happens
     Then at most 1 in 20 requests are denied
 
+  Scenario: Callers that are denied are told to return one after the other
+    Given a daemon and a server that names 2.0 requests a second, which has no place
+    When 8 callers are denied at the same moment
+    Then they are told to return at least 480 ms apart
+
   Scenario Outline: A limit that changes holds from then on
     Given 9 daemons and a server that names <before> and after 12 s <after>
     When callers send 8 requests a second for 30 s, and nothing else happens
@@ -36,11 +41,23 @@
       | before    | after     | least | most |
       | 1.0       | 3.0       | 32    | 40   |
       | 3.0       | 1.0       | 10    | 15   |
-      | 1.0       | nothing   | 70    | 130  |
-      | 1.0       | endless   | 70    | 130  |
       | 1.0       | 0         | 1     | 4    |
       | 1.0       | unreadable | 10   | 15   |
-      | unreadable | unreadable | 70  | 130  |
+
+  Scenario Outline: A limit that ends holds back no request from then on
+    Given 9 daemons and a server that names 1.0 and after 12 s <after>
+    When callers send 8 requests a second for 30 s, and nothing else happens
+    Then no request is denied in the last 16 s, and it gets all of them
+
+    Examples:
+      | after   |
+      | nothing |
+      | endless |
+
+  Scenario: A limit that was never readable holds back no request
+    Given 9 daemons and a server that names unreadable and after 12 s unreadable
+    When callers send 8 requests a second for 30 s, and nothing else happens
+    Then no request is denied in the last 30 s, and it gets all of them
 
   Scenario Outline: What a server's answer names is decoded
     When a server's answer names the limit "<text>"
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -1,5 +1,6 @@
 """Steps on the limits that servers name, with emulated daemons and servers."""
 
+import itertools
 import math
 from collections.abc import Callable
 from typing import Any
@@ -16,8 +17,8 @@
 from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.platform.servers import decode_limit
-from cowsliphitch.standins.emulator.limits import LimitedFleet
-from cowsliphitch.upstreams.http1.models import AnswerHead
+from cowsliphitch.standins.emulator.limits import LimitedFleet, result_of
+from cowsliphitch.upstreams.http1.models import AnswerHead, UpstreamError
 
 # Seeds of a run in CI; more are run by hand with ``behave -D seeds=50``.
 DEFAULT_SEEDS = 2
@@ -140,6 +141,16 @@
         assert least <= count <= most, f"seed {seed}: {count} requests"
 
 
+@then("no request is denied in the last {s:d} s, and it gets all of them")
+def none_is_denied(context: Any, s: int) -> None:
+    for seed, fleet in enumerate(context.fleets, start=1):
+        from_ms = fleet.start_ms + context.ran_ms - s * 1_000
+        denied = [ms for ms in fleet.outcomes.denied_ms if ms >= from_ms]
+        assert not denied, f"seed {seed}: denied at {denied}"
+        arrivals = [ms for ms, _ in fleet.servers[0].arrivals if ms >= from_ms]
+        assert len(arrivals) >= 5 * s, f"seed {seed}: {len(arrivals)} requests"
+
+
 @when('a server\'s answer names the limit "{text}"')
 def decode_named(context: Any, text: str) -> None:
     head = AnswerHead(200, ((b"server-limit", text.encode()),))
@@ -242,3 +253,34 @@
     for n in range(count):
         reported |= context.limit_table.next_reports(NOW_MS + 3_000 + n).keys()
     assert reported == context.names, len(reported)
+
+
+@given(
+    "a daemon and a server that names {per_s:f} requests a second, which has no place"
+)
+def server_without_place(context: Any, per_s: float) -> None:
+    fleet = LimitedFleet(1, [[(0, RequestRate(per_s))]], 1)
+    fleet.send_load(20, [1.0], 4_000)
+    fleet.run(4_000)
+    context.fleets = [fleet]
+
+
+@when("{count:d} callers are denied at the same moment")
+def callers_are_denied(context: Any, count: int) -> None:
+    (fleet,) = context.fleets
+    fleet.run(500)
+    (daemon,) = fleet.daemons
+    server = fleet.servers[0].server
+    context.retry_after_ms = []
+    while len(context.retry_after_ms) < count:
+        try:
+            result_of(daemon.client.choose_permitted([server], 0, "r"))
+        except UpstreamError as exc:
+            context.retry_after_ms.append(exc.refusal.retry_after_ms)
+
+
+@then("they are told to return at least {ms:d} ms apart")
+def return_apart(context: Any, ms: int) -> None:
+    times = context.retry_after_ms
+    gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+    assert min(gaps) >= ms, times
--- a/packages/gateway/src/cowsliphitch/gateway/permits.py
+++ b/packages/gateway/src/cowsliphitch/gateway/permits.py
@@ -6,12 +6,13 @@
 """
 
 import logging
-import random
 from collections.abc import Sequence
 from typing import Any
 
 import attrs
 
+from cowsliphitch.core.clock import MS_PER_SECOND
+from cowsliphitch.core.limits.const import MAX_RETRY_AFTER_MS
 from cowsliphitch.core.limits.grants import RateGrants
 from cowsliphitch.core.limits.models import (
     Decision,
@@ -45,6 +46,18 @@
     send_ms: int
 
 
+@attrs.define
+class _Denial:
+    """Denial that holds for later requests to the same servers for a short time.
+
+    :param until_ms: monotonic time until which it holds
+    :param return_ms: monotonic time at which the caller of the last one may return
+    """
+
+    until_ms: int
+    return_ms: float
+
+
 class PermitOffice:
     """Get permits from the granting daemon, and grant them if this is the one."""
 
@@ -56,10 +69,8 @@
         self._state = state
         self._peers = peers
         self._grants = RateGrants(state.server_limits)
-        # Monotonic time until which requests for a service's servers are denied without
-        # a call, by the servers.
-        self._denied_until_ms: dict[tuple[str, ...], int] = {}
-        self._rng = random.Random(0)
+        # The latest denial by the servers that were asked for.
+        self._denials: dict[tuple[str, ...], _Denial] = {}
 
     def limited(self, servers: Sequence[Server]) -> list[LimitedServer]:
         """Return what is known of those servers that are limited, in their order."""
@@ -79,18 +90,20 @@
         if not limited:
             return Permit(servers[0].id, now)
         key = tuple(sorted(server.server_id for server in limited))
-        denied_ms = self._denied_until_ms.get(key, 0) - now
-        if denied_ms > 0:
-            # Callers that were denied together would return together.
-            spread_ms = self._rng.uniform(0, const.DENIAL_CACHE_MS)
-            return Denied(key[0], denied_ms + round(spread_ms))
+        denial = self._denials.get(key)
+        if denial is not None and denial.until_ms > now:
+            # Callers that were denied together must not return together.
+            denial.return_ms += MS_PER_SECOND / sum(s.per_s for s in limited)
+            return_ms = min(denial.return_ms, now + MAX_RETRY_AFTER_MS)
+            return Denied(key[0], round(return_ms - now))
         request = PermitRequest(request_id, service, limited, max_wait_ms)
         match await self._ask(request):
             case Granted(server_id, wait_ms):
                 return Permit(server_id, self._state.clock.now_ms() + wait_ms)
             case Denied(retry_after_ms=retry_after_ms) as denied:
+                now = self._state.clock.now_ms()
                 cached_ms = min(retry_after_ms - max_wait_ms, const.DENIAL_CACHE_MS)
-                self._denied_until_ms[key] = self._state.clock.now_ms() + cached_ms
+                self._denials[key] = _Denial(now + cached_ms, now + retry_after_ms)
                 return denied
 
     async def _ask(self, request: PermitRequest) -> Decision:
@@ -180,8 +193,8 @@
         """Forget the servers that are no longer limited, and denials that are over."""
         self._grants.retain_limited()
         now = self._state.clock.now_ms()
-        self._denied_until_ms = {
-            key: until_ms
-            for key, until_ms in self._denied_until_ms.items()
-            if until_ms > now
+        self._denials = {
+            key: denial
+            for key, denial in self._denials.items()
+            if denial.until_ms > now
         }
