Poll for the settings of a daemon that has none yet (suspected)

The scenario "A daemon started in an outage gets settings and upstreams from its peers" ended once with an error, not with a failed check, in four whole runs; its logs were not kept.

Suspected cause: the step asks the started daemon for its settings as soon as it answers /healthz. Until a peer has sent them, the daemon answers 404 "no configuration is in force", and the step's unwrap() of that raised UnwrapError instead of asking again.

The step now asks again until the bound, which stays 6 s; a daemon without settings at the bound still fails it.

--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -23,6 +23,18 @@
     return snapshot.manifest.revision, build_settings(snapshot).unwrap()
 
 
+def read_share_in_force(context: Any, daemon: str, team: str) -> int | None:
+    """Return a team's share in force in a daemon.
+
+    :returns: ``None`` if the daemon has started and has no settings yet
+    """
+    data = context.fleet.query_daemon(daemon, "/v1/config")
+    if data is None:
+        return None
+    settings = build_settings(from_json(json.dumps(data), Snapshot).unwrap()).unwrap()
+    return {str(name): t for name, t in settings.teams.items()}[team].share
+
+
 def store_document(
     context: Any, who: str, daemon: str, document: dict[str, Any], base: int | None
 ) -> None:
@@ -109,12 +121,9 @@
 @then('every daemon has the share of "{team}" at {share:d}')
 def assert_share_everywhere(context: Any, team: str, share: int) -> None:
     def is_everywhere() -> bool:
-        settings = [
-            read_settings_in_force(context, name)[1] for name in context.fleet.daemons
-        ]
         return all(
-            {str(k): v for k, v in s.teams.items()}[team].share == share
-            for s in settings
+            read_share_in_force(context, daemon, team) == share
+            for daemon in context.fleet.daemons
         )
 
     wait_for("the change is in force", is_everywhere, APPLY_TIMEOUT_MS)
