Answer the requests that a stopping daemon can't finish

Cause: a request knew its own deadline, not that of the daemon that handles it. At the end of the grace period the task group was cancelled, and the handlers with it.

500 ms before SIGKILL is due, requests whose answers have not begun are ended now, and each gets a refusal: not run if nothing was sent to a server, otherwise only that it may have run. Stages get no more time than that either, so their owner can refuse at once what would come too late. What ends requests moves from the handler to InFlightRequests.

The scenario "A stopping daemon answers the requests that it can't finish" failed before for engines ("Server disconnected without sending a response"); for stage servers it passed, since infeasible stages are refused anyway.

--- a/features/daemon/platform.feature
+++ b/features/daemon/platform.feature
@@ -85,6 +85,17 @@
     Then the daemon becomes unready within 300 ms and the stream arrives complete
     And the daemon exits without being killed
 
+  Scenario Outline: A stopping daemon answers the requests that it can't finish
+    Given a site with two daemons
+    And <servers> that take longer than the grace period
+    When a daemon receives SIGTERM while a generation waits for them
+    Then the caller receives <status> before the daemon exits
+
+    Examples:
+      | servers       | status |
+      | engines       | 502    |
+      | stage servers | 503    |
+
   Scenario: Requests with a prompt part that crashes engines stop reaching engines
     Given a site with two daemons
     And engines that crash on one prompt part
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -426,6 +427,40 @@
     assert context.streamed.count("data: event") == 4, context.streamed
 
 
+@given("{servers} that take longer than the grace period")
+def slow_down_servers(context: Any, servers: str) -> None:
+    services = {"engines": ["engine"], "stage servers": ["encode"]}[servers]
+    context.slow_servers = [
+        s for s in context.site.servers.values() if s.service in services
+    ]
+    for server in context.slow_servers:
+        server.prefill_ms, server.call_ms = 20_000, 1_900
+
+
+@when("a daemon receives SIGTERM while a generation waits for them")
+def stop_daemon_with_waiting_request(context: Any) -> None:
+    def has_arrived() -> bool:
+        return any(s.executed or s.piece_count for s in context.slow_servers)
+
+    headers = PROMPT_HEADERS | {
+        "cowsliphitch-pieces": "40,1",
+        "cowsliphitch-deadline-ms": "6000",
+    }
+    with ThreadPoolExecutor() as executor:
+        answer = executor.submit(context.site.call, "/generation/1", headers)
+        wait_for("the generation waits", has_arrived)
+        context.site.daemons[0]["process"].send_signal(signal.SIGTERM)
+        context.error = answer.exception()
+    context.answer = None if context.error else answer.result()
+
+
+@then("the caller receives {status:d} before the daemon exits")
+def check_answered_before_exit(context: Any, status: int) -> None:
+    assert context.error is None, context.error
+    assert context.answer.status_code == status, context.answer
+    assert context.site.daemons[0]["process"].wait(8) == 0
+
+
 @then("the daemon exits without being killed")
 def check_exited(context: Any) -> None:
     process = context.site.daemons[0]["process"]
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -120,6 +120,7 @@
         handler = RequestHandler(
             state, forwarder, stage_runner, self._metrics, quarantine
         )
+        self._in_flight = handler.in_flight
         self._caller_edge = EdgeServer(
             cfg.listen.callers,
             handler.handle,
@@ -190,12 +191,14 @@
     async def _shut_down(self) -> None:
         """Announce the shutdown and let requests end within the grace period.
 
+        Those that have no answer shortly before its end are refused.
         An idle daemon still waits until the load balancer sends no new connections.
         """
         end_ms = self._clock.now_ms() + self._cfg.shutdown.grace - const.EXIT_MARGIN_MS
         event(_LOGGER, "daemon.stop", active=self._caller_edge.diagnostics.active)
         self._state.stopping = True
         self._state.stopping_since_ms = self._clock.now_ms()
+        self._state.answer_by_ms = answer_by_ms = end_ms - const.LAST_ANSWERS_MS
         self._state.members.release_duties()
         self._caller_edge.disable_keep_alive()
         await self._fleet.send_heartbeat()
@@ -203,6 +206,8 @@
             await self._store.unregister()
         balancer_removed_ms = self._clock.now_ms() + const.BALANCER_REMOVAL_MS
         while self._clock.now_ms() < end_ms:
+            if self._clock.now_ms() >= answer_by_ms:
+                self._in_flight.end_unanswered()
             is_idle = (
                 not self._caller_edge.diagnostics.active
                 and not self._stage_executor.active_requests
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -50,6 +50,10 @@
 # The shutdown ends this long before the platform sends SIGKILL.
 EXIT_MARGIN_MS: Final = 300
 
+# Requests without an answer are refused this long before the exit, so that the refusals
+# are sent.
+LAST_ANSWERS_MS: Final = 200
+
 # File descriptors reserved for files, servers, peers and the store; callers' sockets
 # get a share of the others.
 RESERVED_DESCRIPTORS: Final = 1_000
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -4,6 +4,7 @@
 before an engine answers.  Fault: engines, stage results and owners are lost meanwhile.
 """
 
+import functools
 import logging
 from typing import Any
 
@@ -12,7 +13,6 @@
 from result import Err, Ok
 
 from cowsliphitch.callers.edge.models import EdgeRequest, Reply
-from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.models import Deployment, Route, RouteKind, Team
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server
@@ -20,7 +20,6 @@
     Reason,
     Refusal,
     Verdict,
-    may_have_run,
     not_run,
 )
 from cowsliphitch.peers.fleet.models import (
@@ -34,6 +33,7 @@
 from . import const
 from .engine_quarantine import EngineQuarantine
 from .forwarding import Forwarder, RequestContext
+from .in_flight import STOPPING_RETRY_AFTER_MS, InFlightRequests
 from .metrics import RequestMetrics
 from .permits import Permit
 from .stage_runner import StageError, StageRunner, StageRunParams, StageRunResult
@@ -41,14 +41,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Retry delay sent to a caller after a timeout: about the time that an engine takes to
-# restart.
-TIMEOUT_RETRY_AFTER_MS = 300
-
-# Retry delay sent to a caller while this daemon stops: short, since another daemon can
-# serve the request at once.
-STOPPING_RETRY_AFTER_MS = 20
-
 
 @attrs.define
 class _RequestLogFields:
@@ -146,9 +138,7 @@
     ) -> None:
         """Initialize with the shared components of the daemon."""
         self._quarantine = quarantine
-        # Requests that are being handled, by identifier, with the scopes that end them.
-        self._scopes: dict[str, tuple[RequestContext, anyio.CancelScope]] = {}
-        quarantine.add_listener(self._end_quarantined_requests)
+        self.in_flight = InFlightRequests(state, quarantine)
         self._state = state
         self._forwarder = forwarder
         self._stage_runner = stage_runner
@@ -176,7 +166,8 @@
                 refusal = admitted
             else:
                 ctx = admitted
-                refusal = await self._run_until_deadline(ctx, log_fields, reply)
+                run = functools.partial(self._run, ctx, log_fields, reply)
+                refusal = await self.in_flight.run_until_deadline(ctx, reply, run)
             if refusal is not None and not reply.started:
                 await self._send_refusal(request, refusal, reply)
             finished = True
@@ -249,32 +240,6 @@
             return not_run(Reason.UNAUTHENTICATED, "the key belongs to no team")
         return team
 
-    async def _run_until_deadline(
-        self, ctx: RequestContext, log_fields: _RequestLogFields, reply: Reply
-    ) -> Refusal | None:
-        """Run a request until its deadline; return the refusal if it got no answer."""
-        remaining_ms = ctx.deadline_ms - self._state.clock.now_ms()
-        refusal: Refusal | None = None
-        with anyio.move_on_after(seconds(max(0, remaining_ms))) as scope:
-            self._scopes[ctx.request.id] = ctx, scope
-            try:
-                refusal = await self._run(ctx, log_fields, reply)
-            finally:
-                self._scopes.pop(ctx.request.id, None)
-        if not scope.cancelled_caught:
-            return refusal
-        quarantined = self._quarantine.refusal_of(ctx.request)
-        if quarantined is not None:
-            return attrs.evolve(quarantined, verdict=ctx.attempts.verdict)
-        return _timeout_refusal(ctx)
-
-    def _end_quarantined_requests(self) -> None:
-        """Cancel requests with a quarantined part that wait or are being prefilled."""
-        for ctx, scope in list(self._scopes.values()):
-            has_begun = ctx.stream_progress.first_event_ms is not None
-            if not has_begun and self._quarantine.refusal_of(ctx.request):
-                scope.cancel()
-
     async def _run(
         self, ctx: RequestContext, log_fields: _RequestLogFields, reply: Reply
     ) -> Refusal | None:
@@ -287,13 +252,17 @@
         if not has_engines and not ctx.route.stages:
             return await self._forwarder.run(ctx, reply)
         first_event_timeout_ms = ctx.route.first_event_timeout_ms
-        first_event_deadline_ms = ctx.request.received_ms + first_event_timeout_ms
+        deadlines_ms = (
+            ctx.deadline_ms,
+            ctx.request.received_ms + first_event_timeout_ms,
+            self._state.answer_by_ms,
+        )
         params = StageRunParams(
             request=ctx.request,
             route=ctx.route,
             team=log_fields.team,
             priority=ctx.priority,
-            deadline_ms=min(ctx.deadline_ms, first_event_deadline_ms),
+            deadline_ms=min(ms for ms in deadlines_ms if ms is not None),
             objective_ms=ctx.request.received_ms + ctx.route.objective_ms,
             engine_service=ctx.service,
         )
@@ -426,12 +395,3 @@
             "request.ended",
             **{k: v for k, v in fields.items() if v is not None},
         )
-
-
-def _timeout_refusal(ctx: RequestContext) -> Refusal:
-    detail = "there was no whole answer in time"
-    if ctx.attempts.verdict is Verdict.NOT_RUN:
-        return not_run(
-            Reason.DEADLINE_EXCEEDED, detail, retry_after_ms=TIMEOUT_RETRY_AFTER_MS
-        )
-    return may_have_run(Reason.DEADLINE_EXCEEDED, detail)
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -32,6 +32,8 @@
     :param loop_delay: how late this daemon's event loop is
     :param stopping: SIGTERM was received
     :param stopping_since_ms: monotonic time at which ``stopping`` was set
+    :param answer_by_ms: monotonic time at which a stopping daemon refuses the requests
+        that have no answer yet, ``None`` before SIGTERM
     """
 
     clock: Clock
@@ -45,6 +47,7 @@
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
     stopping_since_ms: int = 0
+    answer_by_ms: int | None = None
 
     @property
     def deployment(self) -> Deployment | None:
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -42,6 +42,7 @@
     :param freed: handles of results that were freed at this server
     :param all_freed: handles of results that were freed at any server of the site
     :param missing_results: requests that it refused since their results were freed
+    :param call_ms: duration of a call that runs pieces
     :param prefill_ms: time from the receipt of a prompt to its first event
     :param crashing_part: prompt part on which it crashes instead of answering
     :param crashes: number of its crashes
@@ -61,6 +62,7 @@
     freed: set[str] = attrs.Factory(set)
     all_freed: set[str] = attrs.Factory(set)
     missing_results: list[str] = attrs.Factory(list)
+    call_ms: int = 20
     prefill_ms: int = 0
     crashing_part: str = ""
     crashes: int = 0
@@ -127,7 +129,7 @@
             {"handle": f"{self.address}/{self.id}-{next(self._handle_numbers)}"}
             for _ in items
         ]
-        await anyio.sleep(0.02)
+        await anyio.sleep(seconds(self.call_ms))
         await self._answer(reply, 200, json.dumps({"items": results}).encode())
 
     async def _run_request(self, req: EdgeRequest, reply: Reply) -> None:
