Count scenarios and features that were not executed as failed

A run of the tests passed although a fleet did not start: with a fleet that raises in before_feature, script/summary.py printed "5 passed, 0 failed" and exited with 0, while behave reported "5 untested".

Cause: behave lists a feature whose hook failed without its scenarios, and scenarios that were not reached as untested; the summary left out both. A feature with another status than passed, failed, error or skipped is counted as failed itself now, and so is an untested scenario.

A run of a subset deselects scenarios as skipped, which stays without effect.

--- a/script/summary.py
+++ b/script/summary.py
@@ -12,14 +12,20 @@
 
 KNOWN_PREFIX: Final = "test: "
 
+# Statuses of features whose scenarios were executed or deselected.
+FEATURE_STATUSES: Final = frozenset({"passed", "failed", "error", "skipped"})
+
 
 def scenarios(report: list[dict[str, Any]]) -> Iterator[tuple[str, str]]:
     """Yield location, name and status of each scenario in a report.
 
-    A scenario without a status counts as failed.
+    A scenario without a status counts as failed.  A feature whose fleet did not start
+    has no scenarios in the report, and is yielded itself.
     """
     for feature in report:
         feature_path = feature["location"].rpartition(":")[0]
+        if feature["status"] not in FEATURE_STATUSES:
+            yield f"{feature_path}: {feature['name'].strip()}", feature["status"]
         for element in feature.get("elements", []):
             if element["type"] == "scenario":
                 yield (
@@ -53,7 +59,7 @@
         print("the tests' report is not whole")
         return 1
     known = known_failures(known_path.read_text())
-    executed = [item for item in results if item[1] not in ("skipped", "untested")]
+    executed = [item for item in results if item[1] != "skipped"]
     failed = {name for name, status in executed if status != "passed"}
     for name in sorted(failed - known):
         print(f"FAILED {name}")
