Refuse an own claim that may follow one that the store has lost

A caller who repeated an order right after the store came back could have it run twice, if the store was away for less than 200 ms: the second daemon's claim was appended on a revision number that had been given out again, its outcome was unknown, and on the next reading the daemon found its claim in the log and owned the order.

Cause: finding an own claim counted as the right to dispatch, although the log may lack an earlier claim of the key. A key that was created before the era began is refused as "may have run" then, like one that is not in the log at all. It holds whatever the store's answer named, and doesn't need the era of a condition.

--- a/packages/core/src/cowsliphitch/core/orders/log.py
+++ b/packages/core/src/cowsliphitch/core/orders/log.py
@@ -51,7 +51,8 @@
     """Return a head as it is to be used in an era of the store.
 
     The store may have lost the claims of an earlier era that it had acknowledged last,
-    so keys that were created before the era can no longer be claimed.
+    so keys that were created before the era can no longer be claimed, and a claim of
+    such a key that the log has gives no right to dispatch its order.
 
     :param era_since_ms: Unix time from which this daemon knows of the era
     """
@@ -108,6 +109,9 @@
             return Err(expired_key_refusal())
         return Ok(Unclaimed())
     if record.attempt == claim.attempt:
+        if claim.created_ms < view.head.floor_ms:
+            # Appended in an era whose log may lack an earlier claim of this key.
+            return Err(expired_key_refusal())
         return Ok(Owned(record))
     if record.fingerprint != claim.fingerprint:
         detail = "the idempotency key was used for another request"
