Own an order only if its claim was written in the era of the log that was read (suspected)

A caller's order could run twice if the store came back between the reading of a log that did not exist yet and the write that creates it: that the key is absent is true in every era, so the write was acknowledged and the daemon owned the order, although another one had claimed and run it in a log that the store had lost.

Cause: the acknowledgement was taken without its era. A write that is acknowledged in another era than that of the log that was read counts like a conflict now: the log is read again, and the key is refused as "may have run". An era of a log that is not the store's, lower or higher, raises the floor, so that the eras of both are the same from then on.

The scenario "A log that is created in another era than it was looked for does not count" failed before (Owned). Not seen with whole daemons: the drill has to fall between two calls.

--- a/features/state/orders.feature
+++ b/features/state/orders.feature
@@ -37,3 +37,9 @@
       | repeat |
       | first  |
       | second |
+
+  Scenario: A log that is created in another era than it was looked for does not count
+    Given a store without an order log and two daemons that claim orders
+    When the second daemon is about to create the log for order "a"
+    But the first daemon claims it before, and the store comes back from the copy
+    Then the claim is refused since the order may have run
--- a/features/steps/order_drill_steps.py
+++ b/features/steps/order_drill_steps.py
@@ -16,6 +16,7 @@
 from cowsliphitch.core.orders.models import OrderKey, parse_key
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Orders
 from cowsliphitch.core.verdict import Verdict
+from cowsliphitch.platform.store.models import WriteResult
 from cowsliphitch.state.orders.coordinator import OrderCoordinator
 
 TIMEOUT_MS = 3_000
@@ -65,14 +66,14 @@
     await drill.post("/faults", {"down": False})
 
 
-def prepare(context: Any, with_copy: bool) -> None:
+def prepare(context: Any, with_copy: bool, with_log: bool = True) -> None:
     context.order_keys, context.orders = {}, []
 
     async def act(drill: Drill, group: TaskGroup) -> None:
         for _ in range(2):
             context.orders.append(await start_orders(drill, group))
         # Orders before the copy, so that the only log exists.
-        for number, name in enumerate(("x", "y")):
+        for number, name in enumerate(("x", "y") if with_log else ()):
             await claim(context, drill, number, name)
             assert isinstance(context.outcome, Ok), context.outcome
         if with_copy:
@@ -91,6 +92,35 @@
     prepare(context, with_copy=False)
 
 
+@given("a store without an order log and two daemons that claim orders")
+def store_without_log(context: Any) -> None:
+    prepare(context, with_copy=True, with_log=False)
+
+
+@when('the second daemon is about to create the log for order "{name}"')
+def hold_second_write(context: Any, name: str) -> None:
+    context.held_order = name
+
+
+@when("the first daemon claims it before, and the store comes back from the copy")
+def claim_before_second_write(context: Any) -> None:
+    async def act(drill: Drill, _group: TaskGroup) -> None:
+        client = drill.clients[-1]
+        put = client.put
+
+        async def put_after_drill(*args: Any) -> WriteResult:
+            client.put = put
+            await claim(context, drill, 0, context.held_order)
+            assert isinstance(context.outcome.ok_value, Owned), context.outcome
+            await drill.post("/restore")
+            return await put(*args)
+
+        client.put = put_after_drill
+        await claim(context, drill, 1, context.held_order)
+
+    context.actions.append(act)
+
+
 @when('the first daemon claims order "{name}", and the store comes back from the copy')
 def claim_and_lose(context: Any, name: str) -> None:
     async def act(drill: Drill, _group: TaskGroup) -> None:
--- a/packages/core/src/cowsliphitch/core/orders/log.py
+++ b/packages/core/src/cowsliphitch/core/orders/log.py
@@ -56,7 +56,7 @@
 
     :param era_since_ms: Unix time from which this daemon knows of the era
     """
-    if head.era >= era:
+    if head.era == era:
         return head
     return attrs.evolve(head, era=era, floor_ms=max(head.floor_ms, era_since_ms))
 
--- a/packages/state/src/cowsliphitch/state/orders/writer.py
+++ b/packages/state/src/cowsliphitch/state/orders/writer.py
@@ -249,11 +249,13 @@
             pending.maybe_written = True
         result = await self._kv.put(head_key, to_json(plan.head), view.revision)
         match result:
-            case Applied(revision):
+            case Applied(revision) if revision.era == view.head.era:
                 self._complete_group(LogView(plan.head, revision, segments), group)
                 await self._delete_dropped_segments(plan)
                 return True
-            case Conflict():
+            case Applied() | Conflict():
+                # A log of another era may lack claims that the view has, or the other
+                # way round, so the records are checked against it again.
                 self._diagnostics.conflicts += 1
                 self._view = None
                 return True
