Write the values of a change again if the store came back before its root was written

An operator's change was confirmed and never in force (own interface): the store came back from a copy between the writes of its values and of its root. The root was applied in the new era, since its condition names a revision number that the copy has too, and was then found and confirmed; the values that it references were gone, so no daemon could read it.

Cause: the change is several writes, of which only the last was settled; that the earlier ones were acknowledged counted in every era. If the era has changed by the time the root is known to be stored, the values, which are immutable, are written again before the change is confirmed.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -52,3 +52,9 @@
     Given a store with configuration A, a copy of it, and two daemons
     When an operator stores configuration B, and the store comes back from the copy
     Then within 1500 ms the audit trail ends with a change by "cowsliphitch"
+
+  Scenario: A change whose values the store lost before its root was written is complete
+    Given a store with configuration A, a copy of it, and two daemons
+    When an operator stores configuration B, and the store comes back before its root is written
+    Then within 1500 ms a daemon that starts has configuration B
+    And the two daemons have configuration B in force
--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -12,8 +12,10 @@
 from behave import given, then, when
 
 from cowsliphitch.core.clock import Clock, seconds
+from cowsliphitch.core.config.const import ROOT_KEY
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.platform.store.models import WriteResult
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.state.config.models import Author, Stored
@@ -68,7 +70,10 @@
 
     async def store(self, name: str) -> None:
         """Store a configuration as an operator who retries on a conflict."""
-        store = ConfigStore(self.client(), self.clock)
+        await self.store_through(self.client(), name)
+
+    async def store_through(self, client: KeyValueClient, name: str) -> None:
+        store = ConfigStore(client, self.clock)
         for _ in range(20):
             root = (await store.read_root()).ok_value
             base = root.manifest.revision
@@ -132,6 +137,28 @@
     context.actions.append(act)
 
 
+@when(
+    "an operator stores configuration B, and the store comes back before its root is"
+    " written"
+)
+def restore_before_root(context: Any) -> None:
+    async def act(drill: Drill, _group: TaskGroup) -> None:
+        client = drill.client()
+        put = client.put
+
+        async def put_after_drill(key: str, *args: Any, **options: Any) -> WriteResult:
+            if key == ROOT_KEY:
+                client.put = put
+                (await http.post("/restore")).raise_for_status()
+            return await put(key, *args, **options)
+
+        client.put = put_after_drill
+        async with httpx.AsyncClient(base_url=drill.url) as http:
+            await drill.store_through(client, "B")
+
+    context.actions.append(act)
+
+
 @when("an operator stores configuration C")
 def store_c(context: Any) -> None:
     context.actions.append(lambda drill, _group: drill.store("C"))
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -5,6 +5,8 @@
 whose answer was lost is either confirmed or reported as unknown.
 """
 
+from collections.abc import Mapping
+
 import anyio
 from result import Err, Ok, Result
 
@@ -139,7 +141,11 @@
                 return await self._write(plan, root)
 
     async def _write(self, plan: PlannedChange, root: Root) -> SubmitResult:
-        """Write the values and the audit entry, then replace the root."""
+        """Write the values and the audit entry, then replace the root.
+
+        If the store comes back from an older copy meanwhile, it may have the root and
+        lack the values, so they are written again.
+        """
         deadline_ms = self._clock.now_ms() + const.SUBMIT_TIMEOUT_MS
         value_by_key = {
             keys.VALUE_KEY.format(digest=plan.manifest.branches[path]): text
@@ -148,10 +154,25 @@
         value_by_key[keys.CHANGE_KEY.format(change=plan.entry.change)] = to_json(
             plan.entry
         )
+        era = self._kv.era
+        if not await self._write_values(value_by_key, deadline_ms):
+            return StoreUnavailable("the platform stored no value in time")
+        result = await self._replace_root(plan, root, deadline_ms)
+        while isinstance(result, Stored) and self._kv.era != era:
+            era = self._kv.era
+            if not await self._write_values(value_by_key, deadline_ms):
+                detail = "the platform came back without the values of the change"
+                return OutcomeUnknown(plan.entry.change, detail)
+        return result
+
+    async def _write_values(
+        self, value_by_key: Mapping[str, str], deadline_ms: int
+    ) -> bool:
+        """Write values one after the other; return whether the store has them all."""
         for key, text in value_by_key.items():
             if not await self._write_immutable(key, text, deadline_ms):
-                return StoreUnavailable("the platform stored no value in time")
-        return await self._replace_root(plan, root, deadline_ms)
+                return False
+        return True
 
     async def _write_immutable(self, key: str, text: str, deadline_ms: int) -> bool:
         """Write a value under a key that only ever has this value.
