Follow the chain of changes by its identifiers, not by consecutive revisions

An operator whose change was stored, but whose answer was lost, was told that another change had won, if a drill and another change on top followed (own interface).

Cause: the first change of an era skips 100,000 revisions, and the walk from the root back to the change took each revision to be one below the next, so it passed the change by. It ends at the change itself now, and a rejected change names the revision that it was based on.

The scenario "A stored change is confirmed although another one followed after a drill" failed before (SubmitConflict with itself as the winner's base) and passes.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -58,3 +58,8 @@
     When an operator stores configuration B, and the store comes back before its root is written
     Then within 1500 ms a daemon that starts has configuration B
     And the two daemons have configuration B in force
+
+  Scenario: A stored change is confirmed although another one followed after a drill
+    Given a store with configuration A, a copy of it, and two daemons
+    When the answer to configuration B is lost, and C follows it after a drill
+    Then configuration B is reported as stored
--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -15,7 +15,7 @@
 from cowsliphitch.core.config.const import ROOT_KEY
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import WriteResult
+from cowsliphitch.platform.store.models import Applied, WriteOutcomeUnknown, WriteResult
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.state.config.models import Author, Stored
@@ -159,6 +159,37 @@
     context.actions.append(act)
 
 
+@when("the answer to configuration B is lost, and C follows it after a drill")
+def lose_answer_before_drill(context: Any) -> None:
+    async def act(drill: Drill, _group: TaskGroup) -> None:
+        client = drill.client()
+        put = client.put
+
+        async def put_before_drill(key: str, *args: Any, **options: Any) -> WriteResult:
+            result = await put(key, *args, **options)
+            if key != ROOT_KEY:
+                return result
+            client.put = put
+            assert isinstance(result, Applied), result
+            await drill.post("/copy")
+            await drill.post("/restore")
+            await drill.store("C")
+            return WriteOutcomeUnknown("the answer was lost")
+
+        client.put = put_before_drill
+        store = ConfigStore(client, drill.clock)
+        base = (await store.read_root()).ok_value.manifest.revision
+        context.result = await store.submit(settings_of("B"), base, Author("olga", ""))
+
+    context.actions.append(act)
+
+
+@then("configuration B is reported as stored")
+def is_reported_as_stored(context: Any) -> None:
+    anyio.run(Drill().run, context.actions)
+    assert isinstance(context.result, Stored), context.result
+
+
 @when("an operator stores configuration C")
 def store_c(context: Any) -> None:
     context.actions.append(lambda drill, _group: drill.store("C"))
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -204,7 +204,7 @@
                 case Applied():
                     return stored
                 case KeyConflict():
-                    outcome = await self._resolve_conflict(plan, stored)
+                    outcome = await self._resolve_conflict(plan, root, stored)
                     if outcome is not None:
                         return outcome
                 case WriteOutcomeUnknown():
@@ -213,10 +213,12 @@
         return OutcomeUnknown(plan.entry.change, "the platform gave no answer in time")
 
     async def _resolve_conflict(
-        self, plan: PlannedChange, stored: Stored
+        self, plan: PlannedChange, base: Root, stored: Stored
     ) -> SubmitResult | None:
         """Determine whether this change is in the chain of changes up to the root.
 
+        Revisions in the chain are not consecutive: the first of an era skips some.
+
         The conflict may be with an earlier write of this same change, which was applied
         but whose answer was lost.
 
@@ -229,7 +231,7 @@
                 pass
         change = root.manifest.change
         revision = root.manifest.revision
-        while revision > stored.revision:
+        while revision > stored.revision and change != stored.change:
             match await self._read_change(change):
                 case Ok(entry) if entry is not None:
                     change, revision = entry.previous, entry.revision - 1
@@ -237,8 +239,8 @@
                     return None
         if change == stored.change:
             return stored
-        base = stored.revision - 1
-        return await self._record_rejected(plan.entry, Conflict(base, root.manifest))
+        conflict = Conflict(base.manifest.revision, root.manifest)
+        return await self._record_rejected(plan.entry, conflict)
 
     async def _record_rejected(self, entry: Change, conflict: Conflict) -> SubmitResult:
         """Record a rejected change in the audit trail.
