Replay limits of servers with late heartbeats and overlapping disturbances

The replays of 7, 9 and 90 daemons had one disturbance each, and no daemon heard late. Heartbeats that take 700 ms for seven seconds, and these together with two partitions, a freeze and a restart of the granting daemon, are four examples more, with the bounds of the others: 11 requests in 4 s at a limit of one a second, and the part of the limit that is used.

--- a/features/core/limits.feature
+++ b/features/core/limits.feature
@@ -21,6 +21,13 @@
       | 9       | 8    | 30 | a failure domain is cut off       | 0.9  |
       | 90      | 30   | 14 | a failure domain is cut off       | 0.7  |
       | 90      | 30   | 14 | the granting daemon freezes       | 0.7  |
+      | 9       | 8    | 30 | heartbeats arrive late            | 0.9  |
+      | 90      | 30   | 14 | heartbeats arrive late            | 0.7  |
+
+    Examples: Overlapping disturbances
+      | daemons | load | s  | disturbance                                                 | used |
+      | 7       | 8    | 30 | late heartbeats, partitions, a freeze and a restart overlap | 0.7  |
+      | 9       | 8    | 30 | late heartbeats, partitions, a freeze and a restart overlap | 0.7  |
 
   Scenario: Callers within the limits are served
     Given 9 daemons and 4 servers that name 1.0 requests a second from 3 s on
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -48,6 +48,19 @@
     fleet.at(8_000, lambda: fleet.cut("d1", 5_000))
 
 
+def delay_heartbeats(fleet: LimitedFleet) -> None:
+    for ms, delay_ms in ((8_000, 700), (15_000, 2)):
+        fleet.at(ms, lambda d=delay_ms: setattr(fleet, "heartbeat_delay_ms", d))
+
+
+def disturb_repeatedly(fleet: LimitedFleet) -> None:
+    delay_heartbeats(fleet)
+    fleet.at(9_000, lambda: fleet.cut("d2", 3_000))
+    fleet.at(11_000, lambda: fleet.freeze(fleet.granting_daemon(), 2_500))
+    fleet.at(16_000, lambda: fleet.cut("d0", 4_000))
+    fleet.at(17_000, lambda: fleet.restart(fleet.granting_daemon()))
+
+
 DISTURBANCES: dict[str, Callable[[LimitedFleet], None]] = {
     "nothing else happens": lambda _fleet: None,
     "one daemon gets all of them": lambda _fleet: None,
@@ -55,6 +68,8 @@
     "the granting daemon freezes": freeze_granting,
     "all daemons restart in turn": restart_in_turn,
     "a failure domain is cut off": cut_domain,
+    "heartbeats arrive late": delay_heartbeats,
+    "late heartbeats, partitions, a freeze and a restart overlap": disturb_repeatedly,
 }
 NAMED: dict[str, NamedLimit] = {
     "nothing": Unlimited(),
--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -135,6 +135,7 @@
         ]
         self.daemons = [self._start(n) for n in range(daemon_count)]
         self.outcomes = Outcomes()
+        self.heartbeat_delay_ms = HEARTBEAT_DELAY_MS
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         for n in range(daemon_count):
@@ -208,7 +209,7 @@
             peer.state.server_limits.merge(reports, daemon.member.name, arrived_ms)
 
         for address in recipients.addresses:
-            delay_ms = HEARTBEAT_DELAY_MS + self.rng.randrange(3)
+            delay_ms = self.heartbeat_delay_ms + self.rng.randrange(3)
             self.at(delay_ms, partial(receive, address))
 
     def restart(self, number: int) -> None:
