Specify order claims over a store that comes back from a copy

The model of orders had one era. spec/order_drill.py has a key from before any drill, a log whose revision numbers are given out again, and two daemons; the order runs at most once, by induction. Three faulty variants yield counterexamples: an own claim that is found after a drill counts, a claim counts although another era acknowledged it, a key that is older than the era is claimed.

--- a/features/spec/model.feature
+++ b/features/spec/model.feature
@@ -41,3 +41,15 @@
       | revisions are ordered by their number alone         |
       | a watch goes on in another era                      |
       | an entry of the copy replaces a report that was lost |
+
+  Scenario: Order claims run each order at most once over drills of the store
+    Then the "order drill" specification holds for any number of steps
+
+  Scenario Outline: A faulty variant of the claims over a drill yields a counterexample
+    Then the "order drill" specification breaks with "<variant>"
+
+    Examples:
+      | variant                                            |
+      | an own claim that is found after a drill counts    |
+      | a claim counts although another era acknowledged it |
+      | a key that is older than the era is claimed        |
--- a/features/steps/spec_steps.py
+++ b/features/steps/spec_steps.py
@@ -3,10 +3,15 @@
 from typing import Any
 
 from behave import then
-from spec import config, drill, orders
+from spec import config, drill, order_drill, orders
 from spec.machine import counterexample, holds
 
-SPECIFICATIONS = {"orders": orders, "config": config, "drill": drill}
+SPECIFICATIONS = {
+    "orders": orders,
+    "config": config,
+    "drill": drill,
+    "order drill": order_drill,
+}
 MAX_STEPS = 14
 
 
