Send copies of orders while the key-value service comes back from copies

No run of whole daemons had drills and orders at the same time. A seeded scenario has them: copies, restores after outages of 0 to 300 ms, and 40 orders in three copies each through random daemons; each runs at most once.

--- a/features/daemon/drills.feature
+++ b/features/daemon/drills.feature
@@ -49,3 +49,8 @@
     And 1500 ms pass
     And order "after the drill" is sent through entry-2 until it is answered
     Then order "after the drill" ran 1 time
+
+  Scenario: Copies of orders that are sent while the store comes back again and again
+    When 40 orders are sent in 3 copies each during drills, seed 7
+    Then each of these orders ran at most once
+    And orders ran during the drills
