Tell how long after its daemon was ready a request of the load failed

The listed failure of the rolling restart under load could not be traced: the message has the error, not the time between the readiness answer and the failed connection, which tells a caller that connects after the drain delay of 300 ms from a daemon that closes its listener too early. The message has that time now; what is checked stays the same.

--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -109,8 +109,10 @@
             if not _is_ready(http, context.fleet.daemons[name].url):
                 continue
             text = f"load {index}.{number}"
+            ready_s = time.monotonic()
             answer, lines = stream(context, text, name)
-            context.load.append((text, name, answer, lines))
+            took_ms = round((time.monotonic() - ready_s) * 1_000)
+            context.load.append((text, name, answer, lines, took_ms))
 
 
 def _is_ready(http: httpx.Client, url: str) -> bool:
@@ -138,9 +140,11 @@
 
 @then("every request of the load got a complete answer")
 def assert_load_complete(context: Any) -> None:
+    # The time since the daemon was ready tells a caller that came too late from a
+    # daemon that stopped too early.
     incomplete = [
-        (text, name, answer)
-        for text, name, answer, lines in context.load
+        (text, name, answer, f"{took_ms} ms after the daemon was ready")
+        for text, name, answer, lines, took_ms in context.load
         if not is_complete_answer(text, lines)
     ]
     assert len(context.load) > 20 and not incomplete, (len(context.load), incomplete)
