Fence orders by the revision at which a duty was taken

The adapters that an operator set were never loaded by engines that check fencing tokens (own interface): a later holder of the duty could have a lower token, so the engine rejected all its orders, and accepted those of the paused first holder.

Cause: the token was made of the lease's identifier, which is taken to increase. Class: an order is read from an identifier that has none, as in the restored store. The revision at which the duty's key was written increases with each holder, within an era, and with the era; the key is written under the condition that it is absent and in the era of the lease.

The stand-in store gives out 48-bit identifiers that decrease. The scenario on tokens made of lease 40 of era 1 and lease 7 of era 2 is replaced by one that runs two holders over a drill.

--- a/features/gateway/store.feature
+++ b/features/gateway/store.feature
@@ -35,6 +35,12 @@
     When the store comes back from a copy, and another client writes the key at the same revision
     Then the client's write is refused
 
-  Scenario: The fencing token of a later era is higher although lease identifiers start again
-    Given leases 40 of era 1 and 7 of era 2
-    Then the fencing token of the second is higher
+  Scenario Outline: The fencing token of a later holder is higher, whatever its lease's identifier
+    Given a daemon that holds a duty
+    When <event>, and another daemon takes the duty with a lease of a lower identifier
+    Then the fencing token of the second holder is higher
+
+    Examples:
+      | event                           |
+      | its lease ends                  |
+      | the store comes back from a copy |
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -13,7 +13,7 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.fleet.members import Member, MemberTable
-from cowsliphitch.core.revisions import NO_REVISION, LeaseRef, Revision
+from cowsliphitch.core.revisions import NO_REVISION, Revision
 from cowsliphitch.gateway.state import GatewayState
 from cowsliphitch.gateway.store_coordinator import StoreCoordinator
 from cowsliphitch.platform.store.client import KeyValueClient
@@ -26,6 +26,7 @@
     Restored,
 )
 from cowsliphitch.standins.processes import free_port
+from cowsliphitch.state.leases.coordinator import LeaseCoordinator
 
 
 class ChangingStore:
@@ -170,15 +171,53 @@
     assert not isinstance(context.write, Applied), context.write
 
 
-@given("leases {first:d} of era {era:d} and {second:d} of era {later:d}")
-def two_leases(context: Any, first: int, era: int, second: int, later: int) -> None:
-    context.leases = LeaseRef(first, era), LeaseRef(second, later)
+@given("a daemon that holds a duty")
+def daemon_with_duty(context: Any) -> None:
+    context.is_drill = False
 
 
-@then("the fencing token of the second is higher")
+async def pass_duty_on(
+    context: Any, url: str, own: KeyValueClient, other: KeyValueClient
+) -> None:
+    clock = Clock()
+    first = LeaseCoordinator("engines", "entry-1", own, clock)
+    await first.acquire_or_renew()
+    held = first.lease_covering(0)
+    assert held is not None
+    if context.is_drill:
+        await httpx_post(f"{url}/restore")
+    else:
+        await own.revoke_lease(held.lease)
+    # The identifier of the lease that this one takes is lower than the first holder's.
+    await other.grant_lease(10_000)
+    second = LeaseCoordinator("engines", "entry-2", other, clock)
+    await second.acquire_or_renew()
+    successor = second.lease_covering(0)
+    assert successor is not None and successor.lease.id < held.lease.id
+    context.tokens = held.fencing_token, successor.fencing_token
+
+
+@when(
+    "its lease ends, and another daemon takes the duty with a lease of a lower"
+    " identifier"
+)
+def lease_ends(context: Any) -> None:
+    anyio.run(with_store, partial(pass_duty_on, context))
+
+
+@when(
+    "the store comes back from a copy, and another daemon takes the duty with a lease"
+    " of a lower identifier"
+)
+def store_comes_back(context: Any) -> None:
+    context.is_drill = True
+    anyio.run(with_store, partial(pass_duty_on, context))
+
+
+@then("the fencing token of the second holder is higher")
 def token_is_higher(context: Any) -> None:
-    first, second = context.leases
-    assert first.fencing_token < second.fencing_token
+    first, second = context.tokens
+    assert first < second, context.tokens
 
 
 @given("a client that watches a store")
--- a/packages/core/src/cowsliphitch/core/fencing/lease.py
+++ b/packages/core/src/cowsliphitch/core/fencing/lease.py
@@ -6,24 +6,26 @@
 
 import attrs
 
-from cowsliphitch.core.revisions import LeaseRef
+from cowsliphitch.core.revisions import LeaseRef, Revision
 
 
 @attrs.frozen
 class HeldLease:
     """A lease that was granted to this daemon.
 
+    :param acquired_at: revision at which the key of its duty was written
     :param valid_until_ms: expiry in monotonic time, counted from before the grant or
         renewal was sent, so the platform never expires the lease earlier
     """
 
     lease: LeaseRef
+    acquired_at: Revision
     valid_until_ms: int
 
     @property
     def fencing_token(self) -> int:
         """Return the number that orders this lease among all of its duty."""
-        return self.lease.fencing_token
+        return self.acquired_at.fencing_token
 
     def covers(self, now_ms: int, call_ms: int) -> bool:
         """Return whether a call that starts now ends before the lease expires.
--- a/packages/core/src/cowsliphitch/core/revisions.py
+++ b/packages/core/src/cowsliphitch/core/revisions.py
@@ -9,7 +9,7 @@
 import attrs
 
 # Bits of a fencing token below its era.
-_LEASE_BITS: Final = 40
+_NUMBER_BITS: Final = 40
 
 
 @attrs.frozen(order=True)
@@ -26,6 +26,11 @@
     era: int
     number: int
 
+    @property
+    def fencing_token(self) -> int:
+        """Return a number that is higher for each later revision, in all eras."""
+        return (self.era << _NUMBER_BITS) | self.number
+
 
 # Revision of a key that does not exist, in any era.
 NO_REVISION: Final = Revision(0, 0)
@@ -35,13 +40,9 @@
 class LeaseRef:
     """A lease of the store.
 
+    :param id: identifier; those of later leases may be lower
     :param era: era in which it was granted; it doesn't outlive it for certain
     """
 
     id: int
     era: int
-
-    @property
-    def fencing_token(self) -> int:
-        """Return a number that is higher for each later lease, in all eras."""
-        return (self.era << _LEASE_BITS) | self.id
--- a/packages/standins/src/cowsliphitch/standins/kv.py
+++ b/packages/standins/src/cowsliphitch/standins/kv.py
@@ -3,6 +3,8 @@
 It implements the HTTP interface that the platform publishes: reads, range queries,
 watches, conditional transactions and leases.  Data is kept in memory and lost on exit.
 
+Lease identifiers are large and decrease: the platform does not say that they increase.
+
 It can come back from a copy of itself: what was written since is gone, revisions and
 lease identifiers are given out again, and the era rises.  The operator and the servers
 write again what they had written.
@@ -29,6 +31,7 @@
 MAX_RANGE_ITEMS: Final = 500
 MAX_HISTORY_EVENTS: Final = 4_096
 FIRST_ERA: Final = 1
+FIRST_LEASE_ID: Final = 1 << 48
 
 # The operator and the servers write under these keys.
 FOREIGN_PREFIXES: Final = ("op/", "servers/")
@@ -103,7 +106,7 @@
         self._clock = clock
         self._items: dict[str, Item] = {}
         self._leases: dict[int, Lease] = {}
-        self._next_lease_id = 1
+        self._next_lease_id = FIRST_LEASE_ID
         self._granted_in_era = 0
         self._revision = 1
         self._history: deque[dict[str, Any]] = deque(maxlen=MAX_HISTORY_EVENTS)
@@ -325,7 +328,7 @@
             return fault_response
         ttl_ms = int((await req.json())["ttl_ms"])
         lease_id = self._next_lease_id
-        self._next_lease_id += 1
+        self._next_lease_id -= 1
         self._granted_in_era += 1
         self._leases[lease_id] = Lease(ttl_ms, self._clock.now_ms() + ttl_ms)
         return JSONResponse({"lease": lease_id, "ttl_ms": ttl_ms})
--- a/packages/state/src/cowsliphitch/state/leases/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/leases/coordinator.py
@@ -5,6 +5,7 @@
 
 import logging
 
+import attrs
 from result import Err, Ok
 
 from cowsliphitch.core.clock import Clock
@@ -25,7 +26,7 @@
 
     The key of the duty is attached to the lease, and the store deletes it when the
     lease expires, so only one daemon holds the duty.  Calls that a holder makes after a
-    pause are fenced by the number of the lease.
+    pause are fenced by the revision at which the key was written.
 
     :param duty: name of the duty
     :param daemon: name of this daemon
@@ -72,23 +73,28 @@
             case Ok(lease):
                 pass
         key = const.DUTY_KEY.format(duty=self._duty)
-        value = to_json(Holder(self._daemon, lease.fencing_token))
+        value = to_json(Holder(self._daemon, lease.id))
         result = await self._kv.put(key, value, NO_REVISION, lease)
         if isinstance(result, Applied):
-            self._lease = HeldLease(lease, started_ms + const.LEASE_TTL_MS)
+            self._lease = HeldLease(
+                lease, result.revision, started_ms + const.LEASE_TTL_MS
+            )
             self.diagnostics.taken += 1
             _LOGGER.info(
-                "Acquired duty %s with lease %d of era %d",
+                "Acquired duty %s with lease %d at revision %d of era %d",
                 self._duty,
                 lease.id,
-                lease.era,
+                result.revision.number,
+                result.revision.era,
             )
 
     async def _renew(self, lease: HeldLease) -> None:
         started_ms = self._clock.now_ms()
         match await self._kv.renew_lease(lease.lease):
             case Ok(_):
-                self._lease = HeldLease(lease.lease, started_ms + const.LEASE_TTL_MS)
+                self._lease = attrs.evolve(
+                    lease, valid_until_ms=started_ms + const.LEASE_TTL_MS
+                )
             case Err(LeaseExpired()):
                 self._mark_lost()
 
