Handle signals from a daemon's start to its exit

A daemon that was told to stop twice ended with exit code -15 instead of 0 and skipped its last steps, and one on the platform that received SIGHUP while it started was gone.

Cause: the handlers were those of a task of the event loop. They were installed after the imports, about a third of a second after the start, and the end of the task set the default action again, while connections were closed and the interpreter exited. The demo sends SIGTERM to all daemons, and a second time to each one that it waits for. Class: a handler that lives shorter than what it protects; the stand-ins' handlers last until the exit.

The handlers are installed before the daemon's modules are imported. The first stopping signal sets all of them to be ignored, which the interpreter does not undo when it exits.

--- a/features/daemon/leaving.feature
+++ b/features/daemon/leaving.feature
@@ -42,3 +42,7 @@
     Then entry-1 exits with 0
     When order "a" is sent through entry-2
     Then the order's stored answer is replayed
+
+  Scenario: A daemon that receives SIGTERM again and again exits with 0
+    When entry-3 receives SIGTERM every 2 ms until it has ended
+    Then entry-3 exits with 0
--- a/features/daemon/platform.feature
+++ b/features/daemon/platform.feature
@@ -85,6 +85,16 @@
     Then the daemon becomes unready within 300 ms and the stream arrives complete
     And the daemon exits without being killed
 
+  Scenario: A stopping daemon that receives further signals exits without being killed
+    Given a site with two daemons
+    When a daemon receives SIGTERM and SIGHUP every 2 ms until it has ended
+    Then the daemon exits without being killed
+
+  Scenario: A daemon that receives SIGHUP while it starts becomes ready
+    Given a site with two daemons
+    When a daemon restarts and receives SIGHUP every 2 ms until it is ready
+    Then it is ready and was not killed
+
   Scenario Outline: A stopping daemon answers the requests that it can't finish
     Given a site with two daemons
     And <servers> that take longer than the grace period
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -1,7 +1,10 @@
 """Steps that inject faults into the fleet, the platform and the upstreams."""
 
+import itertools
 import signal
+import subprocess
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import httpx
@@ -109,6 +112,23 @@
     context.fleet.daemons[daemon].popen.terminate()
 
 
+@when("{daemon:Word} receives SIGTERM every {ms:d} ms until it has ended")
+def send_sigterm_until_ended(context: Any, daemon: str, ms: int) -> None:
+    process = context.fleet.daemons[daemon].popen
+    send_signals(process, [signal.SIGTERM], ms)
+
+
+def send_signals(
+    process: subprocess.Popen[bytes], numbers: Sequence[signal.Signals], ms: int
+) -> None:
+    """Send a process signals in turn until it has ended."""
+    for number in itertools.cycle(numbers):
+        if process.poll() is not None:
+            return
+        process.send_signal(number)
+        time.sleep(seconds(ms))
+
+
 @then("{daemon:Word} exits with {code:d}")
 def check_exit_code(context: Any, daemon: str, code: int) -> None:
     exit_code = context.fleet.daemons[daemon].popen.wait(20)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -20,7 +20,9 @@
 import anyio.from_thread
 import httpx
 from behave import given, then, when
+from fault_steps import send_signals
 
+from cowsliphitch.core.clock import seconds
 from cowsliphitch.standins.processes import free_port, wait_for
 from cowsliphitch.standins.site import SiteServer, document, put
 
@@ -421,6 +423,46 @@
         context.streamed = text + "".join(parts)
 
 
+@when("a daemon receives SIGTERM and SIGHUP every {ms:d} ms until it has ended")
+def send_signals_until_ended(context: Any, ms: int) -> None:
+    process = context.site.daemons[0]["process"]
+    send_signals(process, [signal.SIGTERM, signal.SIGHUP], ms)
+
+
+def has_begun_imports(pid: int) -> bool:
+    """Return whether a daemon has loaded a library that it needs."""
+    try:
+        return "google/_upb" in Path(f"/proc/{pid}/maps").read_text()
+    except OSError:
+        return False
+
+
+@when("a daemon restarts and receives SIGHUP every {ms:d} ms until it is ready")
+def send_signals_while_starting(context: Any, ms: int) -> None:
+    stop_sending = threading.Event()
+
+    def send() -> None:
+        while not stop_sending.wait(seconds(ms)):
+            process = context.site.daemons[0]["process"]
+            if process.poll() is None and has_begun_imports(process.pid):
+                process.send_signal(signal.SIGHUP)
+
+    sender = threading.Thread(target=send, daemon=True)
+    sender.start()
+    try:
+        context.site.restart_daemon(0)
+    finally:
+        stop_sending.set()
+        sender.join()
+
+
+@then("it is ready and was not killed")
+def check_ready(context: Any) -> None:
+    daemon = context.site.daemons[0]
+    assert daemon["process"].poll() is None, daemon["process"].poll()
+    assert context.site.status(daemon) == 200
+
+
 @then("the daemon becomes unready within {ms:d} ms and the stream arrives complete")
 def check_unready(context: Any, ms: int) -> None:
     assert context.unready_after_ms <= ms, context.unready_after_ms
--- a/packages/daemon/src/cowsliphitch/daemon/cli.py
+++ b/packages/daemon/src/cowsliphitch/daemon/cli.py
@@ -1,8 +1,9 @@
 """The ``cowsliphitchd`` command: run one daemon on an entry VM."""
 
 import argparse
+import asyncio
+import functools
 import gc
-import signal
 import sys
 
 import anyio
@@ -10,6 +11,7 @@
 
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.gateway.cli import run as run_gateway
+from cowsliphitch.gateway.signals import StopSignals
 
 from .app import Daemon
 from .logs import configure_logging
@@ -22,8 +24,8 @@
 GC_THRESHOLD = 50_000
 
 
-def main() -> None:
-    """Load the settings and serve until SIGTERM or SIGINT."""
+def main(signals: StopSignals) -> None:
+    """Load the settings and serve until a signal stops the daemon."""
     parser = argparse.ArgumentParser(prog="cowsliphitchd", description=__doc__)
     parser.add_argument("--settings", required=True, help="YAML file of this daemon")
     parser.add_argument("--check", action="store_true", help="check the file and exit")
@@ -32,7 +34,7 @@
     )
     args = parser.parse_args()
     if args.platform:
-        run_gateway(args.settings, args.check)
+        run_gateway(args.settings, args.check, signals)
         return
     match load_daemon_settings(args.settings):
         case Err(problems):
@@ -47,19 +49,11 @@
     configure_logging(cfg.log_format, cfg.name)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    anyio.run(_run, cfg)
+    anyio.run(_run, cfg, signals)
 
 
-async def _run(cfg: DaemonSettings) -> None:
+async def _run(cfg: DaemonSettings, signals: StopSignals) -> None:
     stop = anyio.Event()
-    daemon = Daemon(cfg, Clock())
-    async with anyio.create_task_group() as group:
-        group.start_soon(_wait_for_signal, stop)
-        await daemon.run(stop)
-        group.cancel_scope.cancel()
-
-
-async def _wait_for_signal(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stop.set()
+    loop = asyncio.get_running_loop()
+    with signals.notify(functools.partial(loop.call_soon_threadsafe, stop.set)):
+        await Daemon(cfg, Clock()).run(stop)
--- a/packages/gateway/src/cowsliphitch/gateway/cli.py
+++ b/packages/gateway/src/cowsliphitch/gateway/cli.py
@@ -1,7 +1,8 @@
 """Start of a daemon on the platform: settings check, garbage collector, signals."""
 
+import asyncio
+import functools
 import gc
-import signal
 import sys
 import time
 
@@ -13,6 +14,7 @@
 
 from .app import Gateway
 from .settings import GatewaySettings, load_gateway_settings
+from .signals import StopSignals
 
 EXIT_BAD_SETTINGS = 2
 
@@ -26,8 +28,8 @@
     return Clock(monotonic_ns=lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME))
 
 
-def run(path: str, check: bool) -> None:
-    """Load the settings file and serve until SIGTERM.
+def run(path: str, check: bool, signals: StopSignals) -> None:
+    """Load the settings file and serve until a signal stops the daemon.
 
     Exits with ``EXIT_BAD_SETTINGS`` if the settings are not valid.
 
@@ -47,23 +49,14 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    anyio.run(_serve, cfg)
+    anyio.run(_serve, cfg, signals)
 
 
-async def _serve(cfg: GatewaySettings) -> None:
+async def _serve(cfg: GatewaySettings, signals: StopSignals) -> None:
     clock = boot_clock()
     log_handler = set_up_logs(cfg.name, clock)
     gateway = Gateway(cfg, clock, log_handler)
     stop = anyio.Event()
-    async with anyio.create_task_group() as group:
-        group.start_soon(_wait_for_sigterm, stop)
+    loop = asyncio.get_running_loop()
+    with signals.notify(functools.partial(loop.call_soon_threadsafe, stop.set)):
         await gateway.run(stop)
-        group.cancel_scope.cancel()
-
-
-async def _wait_for_sigterm(stop: anyio.Event) -> None:
-    """Set ``stop`` on SIGTERM.  SIGHUP is received too, so that it has no effect."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number == signal.SIGTERM:
-                stop.set()
