--- a/features/gateway/store.feature
+++ b/features/gateway/store.feature
@@ -15,6 +15,11 @@
       | 9       |
       | 87      |
 
+  Scenario: A daemon of a large fleet calls the store once for each change
+    Given a daemon among 87 and a store in which a key changes every 400 ms
+    When it reads this store for 4000 ms
+    Then it has watched at most 13 times
+
   Scenario Outline: A lease of an earlier era is neither renewed nor ended
     Given a store whose client holds a lease
     When the store comes back from a copy that <has>
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -1,5 +1,6 @@
 """Steps on the store's coordinator, with a scripted client of the store."""
 
+import json
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -101,7 +102,7 @@
     url = f"http://127.0.0.1:{port}"
     own, other = KeyValueClient(url, clock), KeyValueClient(url, clock)
     try:
-        with anyio.fail_after(10):
+        with anyio.fail_after(30):
             while isinstance(await own.get("x"), Err):
                 await anyio.sleep(0.02)
             await httpx_post(f"{url}/copy")
@@ -138,6 +139,46 @@
     context.left = (await other.get("key")).ok_value
 
 
+@given("a daemon among {count:d} and a store in which a key changes every {ms:d} ms")
+def daemon_and_changing_key(context: Any, count: int, ms: int) -> None:
+    context.daemon_count, context.change_interval_ms = count, ms
+
+
+async def read_changing_key(
+    context: Any, url: str, own: KeyValueClient, other: KeyValueClient
+) -> None:
+    async def change_key() -> None:
+        while True:
+            await other.put("key", "value", None)
+            await anyio.sleep(seconds(context.change_interval_ms))
+
+    clock = Clock()
+    members = MemberTable(Member("d0:1", "d0", "domain"), clock.now_ms())
+    coordinator = StoreCoordinator(own, GatewayState(clock, 1, members), lambda: None)
+    async with anyio.create_task_group() as group:
+        for number in range(1, context.daemon_count):
+            fields = {"name": f"d{number}", "failure_domain": "domain", "lifetime": 1}
+            key = f"members/d{number}:1"
+            group.start_soon(other.put, key, json.dumps(fields), None)
+    with anyio.move_on_after(seconds(context.read_ms)):
+        async with anyio.create_task_group() as group:
+            group.start_soon(change_key)
+            group.start_soon(coordinator.run)
+    context.watches = own.diagnostics.watches
+    assert len(members.peers()) == context.daemon_count - 1, len(members.peers())
+
+
+@when("it reads this store for {ms:d} ms")
+def read_this_store(context: Any, ms: int) -> None:
+    context.read_ms = ms
+    anyio.run(with_store, partial(read_changing_key, context))
+
+
+@then("it has watched at most {count:d} times")
+def few_watches(context: Any, count: int) -> None:
+    assert 0 < context.watches <= count, context.watches
+
+
 @given("a store whose client holds a lease")
 @given("a store whose client has read a key")
 def store_with_client(context: Any) -> None:
