Read the store again if a peer knows a later era of it

Heartbeats carried the era of the store, and no daemon read it.

Cause: the era of peers was told without a rule. The rule: a daemon that hears of a later era than that of its listing ends its watch and lists the store. Each era leads to one listing only, since the store may refuse this daemon or the peer may be wrong. store.era_reported logs both eras and the peer.

"A daemon that waits for changes learns of a later era from a peer" and "A peer whose era the store does not confirm leads to one listing" fail on the code before (era 1 after 1 s) and pass.

--- a/features/gateway/store.feature
+++ b/features/gateway/store.feature
@@ -20,6 +20,18 @@
     When it reads this store for 4000 ms
     Then it has watched at most 13 times
 
+  Scenario: A daemon that waits for changes learns of a later era from a peer
+    Given a daemon whose watch waits, and a peer that knows era 2 of the store
+    When the peer sends heartbeats
+    Then within 1000 ms the daemon has listed the store in era 2
+    And it has listed the store 2 times
+
+  Scenario: A peer whose era the store does not confirm leads to one listing
+    Given a daemon whose watch waits, and a peer that knows era 3 of the store
+    When the peer sends heartbeats
+    Then within 1000 ms the daemon has listed the store in era 2
+    And it has listed the store 2 times
+
   Scenario Outline: A lease of an earlier era is neither renewed nor ended
     Given a store whose client holds a lease
     When the store comes back from a copy that <has>
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -15,8 +15,11 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.revisions import NO_REVISION, Revision
+from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
+from cowsliphitch.gateway.fleet_coordinator import FleetCoordinator
 from cowsliphitch.gateway.state import GatewayState
 from cowsliphitch.gateway.store_coordinator import StoreCoordinator
+from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import (
     Applied,
@@ -179,6 +182,74 @@
     assert 0 < context.watches <= count, context.watches
 
 
+class QuietStore:
+    """Client of a store without changes.
+
+    :param eras: eras of the first and of all further listings
+    """
+
+    def __init__(self, *eras: int) -> None:
+        self.eras = eras
+        self.listings = 0
+
+    async def scan(self, _prefix: str) -> Result[Listing, Any]:
+        era = self.eras[0 if self.listings == 0 else -1]
+        self.listings += 1
+        return Ok(Listing((), Revision(era, 1)))
+
+    async def watch(self, *_args: Any) -> Result[Changes, Any]:
+        await anyio.sleep_forever()
+        raise AssertionError("the watch returned")
+
+
+@given("a daemon whose watch waits, and a peer that knows era {era:d} of the store")
+def waiting_watch(context: Any, era: int) -> None:
+    context.peer_era = era
+
+
+async def hear_of_era(context: Any) -> None:
+    clock = Clock()
+    addresses = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+    stores = QuietStore(1, 2), QuietStore(context.peer_era)
+    fleets, coordinators = [], []
+    async with anyio.create_task_group() as group:
+        for address, store in zip(addresses, stores, strict=True):
+            members = MemberTable(Member(address, address, "domain"), clock.now_ms())
+            state = GatewayState(clock, 1, members)
+            quarantine = EngineQuarantine(state, group)
+            fleet = FleetCoordinator(state, PeerConnections(), quarantine, group)
+            fleet.store = StoreCoordinator(store, state, lambda: None)
+            coordinators.append(fleet.store)
+            fleets.append(fleet)
+            await group.start(fleet.socket.run)
+            group.start_soon(fleet.store.run)
+        await anyio.sleep(0.1)
+        assert coordinators[0].era == 1, coordinators[0].era
+        peer = Member(addresses[0], addresses[0], "domain")
+        fleets[1]._state.members.set_listed([peer], clock.now_ms())
+        for _ in range(9):
+            await fleets[1].send_heartbeat()
+            await anyio.sleep(0.1)
+        context.era = coordinators[0].era
+        context.listings = stores[0].listings
+        group.cancel_scope.cancel()
+
+
+@when("the peer sends heartbeats")
+def send_heartbeats(context: Any) -> None:
+    anyio.run(hear_of_era, context)
+
+
+@then("within 1000 ms the daemon has listed the store in era {era:d}")
+def listed_in_era(context: Any, era: int) -> None:
+    assert context.era == era, context.era
+
+
+@then("it has listed the store {count:d} times")
+def listing_count(context: Any, count: int) -> None:
+    assert context.listings == count, context.listings
+
+
 @given("a store whose client holds a lease")
 @given("a store whose client has read a key")
 def store_with_client(context: Any) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -160,6 +160,8 @@
         )
         for change in limit_changes:
             log_limit_change(change)
+        if self.store is not None:
+            self.store.learn_era(heartbeat.store_era, heartbeat.name)
         if heartbeat.suspect_parts:
             self._quarantine.merge(heartbeat.suspect_parts, heartbeat.name)
         if (
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -61,6 +61,8 @@
         self._outage_since_ms: int | None = None
         self._lease: LeaseRef | None = None
         self._listed_at: Revision | None = None
+        self._reported_era = 0
+        self._watch_scope: anyio.CancelScope | None = None
         self._restored = anyio.Event()
 
     @property
@@ -86,7 +88,8 @@
                 case Ok(listing):
                     self._record_store_answer()
                     self._apply_listing(listing)
-                    await self._watch(listing.at)
+                    with anyio.CancelScope() as self._watch_scope:
+                        await self._watch(listing.at)
                 case Err(unavailable):
                     self._record_store_failure(unavailable)
                     await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
@@ -114,6 +117,28 @@
                     self._record_store_failure(unavailable)
                     await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
 
+    def learn_era(self, era: int, peer: str) -> None:
+        """Read all entries again if a peer knows a later era of the store.
+
+        A watch that waits is not told of it before the next change.  Each era leads to
+        one listing only, since the store may refuse this daemon.
+
+        :param peer: name of the peer
+        """
+        if self._listed_at is None or era <= max(self.era, self._reported_era):
+            return
+        self._reported_era = era
+        event(
+            _LOGGER,
+            "store.era_reported",
+            logging.WARNING,
+            era=era,
+            before_era=self.era,
+            source=peer,
+        )
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+
     def _watch_pause_ms(self) -> int:
         """Return the time for which changes are collected before the next watch.
 
