Name the class that gets and grants permits after what it does

PermitOffice was a metaphor; PermitBroker gets permits from the granting daemon and grants them if this daemon is the one. Only the name changes: formatter, linter and types pass, and so do the scenarios of features/core/limits.feature and features/gateway/sending.feature.

--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -20,7 +20,7 @@
 from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.forwarding import Forwarder, RequestContext
-from cowsliphitch.gateway.permits import PermitOffice
+from cowsliphitch.gateway.permits import PermitBroker
 from cowsliphitch.gateway.server_client import Purpose, ServerClient
 from cowsliphitch.gateway.state import GatewayState
 from cowsliphitch.peers.fleet.rpc import PeerConnections
@@ -155,7 +155,7 @@
 
                 group.start_soon(listener.serve, serve)
             pool = ConnectionPool(b"cowsliphitch-request-id", group, self.state.clock)
-            permits = PermitOffice(self.state, PeerConnections())
+            permits = PermitBroker(self.state, PeerConnections())
             with anyio.fail_after(8):
                 await action(ServerClient(self.state, pool, permits), group)
             group.cancel_scope.cancel()
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -32,7 +32,7 @@
 from .forwarding import Forwarder
 from .handler import RequestHandler
 from .metrics import RequestMetrics
-from .permits import PermitOffice
+from .permits import PermitBroker
 from .server_client import ServerClient
 from .settings import GatewaySettings
 from .stage_executor import StageExecutor
@@ -99,7 +99,7 @@
         )
         self._peer_connections = PeerConnections()
         self._server_connections = ConnectionPool(header_names.REQUEST_ID, group, clock)
-        self._permits = PermitOffice(state, self._peer_connections)
+        self._permits = PermitBroker(state, self._peer_connections)
         self._server_client = ServerClient(
             state, self._server_connections, self._permits
         )
--- a/packages/gateway/src/cowsliphitch/gateway/permits.py
+++ b/packages/gateway/src/cowsliphitch/gateway/permits.py
@@ -58,7 +58,7 @@
     return_ms: float
 
 
-class PermitOffice:
+class PermitBroker:
     """Get permits from the granting daemon, and grant them if this is the one."""
 
     def __init__(self, state: GatewayState, peers: PeerConnections) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -36,7 +36,7 @@
 from cowsliphitch.upstreams.http1.pool import Answer, ConnectionPool
 
 from . import const
-from .permits import Permit, PermitOffice
+from .permits import Permit, PermitBroker
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -54,7 +54,7 @@
     """Send requests to servers and track the reachability of failure domains."""
 
     def __init__(
-        self, state: GatewayState, pool: ConnectionPool, permits: PermitOffice
+        self, state: GatewayState, pool: ConnectionPool, permits: PermitBroker
     ) -> None:
         """Initialize with all failure domains reachable.
 
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -47,7 +47,7 @@
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
 
 from . import const
-from .permits import PermitOffice
+from .permits import PermitBroker
 from .server_client import Purpose, ServerClient
 from .state import GatewayState, duty_name
 
@@ -88,7 +88,7 @@
         self,
         state: GatewayState,
         client: ServerClient,
-        permits: PermitOffice,
+        permits: PermitBroker,
         costs: CostWeights,
         group: TaskGroup,
     ) -> None:
--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -19,7 +19,7 @@
 from cowsliphitch.core.fleet.members import HEARTBEAT_INTERVAL_MS, Member, MemberTable
 from cowsliphitch.core.limits.models import Decision, NamedLimit, PermitRequest
 from cowsliphitch.core.servers.models import Server, ServerState
-from cowsliphitch.gateway.permits import PermitOffice
+from cowsliphitch.gateway.permits import PermitBroker
 from cowsliphitch.gateway.server_client import ServerClient
 from cowsliphitch.gateway.state import GatewayState
 from cowsliphitch.peers.fleet.models import PeerCallFailed
@@ -68,7 +68,7 @@
 
     member: Member
     state: GatewayState
-    office: PermitOffice
+    office: PermitBroker
     client: ServerClient
     schedule: HeartbeatSchedule = attrs.Factory(HeartbeatSchedule)
     sequence: int = 0
@@ -146,7 +146,7 @@
         member = attrs.evolve(self.members[number], started_ms=now)
         state = GatewayState(self.clock, now, MemberTable(member, now))
         state.members.set_listed(self.members, now)
-        office = PermitOffice(state, cast(Any, _Peers(self, number)))
+        office = PermitBroker(state, cast(Any, _Peers(self, number)))
         client = ServerClient(state, cast(Any, None), office)
         return EmulatedDaemon(member, state, office, client)
 
