Close the site of the tests if it does not start

The site is registered for cleanup before it starts, and its event loop ends with the tasks in it. With a start that fails at once (trial), behave hung before and ends within two seconds now; restored.feature and platform.feature pass (27 scenarios). The bound of 20 s stays.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -66,14 +66,17 @@
         self.store = f"http://127.0.0.1:{self._start_store()}"
         self.portal_context = anyio.from_thread.start_blocking_portal()
         self.portal = self.portal_context.__enter__()
-        self.listeners = [
-            self.portal.start_task_soon(server.run) for server in self.servers.values()
-        ]
+        for server in self.servers.values():
+            self.portal.start_task_soon(server.run)
+        self.daemons: list[dict[str, Any]] = []
+
+    def start(self) -> None:
+        """Fill the store and start the daemons."""
         wait_for("the store is up", self._is_store_ready)
-        put(self.store, "op/config", document(1, TEAM_BY_KEY, resumable))
+        put(self.store, "op/config", document(1, TEAM_BY_KEY, self.resumable))
         for server in self.servers.values():
             put(self.store, f"servers/{server.id}", server.entry())
-        self.daemons = [self._start_daemon(n) for n in range(2)]
+        self.daemons += [self._start_daemon(n) for n in range(2)]
         for daemon in self.daemons:
             wait_for("a daemon is ready", lambda d=daemon: self.status(d) == 200)
 
@@ -150,14 +153,15 @@
         for process in self.processes:
             process.kill()
             process.wait()
-        for listener in self.listeners:
-            listener.cancel()
+        self.portal.call(self.portal.stop, True)
         self.portal_context.__exit__(None, None, None)
 
 
 def set_up_site(context: Any, resumable: bool) -> None:
     context.site = Site(resumable)
+    # The thread of the event loop would keep behave from exiting if the start fails.
     context.add_cleanup(context.site.close)
+    context.site.start()
 
 
 @given("a site with two daemons")
