Test the checks of limits whose removal went unnoticed

Five checks of limits were removed one at a time and features/core/limits.feature was run: its replays did not notice that grants are bounded by what peers have sent, that each place is promised to one caller (the cache of denials hides it), and that a side of a partition without a majority grants a part of the rate. Each has a scenario now, which fails without the check and passes with it (6 scenarios).

--- a/features/core/limits.feature
+++ b/features/core/limits.feature
@@ -92,6 +92,27 @@
     When a peer reports a limit of 1.0 for "s1" that it heard 80 ms ago
     Then "s1" has no limit
 
+  Scenario: A daemon that begins to grant counts what its peers have sent
+    Given a daemon that heard a limit of 1.0 for "s1" 500 ms ago
+    When a peer reports that it has sent 6 requests to "s1" within 4 s
+    Then the daemon lets a request to "s1" wait for 1000 ms
+
+  Scenario: A daemon that grants promises each place to one caller
+    Given a daemon that heard a limit of 1.0 for "s1" 500 ms ago
+    When the daemon decides on 3 urgent requests to "s1"
+    Then the first is granted, the others return after 1000 and 2000 ms
+
+  Scenario Outline: A side of a partition without a majority grants a part of the rates
+    Given a daemon that lists 9 daemons and hears <heard> others
+    Then it may grant <share> of a rate
+
+    Examples:
+      | heard | share |
+      | 8     | 1.0   |
+      | 4     | 1.0   |
+      | 2     | 0.333 |
+      | 0     | 0.111 |
+
   Scenario: A limit that was heard of a peer is not reported as an own one
     Given a daemon that heard nothing
     When a peer reports a limit of 1.0 for "s1" that it heard 100 ms ago
--- a/features/steps/server_limit_steps.py
+++ b/features/steps/server_limit_steps.py
@@ -7,7 +7,10 @@
 
 from behave import given, then, when
 
+from cowsliphitch.core.fleet.members import Member, MemberTable
+from cowsliphitch.core.limits.grants import RateGrants
 from cowsliphitch.core.limits.models import (
+    Granted,
     LimitReport,
     NamedLimit,
     RequestRate,
@@ -217,6 +220,45 @@
     context.limit_table.merge({server: LimitReport(None, ms, 0)}, "peer", NOW_MS)
 
 
+@when('a peer reports that it has sent {count:d} requests to "{server}" within 4 s')
+def peer_has_sent(context: Any, count: int, server: str) -> None:
+    context.limit_table.merge({server: LimitReport(1.0, 0, count)}, "peer", NOW_MS)
+
+
+@then('the daemon lets a request to "{server}" wait for {ms:d} ms')
+def request_waits(context: Any, server: str, ms: int) -> None:
+    grants = RateGrants(context.limit_table)
+    assert grants.wait_ms(server, 1.0, NOW_MS) == ms
+
+
+@when('the daemon decides on {count:d} urgent requests to "{server}"')
+def decide_requests(context: Any, count: int, server: str) -> None:
+    grants = RateGrants(context.limit_table)
+    context.decisions = [grants.decide((server,), 1.0, 0, NOW_MS) for _ in range(count)]
+
+
+@then("the first is granted, the others return after {first:d} and {second:d} ms")
+def promised_places(context: Any, first: int, second: int) -> None:
+    granted, *denied = context.decisions
+    assert isinstance(granted, Granted), granted
+    assert [d.retry_after_ms for d in denied] == [first, second], denied
+
+
+@given("a daemon that lists {count:d} daemons and hears {heard:d} others")
+def listed_daemons(context: Any, count: int, heard: int) -> None:
+    own, *others = (Member(f"d{n}:1", f"d{n}", "d0") for n in range(count))
+    context.members = MemberTable(own, NOW_MS)
+    context.members.set_listed(others, NOW_MS)
+    for member in others[:heard]:
+        context.members.record_heartbeat(member, 1, False, NOW_MS)
+
+
+@then("it may grant {share:f} of a rate")
+def granted_share(context: Any, share: float) -> None:
+    actual = context.members.fleet_share(NOW_MS)
+    assert round(actual, 3) == share, actual
+
+
 @then('the limit of "{server}" is {per_s:f}')
 def limit_is(context: Any, server: str, per_s: float) -> None:
     assert context.limit_table.rate_of(server) == per_s, context.limit_table.rate_of(
