--- a/packages/gateway/src/cowsliphitch/gateway/signals.py
+++ b/packages/gateway/src/cowsliphitch/gateway/signals.py
@@ -31,7 +31,7 @@
             signal.signal(number, self._handle)
 
     def _handle(self, _number: int, _frame: FrameType | None) -> None:
-        # Unlike a handler in Python, this stays in place while the interpreter exits.
+        # The interpreter removes handlers when it exits, but ignored signals stay so.
         for number in self._stopping:
             signal.signal(number, signal.SIG_IGN)
         self._is_received = True
