--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -96,6 +96,7 @@
 
 async def with_store(
     action: Callable[[str, KeyValueClient, KeyValueClient], Awaitable[None]],
+    limit_ms: int = 10_000,
 ) -> None:
     """Run an action with the stand-in of the store and two clients of it."""
     clock = Clock()
@@ -105,7 +106,7 @@
     url = f"http://127.0.0.1:{port}"
     own, other = KeyValueClient(url, clock), KeyValueClient(url, clock)
     try:
-        with anyio.fail_after(30):
+        with anyio.fail_after(seconds(limit_ms)):
             while isinstance(await own.get("x"), Err):
                 await anyio.sleep(0.02)
             await httpx_post(f"{url}/copy")
@@ -174,7 +175,7 @@
 @when("it reads this store for {ms:d} ms")
 def read_this_store(context: Any, ms: int) -> None:
     context.read_ms = ms
-    anyio.run(with_store, partial(read_changing_key, context))
+    anyio.run(with_store, partial(read_changing_key, context), 10_000 + ms)
 
 
 @then("it has watched at most {count:d} times")
