Continue the watch of the root after the store's revision, not after the root's

Daemons of the own interface watched the root of the configuration after the revision of its key. Once other keys are written (claims of orders are) and the store has discarded its history, or has come back from a copy, that revision is too old for good: each watch got 410, the root was read, and the next watch got 410 again, without a pause, until the root changed. The platform keeps 20 s of history, so this is the normal state of a fleet whose settings are older than that.

Class: a watch that does not continue from the store's revision. The gateway's watch does.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -63,3 +63,8 @@
     Given a store with configuration A, a copy of it, and two daemons
     When the answer to configuration B is lost, and C follows it after a drill
     Then configuration B is reported as stored
+
+  Scenario: A watch whose history was discarded does not read the root again and again
+    Given a store with configuration A, a copy of it, and two daemons
+    When other keys are written and the history of the store is discarded
+    Then within 500 ms each daemon calls the store at most 3 times
--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -68,6 +68,12 @@
         async with httpx.AsyncClient() as client:
             (await client.post(self.url + path, json=body)).raise_for_status()
 
+    async def count_calls(self) -> int:
+        """Return how many calls the store has served."""
+        async with httpx.AsyncClient() as client:
+            counts = (await client.get(self.url + "/stats")).json()
+        return int(counts["reads"] + counts["writes"] + counts["watches"])
+
     async def store(self, name: str) -> None:
         """Store a configuration as an operator who retries on a conflict."""
         await self.store_through(self.client(), name)
@@ -195,6 +201,27 @@
     context.actions.append(lambda drill, _group: drill.store("C"))
 
 
+@when("other keys are written and the history of the store is discarded")
+def discard_history(context: Any) -> None:
+    async def act(drill: Drill, _group: TaskGroup) -> None:
+        for number in range(3):
+            await drill.clients[0].put(f"other/{number}", "", None)
+        await drill.post("/compact")
+
+    context.actions.append(act)
+
+
+@then("within {ms:d} ms each daemon calls the store at most {count:d} times")
+def calls_at_most(context: Any, ms: int, count: int) -> None:
+    async def check(drill: Drill, _group: TaskGroup) -> None:
+        before = await drill.count_calls()
+        await anyio.sleep(seconds(ms))
+        context.calls = (await drill.count_calls() - before) / len(drill.daemons)
+
+    anyio.run(Drill().run, [*context.actions, check])
+    assert context.calls <= count, context.calls
+
+
 @then("within {ms:d} ms a daemon that starts has configuration {name}")
 def starting_daemon_has(context: Any, ms: int, name: str) -> None:
     context.drill = Drill()
--- a/features/steps/drill_soak_steps.py
+++ b/features/steps/drill_soak_steps.py
@@ -30,7 +30,7 @@
 
 
 def describe_answer(answer: Answer) -> str:
-    """Return the status of an answer, with its verdict and reason if it is a refusal."""
+    """Return an answer's status, with verdict and reason if it is a refusal."""
     return f"{answer.status} {answer.verdict} {answer.reason}".strip()
 
 
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -18,10 +18,10 @@
 from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Unavailable
+from cowsliphitch.platform.store.models import KeyChange, Unavailable
 
 from . import const
-from .models import Root
+from .models import Root, RootUpdate
 from .store import ConfigStore, parse_root
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,7 +58,7 @@
         self._is_watcher = is_watcher
         self._builder = SettingsBuilder()
         self._listeners: list[Listener] = []
-        self._key_revision = NO_REVISION
+        self._watched_revision = NO_REVISION
         self._available = True
         self.snapshot: Snapshot | None = None
         self.settings = EMPTY_SETTINGS
@@ -77,53 +77,59 @@
         """Apply each new root, until cancelled."""
         while True:
             match await self._next_root():
-                case Ok(root) if root is not None:
-                    self._set_available(True)
-                    await self._apply_root(root)
-                case Ok(_):
+                case Ok(update):
                     self._set_available(True)
+                    if update.root is None or await self._apply_root(update.root):
+                        self._watched_revision = update.at
                 case Err(_):
                     self._set_available(False)
                     await anyio.sleep(seconds(const.RETRY_DELAY_MS))
 
-    async def _next_root(self) -> Result[Root | None, Unavailable]:
+    async def _next_root(self) -> Result[RootUpdate, Unavailable]:
         """Wait for a change of the root, or for the next poll.
 
         Without a configuration, a daemon that is not a watcher watches the root too.
-
-        :returns: the root, ``None`` if it did not change during the watch
         """
         if not self._is_watcher() and self.snapshot is not None:
             await anyio.sleep(seconds(const.FALLBACK_POLL_INTERVAL_MS))
-            return (await self._store.read_root()).map(lambda root: root)
-        match await self._kv.watch_key(keys.ROOT_KEY, self._key_revision):
-            case Ok(entry) if entry is not None:
-                return parse_root(entry.value, entry.revision).map(lambda root: root)
-            case Ok(_):
-                return Ok(None)
+            return (await self._store.read_root()).map(
+                lambda root: RootUpdate(root, root.key_revision)
+            )
+        match await self._kv.watch_key(keys.ROOT_KEY, self._watched_revision):
+            case Ok(KeyChange(None, at)):
+                return Ok(RootUpdate(None, at))
+            case Ok(KeyChange(entry, at)):
+                assert entry is not None
+                return parse_root(entry.value, entry.revision).map(
+                    lambda root: RootUpdate(root, at)
+                )
             case Err(unavailable):
                 return Err(unavailable)
+        raise AssertionError("result is neither Ok nor Err")
 
-    async def _apply_root(self, root: Root) -> None:
+    async def _apply_root(self, root: Root) -> bool:
         """Read the values of a root and apply them, if the root is newer.
 
-        If a value can't be read, the root is read again.  If the store has come back
-        from an older copy, the settings in force are stored again.
+        If the store has come back from an older copy, the settings in force are stored
+        again.
+
+        :returns: whether the root was processed; if a value can't be read, the root
+            must be read again
         """
         if not is_newer(self.snapshot, root.manifest):
-            self._key_revision = root.key_revision
             if (
                 root.manifest.revision < self.revision
                 and root.manifest.era < root.key_revision.era
             ):
                 await self._store_again(root)
-            return
+            return True
         match await self._store.read_snapshot(root.manifest, self.snapshot):
             case Ok(snapshot):
                 self.offer(snapshot)
-                self._key_revision = root.key_revision
+                return True
             case Err(_):
                 await anyio.sleep(seconds(const.RETRY_DELAY_MS))
+                return False
 
     async def _store_again(self, root: Root) -> None:
         """Store the settings in force again; of several daemons, one succeeds."""
--- a/packages/state/src/cowsliphitch/state/config/models.py
+++ b/packages/state/src/cowsliphitch/state/config/models.py
@@ -84,3 +84,15 @@
 
     manifest: Manifest
     key_revision: Revision
+
+
+@attrs.frozen
+class RootUpdate:
+    """Result of waiting for a change of the root.
+
+    :param root: ``None`` if it did not change
+    :param at: revision of the store after which to continue the watch
+    """
+
+    root: Root | None
+    at: Revision
