Send the tests' orders without building a TLS context for each

Eight at once took 114 to 188 ms (one alone 104 ms), while the store came back about twice a second, so most keys were from before the era by the time that the order arrived, and were rightly refused.

The check is unchanged.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -52,7 +52,13 @@
     if token:
         fields["authorization"] = f"Bearer {token}"
     try:
-        resp = httpx.post(url, content=content, headers=fields, timeout=TIMEOUT_S)
+        resp = httpx.post(
+            url,
+            content=content,
+            headers=fields,
+            timeout=TIMEOUT_S,
+            verify=TLS_CONTEXT,
+        )
     except httpx.HTTPError as exc:
         return Answer(0, {"error": type(exc).__name__})
     try:
