Store the configuration again if the store came back without any

A confirmed change was gone for daemons that start, and the next change had a revision that the others never apply, if the copy is from before the first configuration was stored: a root that is absent looked like one that did not change.

The new scenario fails on the commit before (configuration B is not in force within 1,500 ms in a daemon that starts) and passes now: a watched key is read as absent or unchanged, and the first change in a later era than the first skips the lost revisions also if there is no root. Reproduced in a test only.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -73,3 +73,9 @@
     Given a store with configuration A, a copy of it, and two daemons
     When an operator stores configuration B, the store comes back at once, and others write as much as it lost
     Then within 1500 ms a daemon that starts has configuration B
+
+  Scenario: The only change is in force again after the store came back without any
+    Given a copy of a store without a configuration, then configuration A, and two daemons
+    When an operator stores configuration B, and the store comes back from the copy
+    Then within 1500 ms a daemon that starts has configuration B
+    And the two daemons had no other configuration after B
--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -131,6 +131,19 @@
     context.actions = [prepare]
 
 
+@given(
+    "a copy of a store without a configuration, then configuration A, and two daemons"
+)
+def store_with_empty_copy(context: Any) -> None:
+    async def prepare(drill: Drill, group: TaskGroup) -> None:
+        await drill.post("/copy")
+        await drill.store("A")
+        for _ in range(2):
+            drill.start_daemon(group)
+
+    context.actions = [prepare]
+
+
 @when("an operator stores configuration B, and the store comes back from the copy")
 def store_and_restore(context: Any) -> None:
     async def act(drill: Drill, _group: TaskGroup) -> None:
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -58,7 +58,7 @@
     context.store = CountingStore()
     context.coordinator._store = context.store
     root = Root(Manifest(revision, "change", era=1), Revision(1, 1))
-    anyio.run(context.coordinator._apply_root, root)
+    anyio.run(context.coordinator._apply_root, root, root.key_revision.era)
 
 
 @then("configuration {revision:d} is in force and listeners were called once")
--- a/packages/core/src/cowsliphitch/core/config/models.py
+++ b/packages/core/src/cowsliphitch/core/config/models.py
@@ -10,6 +10,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cowsliphitch.core.revisions import FIRST_ERA
 from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.core.settings.schema import dump_json
 
@@ -162,7 +163,7 @@
         if current.branches.get(path) != branches.get(path)
     )
     revision = current.revision + 1
-    if current.revision and era > current.era:
+    if era > (current.era if current.revision else FIRST_ERA):
         revision += REVISIONS_SKIPPED_PER_ERA
     manifest = Manifest(revision, entry.change, branches, era)
     entry = attrs.evolve(
--- a/packages/core/src/cowsliphitch/core/revisions.py
+++ b/packages/core/src/cowsliphitch/core/revisions.py
@@ -11,6 +11,9 @@
 # Bits of a fencing token below its era.
 _NUMBER_BITS: Final = 40
 
+# Era of a store that has never come back from a copy.
+FIRST_ERA: Final = 1
+
 
 @attrs.frozen(order=True)
 class Revision:
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -18,11 +18,11 @@
 from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import KeyChange, Unavailable
+from cowsliphitch.platform.store.models import KeyRead, KeyUnchanged, Unavailable
 
 from . import const
 from .models import Root, RootUpdate
-from .store import ConfigStore, parse_root
+from .store import NO_ROOT, ConfigStore, parse_root
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -79,7 +79,9 @@
             match await self._next_root():
                 case Ok(update):
                     self._set_available(True)
-                    if update.root is None or await self._apply_root(update.root):
+                    if update.root is None or await self._apply_root(
+                        update.root, update.at.era
+                    ):
                         self._watched_revision = update.at
                 case Err(_):
                     self._set_available(False)
@@ -93,15 +95,16 @@
 
         Without a configuration, a daemon that is not a watcher watches the root too.
         """
+        after = self._watched_revision
         if not self._is_watcher() and self.snapshot is not None:
             await anyio.sleep(seconds(const.FALLBACK_POLL_INTERVAL_MS))
-            return (await self._store.read_root()).map(
-                lambda root: RootUpdate(root, root.key_revision)
-            )
-        match await self._kv.watch_key(keys.ROOT_KEY, self._watched_revision):
-            case Ok(KeyChange(None, at)):
+            after = NO_REVISION
+        match await self._kv.watch_key(keys.ROOT_KEY, after):
+            case Ok(KeyUnchanged(at)):
                 return Ok(RootUpdate(None, at))
-            case Ok(KeyChange(entry, at)):
+            case Ok(KeyRead(None, at)):
+                return Ok(RootUpdate(NO_ROOT, at))
+            case Ok(KeyRead(entry, at)):
                 assert entry is not None
                 return parse_root(entry.value, entry.revision).map(
                     lambda root: RootUpdate(root, at)
@@ -110,21 +113,19 @@
                 return Err(unavailable)
         raise AssertionError("result is neither Ok nor Err")
 
-    async def _apply_root(self, root: Root) -> bool:
+    async def _apply_root(self, root: Root, era: int) -> bool:
         """Read the values of a root and apply them, if the root is newer.
 
         If the store has come back from an older copy, the settings in force are stored
         again.
 
+        :param era: era of the store that has the root
         :returns: whether the root was processed; if a value can't be read, the root
             must be read again
         """
         if not is_newer(self.snapshot, root.manifest):
-            if (
-                root.manifest.revision < self.revision
-                and root.manifest.era < root.key_revision.era
-            ):
-                await self._store_again(root)
+            if root.manifest.revision < self.revision and root.manifest.era < era:
+                await self._store_again(root, era)
             return True
         match await self._store.read_snapshot(root.manifest, self.snapshot):
             case Ok(snapshot):
@@ -134,13 +135,13 @@
                 await anyio.sleep(seconds(const.RETRY_DELAY_MS))
                 return False
 
-    async def _store_again(self, root: Root) -> None:
+    async def _store_again(self, root: Root, era: int) -> None:
         """Store the settings in force again; of several daemons, one succeeds."""
         result = await self._store.store_again(self.settings, root)
         _LOGGER.warning(
             "The store came back in era %d with configuration %d, not %d; "
             "the latter was stored again: %s",
-            root.key_revision.era,
+            era,
             root.manifest.revision,
             self.revision,
             result,
--- a/packages/state/src/cowsliphitch/state/config/models.py
+++ b/packages/state/src/cowsliphitch/state/config/models.py
@@ -78,6 +78,7 @@
 class Root:
     """The root key, which references the values in force, as read from the store.
 
+    :param manifest: an empty one if the key is absent
     :param key_revision: revision of the root's key in the store, ``NO_REVISION`` if
         absent
     """
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from typing import Final
 
 import anyio
 from result import Err, Ok, Result
@@ -45,6 +46,8 @@
     Unchanged,
 )
 
+NO_ROOT: Final = Root(Manifest(), NO_REVISION)
+
 
 class ConfigStore:
     """Reads and writes configurations and their audit trail."""
@@ -57,11 +60,11 @@
     async def read_root(self) -> Result[Root, Unavailable]:
         """Read the root.
 
-        :returns: the root; an empty manifest with ``NO_REVISION`` if none is stored
+        :returns: the root, ``NO_ROOT`` if none is stored
         """
         return (await self._kv.get(keys.ROOT_KEY)).and_then(
             lambda entry: (
-                Ok(Root(Manifest(), NO_REVISION))
+                Ok(NO_ROOT)
                 if entry is None
                 else parse_root(entry.value, entry.revision)
             )
