Apply a change in the daemon that confirms it, before the answer

A confirmed change that the store lost before a daemon had read it was nowhere in force, and nobody stored it again. The daemon that stored it now has it in force when the operator gets the answer, passes it on to its peers, and stores it again if the store comes back without it.

With the new line taken out, the new scenario fails (configuration B is not in force within 5,000 ms); with it, it passes. What remains: the daemon is lost at the same time, before a heartbeat. Reproduced in a test only.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -79,3 +79,8 @@
     When an operator stores configuration B, and the store comes back from the copy
     Then within 1500 ms a daemon that starts has configuration B
     And the two daemons had no other configuration after B
+
+  Scenario: A confirmed change that the store lost before any daemon read it is in force
+    Given a store with configuration A, a copy of it, and two daemons that do not watch it
+    When one of them stores configuration B, and the store comes back at once
+    Then within 5000 ms a daemon that starts has configuration B
--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -57,8 +57,10 @@
         self.clients.append(client)
         return client
 
-    def start_daemon(self, group: TaskGroup) -> ConfigCoordinator:
-        daemon = ConfigCoordinator(self.client(), self.clock, lambda: True)
+    def start_daemon(
+        self, group: TaskGroup, is_watcher: bool = True
+    ) -> ConfigCoordinator:
+        daemon = ConfigCoordinator(self.client(), self.clock, lambda: is_watcher)
         names: list[str] = []
         daemon.add_listener(lambda settings: names.append(name_of(settings)))
         self.daemons.append(daemon)
@@ -144,6 +146,33 @@
     context.actions = [prepare]
 
 
+@given(
+    "a store with configuration A, a copy of it, and two daemons that do not watch it"
+)
+def store_without_watchers(context: Any) -> None:
+    async def prepare(drill: Drill, group: TaskGroup) -> None:
+        await drill.store("A")
+        for _ in range(2):
+            drill.start_daemon(group, is_watcher=False)
+        for names in drill.received:
+            await wait_until(lambda n=names: n == ["A"], 1_500, "A is in force")
+        await drill.post("/copy")
+
+    context.actions = [prepare]
+
+
+@when("one of them stores configuration B, and the store comes back at once")
+def store_through_daemon(context: Any) -> None:
+    async def act(drill: Drill, _group: TaskGroup) -> None:
+        daemon = drill.daemons[0]
+        author = Author("olga", "")
+        result = await daemon.submit(settings_of("B"), daemon.revision, author)
+        assert isinstance(result, Stored), result
+        await drill.post("/restore")
+
+    context.actions.append(act)
+
+
 @when("an operator stores configuration B, and the store comes back from the copy")
 def store_and_restore(context: Any) -> None:
     async def act(drill: Drill, _group: TaskGroup) -> None:
--- a/packages/daemon/src/cowsliphitch/daemon/control.py
+++ b/packages/daemon/src/cowsliphitch/daemon/control.py
@@ -95,7 +95,7 @@
             case Ok(settings):
                 author = Author(operator, request.note)
                 base = request.base_revision
-                result = await self._config_store.submit(settings, base, author)
+                result = await self._config_coordinator.submit(settings, base, author)
                 return _submit_reply(result)
 
     def _check_shard_count(
@@ -204,8 +204,8 @@
 def _submit_reply(result: SubmitResult) -> SubmitReply:
     """Convert the result of a submitted change to the reply to the operator."""
     match result:
-        case Stored(revision, change):
-            return SubmitReply("stored", revision, "stored", change)
+        case Stored() as stored:
+            return SubmitReply("stored", stored.revision, "stored", stored.change)
         case Unchanged(revision):
             return SubmitReply("unchanged", revision, "these settings are in force")
         case SubmitConflict(conflict, winner):
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -14,14 +14,19 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.config import const as keys
 from cowsliphitch.core.config.build import SettingsBuilder
-from cowsliphitch.core.config.models import Manifest, Snapshot, is_newer
+from cowsliphitch.core.config.models import (
+    Manifest,
+    Snapshot,
+    branch_values,
+    is_newer,
+)
 from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import KeyRead, KeyUnchanged, Unavailable
 
 from . import const
-from .models import Root, RootUpdate
+from .models import Author, Root, RootUpdate, Stored, SubmitResult
 from .store import NO_ROOT, ConfigStore, parse_root
 
 _LOGGER = logging.getLogger(__name__)
@@ -147,6 +152,20 @@
             result,
         )
 
+    async def submit(
+        self, settings: Settings, base_revision: int, author: Author
+    ) -> SubmitResult:
+        """Store a change, and apply it at once.
+
+        This daemon then has it in force if the store loses it before others read it.
+
+        :param base_revision: the revision that the operator edited
+        """
+        result = await self._store.submit(settings, base_revision, author)
+        if isinstance(result, Stored):
+            self.offer(Snapshot(result.manifest, branch_values(settings)))
+        return result
+
     def is_newer_revision(self, revision: int) -> bool:
         """Return whether a revision is newer than the one in force."""
         return revision > self.revision
--- a/packages/state/src/cowsliphitch/state/config/models.py
+++ b/packages/state/src/cowsliphitch/state/config/models.py
@@ -22,12 +22,20 @@
 class Stored:
     """Result: the change was stored; only a later change can undo it.
 
-    :param revision: the revision that the change created
-    :param change: identifier of the change
+    :param manifest: the root that the change created
     """
 
-    revision: int
-    change: str
+    manifest: Manifest
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that the change created."""
+        return self.manifest.revision
+
+    @property
+    def change(self) -> str:
+        """Return the identifier of the change."""
+        return self.manifest.change
 
 
 @attrs.frozen
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -201,7 +201,7 @@
         that expects the same revision, applied or refused, settles its outcome.
         """
         text = to_json(plan.manifest)
-        stored = Stored(plan.manifest.revision, plan.entry.change)
+        stored = Stored(plan.manifest)
         while self._clock.now_ms() < deadline_ms:
             match await self._kv.put(keys.ROOT_KEY, text, root.key_revision):
                 case Applied():
