--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -84,3 +84,11 @@
     Given a store with configuration A, a copy of it, and two daemons that do not watch it
     When one of them stores configuration B, and the store comes back at once
     Then within 5000 ms a daemon that starts has configuration B
+
+  Scenario: A change after two drills is in force in daemons that had lost ones
+    Given a store with configuration A, a copy of it, and two daemons
+    When an operator stores configuration B, and the store comes back from the copy
+    And an operator stores configuration C, and the store comes back from the copy again
+    And an operator stores configuration D
+    Then within 1500 ms a daemon that starts has configuration D
+    And the two daemons have configuration D in force
