Read the root again if a peer's configuration is still not in the store (suspected)

A daemon stores again what the store has lost when it reads the root. One that has read the copy's root already and then hears the lost configuration from a peer did not read the root again before its next change: if that peer is lost too, the confirmed change was missing in daemons that start.

--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -35,6 +35,16 @@
     When the store's root has configuration 4
     Then configuration 5 is in force and no value was read
 
+  Scenario Outline: The root is read again if a peer's configuration is not in the store
+    Given a daemon with configuration 5 in force
+    When it watches a root with configuration <root> that does not change
+    Then it reads the root <frequency>
+
+    Examples:
+      | root | frequency |
+      | 4    | again     |
+      | 5    | once      |
+
   Scenario: A confirmed change that the store lost in a drill stays in force everywhere
     Given a store with configuration A, a copy of it, and two daemons
     When an operator stores configuration B, and the store comes back from the copy
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -7,10 +7,12 @@
 from result import Ok, Result
 
 from cowsliphitch.core.clock import Clock
+from cowsliphitch.core.codec import to_json
 from cowsliphitch.core.config.models import Manifest, Snapshot, branch_values
-from cowsliphitch.core.revisions import Revision
+from cowsliphitch.core.revisions import NO_REVISION, Revision
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS
 from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.platform.store.models import Entry, KeyRead, KeyUnchanged
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.state.config.models import Root
 
@@ -33,6 +35,24 @@
         return Ok(make_snapshot(manifest.revision))
 
 
+class WatchedRoot:
+    """Replacement for the store's client: a root that does not change."""
+
+    def __init__(self, revision: int) -> None:
+        self.value = to_json(Manifest(revision, "change", era=1))
+        self.reads = 0
+
+    async def watch_key(
+        self, key: str, after: Revision
+    ) -> Result[KeyRead | KeyUnchanged, None]:
+        await anyio.sleep(0.001)
+        at = Revision(1, 9)
+        if after != NO_REVISION:
+            return Ok(KeyUnchanged(at))
+        self.reads += 1
+        return Ok(KeyRead(Entry(key, self.value, Revision(1, 5)), at))
+
+
 @given("a daemon with configuration {revision:d} in force")
 def start_with_configuration(context: Any, revision: int) -> None:
     client = cast(KeyValueClient, None)
@@ -61,6 +81,24 @@
     anyio.run(context.coordinator._apply_root, root, root.key_revision.era)
 
 
+@when("it watches a root with configuration {revision:d} that does not change")
+def watch_unchanged_root(context: Any, revision: int) -> None:
+    context.root = WatchedRoot(revision)
+    context.coordinator._kv = context.root
+
+    async def watch() -> None:
+        with anyio.move_on_after(0.1):
+            await context.coordinator.run()
+
+    anyio.run(watch)
+
+
+@then("it reads the root {frequency:Word}")
+def assert_root_reads(context: Any, frequency: str) -> None:
+    is_repeated = context.root.reads > 1
+    assert is_repeated is (frequency == "again"), context.root.reads
+
+
 @then("configuration {revision:d} is in force and listeners were called once")
 def assert_applied(context: Any, revision: int) -> None:
     assert context.is_applied
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -64,6 +64,7 @@
         self._builder = SettingsBuilder()
         self._listeners: list[Listener] = []
         self._watched_revision = NO_REVISION
+        self._root_revision = 0
         self._available = True
         self.snapshot: Snapshot | None = None
         self.settings = EMPTY_SETTINGS
@@ -84,10 +85,7 @@
             match await self._next_root():
                 case Ok(update):
                     self._set_available(True)
-                    if update.root is None or await self._apply_root(
-                        update.root, update.at.era
-                    ):
-                        self._watched_revision = update.at
+                    await self._process(update)
                 case Err(_):
                     self._set_available(False)
                     # The store may have come back from a copy, and given out the
@@ -95,6 +93,17 @@
                     self._watched_revision = NO_REVISION
                     await anyio.sleep(seconds(const.RETRY_DELAY_MS))
 
+    async def _process(self, update: RootUpdate) -> None:
+        """Apply a root that was read, and set where the watch continues."""
+        if update.root is None:
+            # A peer's configuration that the store still lacks may be lost.
+            is_ahead = self.revision > self._root_revision
+            self._watched_revision = NO_REVISION if is_ahead else update.at
+            return
+        if await self._apply_root(update.root, update.at.era):
+            self._root_revision = update.root.manifest.revision
+            self._watched_revision = update.at
+
     async def _next_root(self) -> Result[RootUpdate, Unavailable]:
         """Wait for a change of the root, or for the next poll.
 
