Specify the configuration over a store that comes back from a copy

Proved by induction for any number of drills, operators' changes and copies, with two daemons that read the root or hear from each other: a daemon that has read the root as it is has its settings in force, if fewer changes are lost in a drill than are skipped for each era. Three faulty variants yield counterexamples of 4 to 6 steps; the one that skips once is the code before (a change after two drills).

--- a/features/spec/model.feature
+++ b/features/spec/model.feature
@@ -30,6 +30,18 @@
       | an operator writes without comparing the revision  |
       | an operator is told stored before the write is known |
 
+  Scenario: A confirmed configuration is in force over drills of the store
+    Then the "config drill" specification holds for any number of steps
+
+  Scenario Outline: A faulty variant of the configuration over a drill yields a counterexample
+    Then the "config drill" specification breaks with "<variant>"
+
+    Examples:
+      | variant                                                         |
+      | revisions of lost changes are given out again                   |
+      | a change skips as many revisions after two drills as after one  |
+      | settings that the store lost are not stored again               |
+
   Scenario: A view of a store that comes back from a copy misses no leaving server
     Then the "drill" specification holds for any number of steps
 
--- a/features/steps/spec_steps.py
+++ b/features/steps/spec_steps.py
@@ -3,12 +3,13 @@
 from typing import Any
 
 from behave import then
-from spec import config, drill, order_drill, orders
+from spec import config, config_drill, drill, order_drill, orders
 from spec.machine import counterexample, holds
 
 SPECIFICATIONS = {
     "orders": orders,
     "config": config,
+    "config drill": config_drill,
     "drill": drill,
     "order drill": order_drill,
 }
