Run drills of the store in the soak of random faults

The soak had none: kills, pauses, outages, lost answers and races of settings were never played over a store that comes back from a copy, and nothing checked that a configuration that was in force somewhere is in force everywhere at the end.

The random choices of runs without drills are as before.

--- a/features/standins/soak.feature
+++ b/features/standins/soak.feature
@@ -7,3 +7,8 @@
     When load runs under random faults for 15 s with the seed 3
     Then the history has no violations
     And every kind of request was answered at least once
+
+  Scenario: Drills of the store during other faults cause no violation
+    When load runs under random faults and drills for 15 s with the seed 4
+    Then the history has no violations
+    And every kind of request was answered at least once
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -229,17 +229,12 @@
 
 @given("the key-value service is copied")
 def copy_kv(context: Any) -> None:
-    _post_to_kv(context, "/copy")
+    context.fleet.copy_store()
 
 
 @when("the key-value service comes back from the copy after {ms:d} ms")
 def restore_kv_copy(context: Any, ms: int) -> None:
     stop_kv(context)
     time.sleep(seconds(ms))
-    _post_to_kv(context, "/restore")
+    context.fleet.restore_store()
     restore_kv(context)
-
-
-def _post_to_kv(context: Any, path: str) -> None:
-    url = context.fleet.processes["kv"].url
-    context.fleet.http.post(f"{url}{path}").raise_for_status()
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,11 +13,12 @@
 DAEMONS = 3
 
 
-@when("load runs under random faults for {duration_s:d} s with the seed {seed:d}")
-def run_soak_test(context: Any, duration_s: int, seed: int) -> None:
+@when("load runs under random {kind} for {duration_s:d} s with the seed {seed:d}")
+def run_soak_test(context: Any, kind: str, duration_s: int, seed: int) -> None:
+    assert kind in ("faults", "faults and drills"), kind
     with Fleet() as fleet:
         start_deployment(fleet, DAEMONS)
-        test = FaultInjectionTest(fleet, seed)
+        test = FaultInjectionTest(fleet, seed, has_drills=kind == "faults and drills")
         anyio.run(test.run, duration_s * MS_PER_SECOND)
         context.violations = test.check_history()
         context.history = test.history
--- a/packages/standins/src/cowsliphitch/standins/fleet.py
+++ b/packages/standins/src/cowsliphitch/standins/fleet.py
@@ -298,6 +298,14 @@
         url = f"{self.processes[name].url}/faults"
         self.http.post(url, json=switches).raise_for_status()
 
+    def copy_store(self) -> None:
+        """Have the key-value store keep a copy of itself to come back to."""
+        self.http.post(f"{self.processes['kv'].url}/copy").raise_for_status()
+
+    def restore_store(self) -> None:
+        """Have the key-value store come back from its copy, in a new era."""
+        self.http.post(f"{self.processes['kv'].url}/restore").raise_for_status()
+
     def fetch_runs(self, name: str) -> list[dict[str, Any]]:
         """Return the executions that an upstream recorded, oldest first."""
         runs: list[dict[str, Any]] = self.http.get(
--- a/packages/standins/src/cowsliphitch/standins/history.py
+++ b/packages/standins/src/cowsliphitch/standins/history.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -120,3 +120,25 @@
             )
         highest_revisions[process] = max(highest_revisions.get(process, 0), revision)
     return violations
+
+
+def check_final_revisions(
+    observations: Iterable[tuple[str, int]], final_revisions: Mapping[str, int]
+) -> list[Violation]:
+    """Return the daemons that lack a configuration which was in force somewhere.
+
+    :param observations: process and reported revision, in order of time
+    :param final_revisions: revision by daemon, some time after the last change
+    """
+    highest = max(
+        (*(revision for _, revision in observations), *final_revisions.values()),
+        default=0,
+    )
+    return [
+        Violation(
+            "a configuration in force comes into force everywhere",
+            f"{daemon}: {revision}, not {highest}",
+        )
+        for daemon, revision in final_revisions.items()
+        if revision < highest
+    ]
--- a/packages/standins/src/cowsliphitch/standins/prove.py
+++ b/packages/standins/src/cowsliphitch/standins/prove.py
@@ -26,6 +26,7 @@
     OrderCall,
     StreamCall,
     Violation,
+    check_final_revisions,
     check_orders,
     check_revisions,
     check_streams,
@@ -37,6 +38,9 @@
 ANSWER_TOKENS = 32  # max_tokens of the scenario's generate stage
 ORDER_DESKS = ("order-desk-1", "order-desk-2")
 MAX_ATTEMPTS = 3
+MIN_COPY_AGE_MS, MAX_COPY_AGE_MS = 100, 3_000
+MIN_DRILL_PAUSE_MS, MAX_DRILL_PAUSE_MS = 300, 4_000
+MAX_DRILL_OUTAGE_MS = 1_500
 THINK_TIME_MS = 60
 SETTLE_TIME_MS = 6_000
 OBSERVE_INTERVAL_MS = 250
@@ -49,12 +53,14 @@
     :param orders: calls of orders, repeats included
     :param streams: streamed requests
     :param revisions: daemon process and the revision that it reported, in order of time
+    :param final_revisions: revision of each daemon at the end of the run
     :param faults: descriptions of the injected faults, in order of time
     """
 
     orders: list[OrderCall] = attrs.Factory(list)
     streams: list[StreamCall] = attrs.Factory(list)
     revisions: list[tuple[str, int]] = attrs.Factory(list)
+    final_revisions: dict[str, int] = attrs.Factory(dict)
     faults: list[str] = attrs.Factory(list)
 
 
@@ -62,12 +68,16 @@
     """A run of load under random faults on one fleet.
 
     :param seed: seeds every random choice of faults and daemons
+    :param has_drills: whether the key-value store comes back from copies of itself,
+        also during other faults
     """
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(self, fleet: Fleet, seed: int, *, has_drills: bool = False) -> None:
         """Initialize an empty history; ``run`` starts load and faults."""
         self._fleet = fleet
         self._rng = random.Random(seed)
+        self._drill_rng = random.Random(f"drills {seed}")
+        self._has_drills = has_drills
         self._clock = Clock()
         self._is_stopped = False
         self._change_numbers = itertools.count()
@@ -84,9 +94,15 @@
                 group.start_soon(self._send_orders, http, index)
                 group.start_soon(self._send_streams, http, index)
             group.start_soon(self._observe_revisions)
-            await self._inject_faults(self._clock.now_ms() + duration_ms)
+            end_ms = self._clock.now_ms() + duration_ms
+            if self._has_drills:
+                group.start_soon(self._run_drills, end_ms)
+            await self._inject_faults(end_ms)
             await anyio.sleep(seconds(SETTLE_TIME_MS))
             self._is_stopped = True
+        self.history.final_revisions = {
+            name: self._fetch_revision(name) or 0 for name in self._fleet.daemons
+        }
 
     def check_history(self) -> list[Violation]:
         """Return the violations in the history and in the upstreams' records."""
@@ -97,6 +113,9 @@
             *check_orders(self.history.orders, runs),
             *check_streams(self.history.streams),
             *check_revisions(self.history.revisions),
+            *check_final_revisions(
+                self.history.revisions, self.history.final_revisions
+            ),
         ]
 
     def _choose_daemon(self) -> tuple[str, str]:
@@ -178,6 +197,21 @@
             self.history.faults.append(await fault())
             await anyio.sleep(seconds(self._rng.randint(100, 800)))
 
+    async def _run_drills(self, end_ms: int) -> None:
+        """Have the store come back from a copy, at once or after an outage."""
+        rng = self._drill_rng
+        while self._clock.now_ms() < end_ms:
+            self._fleet.copy_store()
+            await anyio.sleep(seconds(rng.randint(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS)))
+            for outage_ms in rng.choice(((0,), (MAX_DRILL_OUTAGE_MS,), (0, 0))):
+                self._fleet.set_faults("kv", down=True)
+                await anyio.sleep(seconds(rng.randint(0, outage_ms)))
+                self._fleet.restore_store()
+                self._fleet.set_faults("kv", down=False)
+                self.history.faults.append("drill")
+                pause_ms = rng.randint(MIN_DRILL_PAUSE_MS, MAX_DRILL_PAUSE_MS)
+                await anyio.sleep(seconds(pause_ms))
+
     async def _sleep_random(self, low_ms: int, high_ms: int) -> None:
         await anyio.sleep(seconds(self._rng.randint(low_ms, high_ms)))
 
@@ -281,6 +315,7 @@
     parser.add_argument("--minutes", type=float, default=1.0)
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--drills", action="store_true")
     args = parser.parse_args()
     seed = (
         args.seed if args.seed is not None else random.SystemRandom().randrange(10**6)
@@ -288,7 +323,7 @@
     print(f"seed {seed}", flush=True)
     with Fleet() as fleet:
         start_deployment(fleet, daemons=args.daemons)
-        test = FaultInjectionTest(fleet, seed)
+        test = FaultInjectionTest(fleet, seed, has_drills=args.drills)
         anyio.run(test.run, int(args.minutes * 60_000))
         violations = test.check_history()
         print_report(test, violations, seed)
