--- a/features/script/summary.feature
+++ b/features/script/summary.feature
@@ -15,3 +15,13 @@
       | passed     | untested | 1      | 1 passed, 1 failed |
       | skipped    | skipped  | 0      | 1 passed, 0 failed |
       | hook_error | none     | 1      | 1 passed, 1 failed |
+
+  Scenario: A failure that is not repeated can be traced by what the run printed
+    Given a report of a scenario whose step "orders ran" failed with "no order ran"
+    When the report is summarized
+    Then the summary contains
+      """
+      in features/first.feature: first works: Then orders ran
+        Traceback
+        no order ran
+      """
--- a/features/steps/summary_steps.py
+++ b/features/steps/summary_steps.py
@@ -33,6 +33,17 @@
     ]
 
 
+@given('a report of a scenario whose step "{step}" failed with "{error}"')
+def write_failed_step(context: Any, step: str, error: str) -> None:
+    feature = _feature("first", "failed", "failed")
+    result = {"status": "failed", "error_message": ["Traceback", error]}
+    feature["elements"][0]["steps"] = [
+        {"keyword": "Then", "name": "a step before", "result": {"status": "passed"}},
+        {"keyword": "Then", "name": step, "result": result},
+    ]
+    context.report = [feature]
+
+
 @when("the report is summarized")
 def summarize_report(context: Any) -> None:
     with tempfile.TemporaryDirectory() as folder:
@@ -51,3 +62,8 @@
 def check_summary(context: Any, status: int, line: str) -> None:
     assert context.done.returncode == status, context.done
     assert context.done.stdout.splitlines()[-1] == line, context.done.stdout
+
+
+@then("the summary contains")
+def check_lines(context: Any) -> None:
+    assert context.text in context.done.stdout, context.done.stdout
--- a/script/summary.py
+++ b/script/summary.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 KNOWN_PREFIX: Final = "test: "
+MAX_ERROR_LINES: Final = 12
 
 # Statuses of features whose scenarios were executed or deselected.
 FEATURE_STATUSES: Final = frozenset({"passed", "failed", "error", "skipped"})
@@ -34,6 +35,23 @@
                 )
 
 
+def failed_steps(report: list[dict[str, Any]]) -> Iterator[tuple[str, str, list[str]]]:
+    """Yield the scenario, the step and the last lines of the error of failed steps."""
+    for feature in report:
+        feature_path = feature["location"].rpartition(":")[0]
+        for element in feature.get("elements", []):
+            for step in element.get("steps", []):
+                error = step.get("result", {}).get("error_message")
+                if not error:
+                    continue
+                lines = error.splitlines() if isinstance(error, str) else error
+                yield (
+                    f"{feature_path}: {element['name'].strip()}",
+                    f"{step['keyword']} {step['name']}",
+                    lines[-MAX_ERROR_LINES:],
+                )
+
+
 def known_failures(text: str) -> set[str]:
     """Return the scenarios that the text of KNOWN-RED.txt lists."""
     lines = (line.strip() for line in text.splitlines())
@@ -54,13 +72,16 @@
         print("the tests wrote no report")
         return 1
     try:
-        results = list(scenarios(json.loads(report_path.read_text())))
+        report = json.loads(report_path.read_text())
+        results = list(scenarios(report))
     except ValueError:
         print("the tests' report is not whole")
         return 1
     known = known_failures(known_path.read_text())
     executed = [item for item in results if item[1] != "skipped"]
     failed = {name for name, status in executed if status != "passed"}
+    for name, step, lines in failed_steps(report):
+        print("\n  ".join((f"in {name}: {step}", *lines)))
     for name in sorted(failed - known):
         print(f"FAILED {name}")
     for name in sorted(failed & known):
