Ask peers for their settings before those of a store that came back (suspected)

A daemon that started while the store held the copy took the copy's settings, and its peers' newer ones only with their first heartbeat: callers could be served by a route or with a key that a confirmed change had removed.

The first listing of a process, if the store is in a later era than the first, is applied after three of the listed peers were asked, for at most 300 ms. Without a drill nothing changes.

--- a/features/daemon/restored.feature
+++ b/features/daemon/restored.feature
@@ -41,6 +41,15 @@
     When a daemon restarts after the drill
     Then within 1000 ms both daemons refuse the key with 401
 
+  Scenario: A daemon that starts on the copy does not use settings older than its peers'
+    Given a site with two daemons
+    And the store is copied, 40 changes follow, and the servers register again
+    When the key of the team "red" is revoked
+    And within 1500 ms both daemons refuse the key with 401
+    And the store comes back from the copy, and the others write again never
+    And a daemon restarts after the drill
+    Then it has had only settings without the key in force
+
   Scenario: A daemon registers again with a lease of the new era
     Given a site with two daemons
     And the store is copied, 40 changes follow, and the servers register again
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,6 +26,8 @@
 from cowsliphitch.standins.processes import free_port, wait_for
 from cowsliphitch.standins.site import SiteServer, document, put
 
+# Version of the settings without the key that a test revokes.
+REVOKED_VERSION = 5
 TEAM_BY_KEY = {"key-red": "red", "key-blue": "blue"}
 PROMPT_HEADERS = {
     "cowsliphitch-model": "m",
@@ -124,6 +126,10 @@
         )
         wait_for("the daemon is ready again", lambda: self.status(daemon) == 200)
 
+    def latest_log(self) -> str:
+        """Return what the process that was started last has logged."""
+        return (self.directory / f"{len(self.processes) - 1}.log").read_text()
+
     def status(self, daemon: dict[str, Any]) -> int:
         try:
             url = f"http://127.0.0.1:{daemon['ready']}/readyz"
@@ -365,7 +371,7 @@
 def revoke_key(context: Any, team: str) -> None:
     keys = {key: name for key, name in TEAM_BY_KEY.items() if name != team}
     assert context.site.call("/lookup/1").status_code == 200
-    put(context.site.store, "op/config", document(5, keys))
+    put(context.site.store, "op/config", document(REVOKED_VERSION, keys))
     context.revoked_s = time.monotonic()
 
 
--- a/features/steps/restored_steps.py
+++ b/features/steps/restored_steps.py
@@ -1,5 +1,6 @@
 """Steps on a store that comes back from an older copy, with a site of processes."""
 
+import json
 import signal
 import time
 from typing import Any
@@ -7,6 +8,7 @@
 import httpx
 from behave import given, then, when
 from platform_steps import (
+    REVOKED_VERSION,
     TEAM_BY_KEY,
     check_key_refused,
     check_only_server,
@@ -96,6 +98,21 @@
     context.site.restart_daemon(1)
 
 
+def versions_in_force(context: Any) -> set[int]:
+    """Return the versions of the settings that the latest process has logged."""
+    lines = [json.loads(line) for line in context.site.latest_log().splitlines()]
+    return {e["version"] for e in lines if e["event"] == "settings.in_force"}
+
+
+@then("it has had only settings without the key in force")
+def only_newer_settings(context: Any) -> None:
+    def has_newer() -> bool:
+        return REVOKED_VERSION in versions_in_force(context)
+
+    wait_for("the settings of the peer are in force", has_newer)
+    assert versions_in_force(context) == {REVOKED_VERSION}, versions_in_force(context)
+
+
 def registered(context: Any) -> int:
     params = {"prefix": "members/"}
     answer = httpx.get(f"{context.site.store}/kv-range", params=params).json()
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -108,7 +108,9 @@
         )
         quarantine = EngineQuarantine(state, group)
         self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, group)
-        self._store = StoreCoordinator(self._kv, state, self._fleet.schedule_heartbeat)
+        self._store = StoreCoordinator(
+            self._kv, state, self._fleet.schedule_heartbeat, self._fleet.fetch_settings
+        )
         self._fleet.store = self._store
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -20,6 +20,11 @@
 MEMBER_LEASE_TTL_MS: Final = 15_000
 MEMBER_RENEWAL_INTERVAL_MS: Final = 4_000
 
+# A daemon that starts after the store came back from a copy asks this many peers for
+# their settings, since those of the copy may be older.
+PEERS_ASKED_AT_START: Final = 3
+PEER_SETTINGS_TIMEOUT_MS: Final = 300
+
 # Delay of the maintenance from which it is logged.
 LOOP_DELAY_WARNING_MS: Final = 200
 
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Sequence
 
 import anyio
 from anyio.abc import TaskGroup
@@ -13,12 +14,14 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.fleet.heartbeat_schedule import HeartbeatSchedule
 from cowsliphitch.core.fleet.members import HEARTBEAT_INTERVAL_MS, Member
+from cowsliphitch.peers.fleet.const import FETCH_DOCUMENT_TIMEOUT_S
 from cowsliphitch.peers.fleet.convert import server_checksum
 from cowsliphitch.peers.fleet.heartbeats import HeartbeatSocket
 from cowsliphitch.peers.fleet.models import Heartbeat, PeerCallFailed
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.telemetry.logs import event
 
+from . import const
 from .engine_quarantine import EngineQuarantine
 from .server_client import log_limit_change
 from .state import GatewayState
@@ -169,16 +172,30 @@
             and not self._is_fetching
         ):
             self._is_fetching = True
-            self._group.start_soon(self._fetch_document, heartbeat.address)
+            self._group.start_soon(self._fetch_newer_settings, heartbeat.address)
 
-    async def _fetch_document(self, address: str) -> None:
-        """Fetch a newer version of the operator's document from a peer."""
+    async def _fetch_newer_settings(self, address: str) -> None:
+        """Fetch the settings of a peer whose heartbeat names a newer version."""
         try:
-            reply = await self._connections.fetch_document(
-                address, self._state.versions.version
-            )
+            await self._fetch_document(address, FETCH_DOCUMENT_TIMEOUT_S)
         finally:
             self._is_fetching = False
+
+    async def fetch_settings(self, addresses: Sequence[str]) -> None:
+        """Fetch and activate the newest settings of some peers.
+
+        Those that don't answer within ``PEER_SETTINGS_TIMEOUT_MS`` are left out.
+        """
+        timeout_s = seconds(const.PEER_SETTINGS_TIMEOUT_MS)
+        async with anyio.create_task_group() as group:
+            for address in addresses:
+                group.start_soon(self._fetch_document, address, timeout_s)
+
+    async def _fetch_document(self, address: str, timeout_s: float) -> None:
+        """Fetch the operator's document from a peer if its version is newer."""
+        reply = await self._connections.fetch_document(
+            address, self._state.versions.version, timeout_s
+        )
         match reply:
             case PeerCallFailed(detail):
                 event(_LOGGER, "settings.fetch_failed", peer=address, cause=detail)
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -7,7 +7,8 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterable
+import random
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import anyio
 from result import Err, Ok
@@ -15,7 +16,7 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.versions import ActiveDeployment
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, Member
-from cowsliphitch.core.revisions import LeaseRef, Revision
+from cowsliphitch.core.revisions import FIRST_ERA, LeaseRef, Revision
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.platform import operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
@@ -38,6 +39,12 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+FetchSettings = Callable[[Sequence[str]], Awaitable[None]]
+
+
+async def _fetch_nothing(_addresses: Sequence[str]) -> None:
+    """Return without settings, in a daemon without connections to peers."""
+
 
 class StoreCoordinator:
     """Update this daemon's view from the store and register the daemon in it.
@@ -45,6 +52,7 @@
     A single watch covers all keys, since every open watch has a cost.
 
     :param on_settings_activated: called when a version of the settings was activated
+    :param fetch_settings: fetches and activates the settings of the peers at addresses
     """
 
     def __init__(
@@ -52,11 +60,14 @@
         kv: KeyValueClient,
         state: GatewayState,
         on_settings_activated: Callable[[], None],
+        fetch_settings: FetchSettings = _fetch_nothing,
     ) -> None:
         """Initialize without a lease or any listed member."""
         self._kv = kv
         self._state = state
         self._on_settings_activated = on_settings_activated
+        self._fetch_settings = fetch_settings
+        self._rng = random.Random(state.members.own.address)
         self._members: dict[str, Member] = {}
         self._outage_since_ms: int | None = None
         self._lease: LeaseRef | None = None
@@ -87,6 +98,8 @@
             match await self._kv.scan(""):
                 case Ok(listing):
                     self._record_store_answer()
+                    if self._listed_at is None and listing.at.era > FIRST_ERA:
+                        await self._ask_peers_for_settings(listing)
                     self._apply_listing(listing)
                     with anyio.CancelScope() as self._watch_scope:
                         await self._watch(listing.at)
@@ -117,6 +130,21 @@
                     self._record_store_failure(unavailable)
                     await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
 
+    async def _ask_peers_for_settings(self, listing: Listing) -> None:
+        """Activate the settings of some peers before those of the first listing.
+
+        The store may have come back from a copy that is older than the settings in
+        force, and the operator writes again some time later.
+        """
+        own = self._state.members.own.address
+        addresses = [
+            member.address
+            for member in _decode_members(listing).values()
+            if member.address != own
+        ]
+        count = min(len(addresses), const.PEERS_ASKED_AT_START)
+        await self._fetch_settings(self._rng.sample(addresses, count))
+
     def learn_era(self, era: int, peer: str) -> None:
         """Read all entries again if a peer knows a later era of the store.
 
@@ -223,11 +251,7 @@
             listing.at,
             now,
         )
-        self._members = {
-            entry.key: member
-            for entry in _entries_under(const.MEMBER_PREFIX, listing.entries)
-            if (member := _decode_member(entry)) is not None
-        }
+        self._members = _decode_members(listing)
         self._state.members.set_listed(self._members.values(), now)
         for entry in listing.entries:
             if entry.key == operator_document.KEY:
@@ -357,6 +381,15 @@
     return [entry for entry in entries if entry.key.startswith(prefix)]
 
 
+def _decode_members(listing: Listing) -> dict[str, Member]:
+    """Return the registered daemons by key, without entries that can't be read."""
+    return {
+        entry.key: member
+        for entry in _entries_under(const.MEMBER_PREFIX, listing.entries)
+        if (member := _decode_member(entry)) is not None
+    }
+
+
 def _decode_member(entry: Entry) -> Member | None:
     try:
         fields = json.loads(entry.value)
--- a/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
@@ -162,19 +162,21 @@
         return convert.decision_from_wire(reply)
 
     async def fetch_document(
-        self, address: str, above_version: int
+        self,
+        address: str,
+        above_version: int,
+        timeout_s: float = const.FETCH_DOCUMENT_TIMEOUT_S,
     ) -> bytes | PeerCallFailed | None:
         """Fetch the operator's document from a peer.
 
+        :param timeout_s: time in seconds after which the call fails
         :returns: the document, ``None`` if the peer has none above ``above_version``,
             or why the call failed
         """
         message = pb.DocumentRequest(above_version=above_version)
         try:
             reply = await _run_in_own_task(
-                self._stub(address).FetchDocument(
-                    message, timeout=const.FETCH_DOCUMENT_TIMEOUT_S
-                )
+                self._stub(address).FetchDocument(message, timeout=timeout_s)
             )
         except _CALL_ERRORS as exc:
             return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
