--- a/features/daemon/restored.feature
+++ b/features/daemon/restored.feature
@@ -50,6 +50,13 @@
     And a daemon restarts after the drill
     Then it has had only settings without the key in force
 
+  Scenario: A daemon that starts on the copy does not wait for peers that are frozen
+    Given a site with two daemons
+    And the store is copied, 40 changes follow, and the servers register again
+    When the store comes back from the copy, and the others write again never
+    And the other daemon is frozen while a daemon restarts
+    Then within 2000 ms it has the settings of the copy in force
+
   Scenario: A daemon registers again with a lease of the new era
     Given a site with two daemons
     And the store is copied, 40 changes follow, and the servers register again
--- a/features/steps/restored_steps.py
+++ b/features/steps/restored_steps.py
@@ -18,11 +18,13 @@
 from cowsliphitch.standins.processes import wait_for
 from cowsliphitch.standins.site import document, put
 
+COPY_VERSION = 1
+
 
 def change(context: Any, count: int) -> None:
     """Write settings again, which raises the store's revision."""
     for _ in range(count):
-        put(context.site.store, "op/config", document(1, TEAM_BY_KEY))
+        put(context.site.store, "op/config", document(COPY_VERSION, TEAM_BY_KEY))
 
 
 def call_store(context: Any, path: str) -> None:
@@ -98,6 +100,17 @@
     context.site.restart_daemon(1)
 
 
+@when("the other daemon is frozen while a daemon restarts")
+def restart_beside_frozen(context: Any) -> None:
+    context.site.daemons[0]["process"].send_signal(signal.SIGSTOP)
+    restart(context)
+
+
+@then("within {ms:d} ms it has the settings of the copy in force")
+def settings_of_copy(context: Any, ms: int) -> None:
+    wait_for("settings", lambda: versions_in_force(context) == {COPY_VERSION}, ms)
+
+
 def versions_in_force(context: Any) -> set[int]:
     """Return the versions of the settings that the latest process has logged."""
     lines = [json.loads(line) for line in context.site.latest_log().splitlines()]
