Name the series of drills of the soak

The choice between one drill, one after an outage and two from the same copy stood as bare numbers in the loop.

--- a/packages/standins/src/cowsliphitch/standins/prove.py
+++ b/packages/standins/src/cowsliphitch/standins/prove.py
@@ -40,7 +40,8 @@
 MAX_ATTEMPTS = 3
 MIN_COPY_AGE_MS, MAX_COPY_AGE_MS = 100, 3_000
 MIN_DRILL_PAUSE_MS, MAX_DRILL_PAUSE_MS = 300, 4_000
-MAX_DRILL_OUTAGE_MS = 1_500
+# Longest outages in series of drills; those of one series come back to the same copy.
+DRILL_SERIES_MS = ((0,), (1_500,), (0, 0))
 THINK_TIME_MS = 60
 SETTLE_TIME_MS = 6_000
 OBSERVE_INTERVAL_MS = 250
@@ -198,14 +199,14 @@
             await anyio.sleep(seconds(self._rng.randint(100, 800)))
 
     async def _run_drills(self, end_ms: int) -> None:
-        """Have the store come back from a copy, at once or after an outage."""
+        """Have the store come back from copies, at once or after an outage."""
         rng = self._drill_rng
         while self._clock.now_ms() < end_ms:
             self._fleet.copy_store()
             await anyio.sleep(seconds(rng.randint(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS)))
-            for outage_ms in rng.choice(((0,), (MAX_DRILL_OUTAGE_MS,), (0, 0))):
+            for max_outage_ms in rng.choice(DRILL_SERIES_MS):
                 self._fleet.set_faults("kv", down=True)
-                await anyio.sleep(seconds(rng.randint(0, outage_ms)))
+                await anyio.sleep(seconds(rng.randint(0, max_outage_ms)))
                 self._fleet.restore_store()
                 self._fleet.set_faults("kv", down=False)
                 self.history.faults.append("drill")
