Test whom a starting daemon asks for settings

With each guard of the question taken out, a row of the new scenario fails: the question in the first era, the own address, and the question in later eras.

--- a/features/gateway/eras.feature
+++ b/features/gateway/eras.feature
@@ -47,3 +47,15 @@
     When the store is listed in a new era without "desk-1"
     Then "desk-1" still takes requests
     And "desk-1" takes no requests 2400 ms later
+
+  Scenario Outline: A daemon asks some peers for their settings only on a store that came back
+    Given a store in era <era> that lists a starting daemon and <peers> others
+    When the daemon lists it
+    Then it asks <asked> of the others for their settings before
+
+    Examples:
+      | era | peers | asked |
+      | 1   | 5     | 0     |
+      | 2   | 5     | 3     |
+      | 2   | 2     | 2     |
+      | 2   | 0     | 0     |
--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -1,5 +1,7 @@
 """Steps on the client of the store, with scripted answers of several eras."""
 
+import json
+from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -172,3 +174,56 @@
 @then('"{name}" takes no requests 2400 ms later')
 def expired_later(context: Any, name: str) -> None:
     assert context.ready_later == [], context.ready_later
+
+
+OWN_ADDRESS = "127.0.0.1:1"
+
+
+class FirstListing:
+    """Client of a store that lists daemons, and whose watch waits."""
+
+    def __init__(self, era: int, peer_count: int) -> None:
+        self.at = Revision(era, 9)
+        addresses = [OWN_ADDRESS, *(f"127.0.0.1:{2 + n}" for n in range(peer_count))]
+        value = json.dumps({"name": "n", "failure_domain": "d", "lifetime": 1})
+        self.entries = tuple(
+            Entry(f"members/{address}", value, Revision(era, 5))
+            for address in addresses
+        )
+
+    async def scan(self, _prefix: str) -> Result[Listing, Any]:
+        return Ok(Listing(self.entries, self.at))
+
+    async def watch(self, *_args: Any) -> Result[Changes, Any]:
+        await anyio.sleep_forever()
+        raise AssertionError("the watch returned")
+
+
+@given("a store in era {era:d} that lists a starting daemon and {count:d} others")
+def first_listing(context: Any, era: int, count: int) -> None:
+    context.store = FirstListing(era, count)
+
+
+@when("the daemon lists it")
+def list_first(context: Any) -> None:
+    clock = Clock()
+    members = MemberTable(Member(OWN_ADDRESS, "n", "d"), clock.now_ms())
+    state = GatewayState(clock, 1, members)
+    context.asked, context.known_before = [], []
+
+    async def fetch(addresses: Sequence[str]) -> None:
+        context.asked += addresses
+        context.known_before += members.peers()
+
+    async def main() -> None:
+        with anyio.move_on_after(0.1):
+            await StoreCoordinator(context.store, state, lambda: None, fetch).run()
+
+    anyio.run(main)
+
+
+@then("it asks {count:d} of the others for their settings before")
+def asked_others(context: Any, count: int) -> None:
+    assert len(set(context.asked)) == len(context.asked) == count, context.asked
+    assert OWN_ADDRESS not in context.asked, context.asked
+    assert not context.known_before, context.known_before
