--- a/features/state/config.feature
+++ b/features/state/config.feature
@@ -35,6 +35,21 @@
     When the store's root has configuration 4
     Then configuration 5 is in force and no value was read
 
+  Scenario Outline: A change has a revision above those that the store may have lost
+    Given a root with revision <current>, stored in era <made>
+    When a change is planned in era <era>
+    Then its revision is <revision>
+
+    Examples:
+      | current | made | era | revision |
+      | 0       | 0    | 0   | 1        |
+      | 0       | 0    | 1   | 1        |
+      | 0       | 0    | 2   | 100001   |
+      | 4       | 0    | 0   | 5        |
+      | 4       | 1    | 1   | 5        |
+      | 4       | 1    | 2   | 100005   |
+      | 4       | 1    | 3   | 200005   |
+
   Scenario Outline: The root is read again if a peer's configuration is not in the store
     Given a daemon with configuration 5 in force
     When it watches a root with configuration <root> that does not change
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -8,7 +8,13 @@
 
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.codec import to_json
-from cowsliphitch.core.config.models import Manifest, Snapshot, branch_values
+from cowsliphitch.core.config.models import (
+    Change,
+    Manifest,
+    Snapshot,
+    branch_values,
+    plan_change,
+)
 from cowsliphitch.core.revisions import NO_REVISION, Revision
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS
 from cowsliphitch.platform.store.client import KeyValueClient
@@ -130,3 +136,21 @@
 def assert_no_reads(context: Any, revision: int) -> None:
     assert context.coordinator.revision == revision
     assert context.store.reads == 0
+
+
+@given("a root with revision {revision:d}, stored in era {era:d}")
+def root_of_era(context: Any, revision: int, era: int) -> None:
+    context.manifest = Manifest(revision, "before" if revision else "", era=era)
+
+
+@when("a change is planned in era {era:d}")
+def plan_in_era(context: Any, era: int) -> None:
+    entry = Change("change", 0, "", "olga", 0, "", ())
+    base = context.manifest.revision
+    plan = plan_change(context.manifest, base, EMPTY_SETTINGS, entry, era).ok_value
+    context.revision = plan.manifest.revision
+
+
+@then("its revision is {revision:d}")
+def has_revision(context: Any, revision: int) -> None:
+    assert context.revision == revision, context.revision
