--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -85,7 +85,7 @@
             match await self._next_root():
                 case Ok(update):
                     self._set_available(True)
-                    await self._process(update)
+                    await self._process_update(update)
                 case Err(_):
                     self._set_available(False)
                     # The store may have come back from a copy, and given out the
@@ -93,7 +93,7 @@
                     self._watched_revision = NO_REVISION
                     await anyio.sleep(seconds(const.RETRY_DELAY_MS))
 
-    async def _process(self, update: RootUpdate) -> None:
+    async def _process_update(self, update: RootUpdate) -> None:
         """Apply a root that was read, and set where the watch continues."""
         if update.root is None:
             # A peer's configuration that the store still lacks may be lost.
