--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -69,6 +69,35 @@
     When the registry waits 2400 ms
     Then the ready servers are "s2"
 
+  Scenario: A server that was removed while the store refused this daemon gets no requests
+    Given servers "s1, s2, s3" of a service
+    And a request that is assigned to "s1"
+    When the store is unavailable for 5000 ms and the entry of "s1" expires
+    Then the ready servers are "s2, s3"
+    And the request may not be sent to "s1" anymore
+
+  Scenario: Peers that the store serves tell a refused daemon which server was removed
+    Given servers "s1, s2" of a service
+    And a peer that the store serves
+    When the store begins to refuse this daemon
+    And the entry of "s1" vanishes for the peer
+    And 2500 ms pass for both
+    Then the ready servers are "s2"
+
+  Scenario Outline: A peer confirms a removal only if the store served it since then
+    Given servers "s1, s2" of a service
+    And a peer that the store serves
+    When the store begins to refuse this daemon
+    And the entry of "s1" vanishes for the peer
+    And <event>
+    Then the ready servers are "s1, s2"
+
+    Examples:
+      | event                                                                |
+      | 1000 ms pass for both                                                |
+      | the store begins to refuse the peer, and 2500 ms pass for both       |
+      | "s1" registers again at the peer after 1000 ms, and 2500 ms pass for both |
+
   Scenario: A server that registers again after an outage stays usable
     Given servers "s1, s2" of a service
     When the store is unavailable for 5000 ms and the entry of "s1" expires
--- a/features/gateway/store.feature
+++ b/features/gateway/store.feature
@@ -61,3 +61,8 @@
       | event                           |
       | its lease ends                  |
       | the store comes back from a copy |
+
+  Scenario: A daemon notices the return of a store that left its calls without an answer
+    Given a store that answers no call for 1500 ms
+    When a daemon reads it
+    Then the daemon has noticed its return within 300 ms
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -280,3 +280,55 @@
     context.registry.mark_store_unavailable(context.now_ms)
     context.now_ms += ms
     context.registry.mark_store_available(context.now_ms)
+
+
+@given("a peer that the store serves")
+def peer_with_store(context: Any) -> None:
+    context.peer = ServerRegistry()
+    first = revision_at(context, 1)
+    context.peer.mark_store_available(context.now_ms)
+    context.peer.replace(
+        [(s, first) for s in context.registry.all()], first, context.now_ms
+    )
+    context.peer_is_served = True
+
+
+@when("the store begins to refuse this daemon")
+def store_refuses(context: Any) -> None:
+    context.registry.mark_store_unavailable(context.now_ms)
+
+
+@when('the entry of "{name}" vanishes for the peer')
+def entry_vanishes_for_peer(context: Any, name: str) -> None:
+    context.peer.remove(name, next_revision(context), context.now_ms)
+
+
+@when("{ms:d} ms pass for both")
+def time_passes(context: Any, ms: int) -> None:
+    """Let the peer read the store and send its heartbeats meanwhile."""
+    end_ms = context.now_ms + ms
+    while context.now_ms < end_ms:
+        context.now_ms += 100
+        if context.peer_is_served:
+            context.peer.mark_store_available(context.now_ms)
+        for registry in (context.peer, context.registry):
+            registry.expire(context.now_ms)
+        for report in context.peer.next_announcement(context.now_ms):
+            context.registry.mark_leaving(report, context.now_ms, "peer")
+
+
+@when("the store begins to refuse the peer, and {ms:d} ms pass for both")
+def store_refuses_peer(context: Any, ms: int) -> None:
+    context.peer_is_served = False
+    context.peer.mark_store_unavailable(context.now_ms)
+    time_passes(context, ms)
+
+
+@when(
+    '"{name}" registers again at the peer after {first_ms:d} ms, and {ms:d} ms pass'
+    " for both"
+)
+def registers_at_peer(context: Any, name: str, first_ms: int, ms: int) -> None:
+    time_passes(context, first_ms)
+    context.peer.put(server(name), next_revision(context), context.now_ms)
+    time_passes(context, ms)
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -28,6 +28,7 @@
     LeaseExpired,
     Listing,
     Restored,
+    Unavailable,
 )
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.state.leases.coordinator import LeaseCoordinator
@@ -359,3 +360,69 @@
 @then("within 1 s the client learns that the store was restored")
 def learns_restored(context: Any) -> None:
     assert context.watched == Err(Restored(2)), context.watched
+
+
+class SilentStore(QuietStore):
+    """Client of a store that answers no call that arrives in its outage.
+
+    Like those of the platform's store, calls without an answer fail after 700 ms.
+    """
+
+    def __init__(self, clock: Clock, outage_ms: int) -> None:
+        super().__init__(1)
+        self.clock = clock
+        self.lost_ms = clock.now_ms() + 50
+        self.back_ms = self.lost_ms + outage_ms
+
+    async def _answer(self) -> bool:
+        if not self.lost_ms <= self.clock.now_ms() < self.back_ms:
+            return True
+        await anyio.sleep(0.7)
+        return False
+
+    async def scan(self, prefix: str) -> Result[Listing, Any]:
+        if await self._answer():
+            return await super().scan(prefix)
+        return Err(Unavailable("ReadTimeout"))
+
+    async def get(self, _key: str) -> Result[None, Any]:
+        return Ok(None) if await self._answer() else Err(Unavailable("ReadTimeout"))
+
+    async def watch(
+        self, _prefix: str, after: Revision, _wait_ms: int
+    ) -> Result[Changes, Any]:
+        if not await self._answer():
+            return Err(Unavailable("ReadTimeout"))
+        await anyio.sleep(0.1)
+        return Ok(Changes((), after))
+
+
+@given("a store that answers no call for {ms:d} ms")
+def silent_store(context: Any, ms: int) -> None:
+    context.clock = Clock()
+    context.store = SilentStore(context.clock, ms)
+
+
+async def read_silent_store(context: Any) -> None:
+    clock, store = context.clock, context.store
+    members = MemberTable(Member("d0:1", "d0", "domain"), clock.now_ms())
+    coordinator = StoreCoordinator(store, GatewayState(clock, 1, members), lambda: None)
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(coordinator.run)
+            while not coordinator.outage_ms:
+                await anyio.sleep(0.005)
+            while coordinator.outage_ms:
+                await anyio.sleep(0.005)
+            context.noticed_ms = clock.now_ms() - store.back_ms
+            group.cancel_scope.cancel()
+
+
+@when("a daemon reads it")
+def daemon_reads(context: Any) -> None:
+    anyio.run(read_silent_store, context)
+
+
+@then("the daemon has noticed its return within {ms:d} ms")
+def noticed_return(context: Any, ms: int) -> None:
+    assert 0 <= context.noticed_ms <= ms, context.noticed_ms
