Stop requests to a missing server as soon as most of its service are listed

Callers got requests sent to a server that had left, up to 2.3 s after the daemon had noticed the store's return. The grace period for entries that expired in an outage protected every missing entry, also that of the one server that left while the store refused this daemon alone. After an outage in which leases expired, most servers of a service are missing; if most are listed, the missing ones left.

--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -188,7 +188,8 @@
         """Remove a server whose entry vanished.
 
         During an outage of the store, and in the grace period after it, a ready server
-        is kept until the grace period ends.
+        is kept until the grace period ends.  Kept servers get requests only while half
+        of the servers of their service are missing or more.
 
         :param revision: revision of the store at which the entry was gone
         """
@@ -201,6 +202,7 @@
                 entry.expires_ms = (
                     self._outage_end_ms or now_ms
                 ) + REREGISTRATION_GRACE_MS
+                self._ready_by_service.clear()
             return
         self._delete(server_id, revision, now_ms)
 
@@ -335,23 +337,44 @@
             and entry.server.state is ServerState.READY
             and entry.server.address == server.address
             and entry.server.started_ms == server.started_ms
+            and (
+                entry.expires_ms is None or entry.server in self.ready(server.service)
+            )
         )
 
     def ready(self, service: str) -> tuple[Server, ...]:
-        """Return the reachable servers of a service that take new requests."""
+        """Return the reachable servers of a service that take new requests.
+
+        In the grace period after an outage of the store, entries that expired in it are
+        missing, and so are those of servers that left.  If most servers of the service
+        are listed, the missing ones are taken to have left.
+        """
         servers = self._ready_by_service.get(service)
         if servers is None:
-            servers = tuple(
-                entry.server
+            entries = [
+                entry
                 for entry in self._entries.values()
                 if entry.server.service == service
                 and entry.server.state is ServerState.READY
                 and entry.server.failure_domain not in self._unreachable_domains
                 and not entry.misdirected
+            ]
+            listed = [entry for entry in entries if entry.expires_ms is None]
+            is_most_listed = len(listed) * 2 > len(entries)
+            servers = tuple(
+                entry.server for entry in (listed if is_most_listed else entries)
             )
             self._ready_by_service[service] = servers
         return servers
 
+    def missing(self) -> tuple[str, ...]:
+        """Return the identifiers of the servers that are kept without an entry."""
+        return tuple(
+            server_id
+            for server_id, entry in self._entries.items()
+            if entry.expires_ms is not None
+        )
+
     def all(self) -> tuple[Server, ...]:
         """Return all servers, draining, misdirected and unreachable ones included."""
         return tuple(entry.server for entry in self._entries.values())
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -262,6 +262,7 @@
             revision=listing.at.number,
             era=listing.at.era,
             servers=len(self._state.servers.all()),
+            missing=self._state.servers.missing(),
             members=len(self._members),
             settings=self._state.versions.version,
         )
@@ -287,6 +288,7 @@
                     server=server_id,
                     revision=revision.number,
                     era=revision.era,
+                    kept=server_id in self._state.servers.missing(),
                 )
             case Entry():
                 server = self._decode_server(change)
