Believe peers that a server was removed once its entry stayed missing for them

Callers of a daemon that the store refused got requests sent to a server that had left 12 s before. The daemon took each removal that its peers reported for a lease that expired in an outage and dropped the report. A peer that the store has served since the removal, for the whole grace period, now confirms it, and a confirmed removal counts at once, also in an outage.

--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -28,6 +28,10 @@
 # off as long still needs the record.
 LEAVING_RETENTION_MS: Final = 60_000
 
+# A removal is confirmed to the peers only by a daemon that the store answered within
+# this time; a quiet watch ends after 2 s.
+MAX_CONFIRMING_VIEW_AGE_MS: Final = 3_000
+
 MAX_LEAVING_RECORDS: Final = 4_096
 
 # The latest records are sent to the peers in turn, some in each heartbeat, so that a
@@ -63,20 +67,34 @@
     :param was_removed: its entry was removed, and it had not reported that it drains
     :param started_ms: Unix time of its start, 0 if unknown; a server does not take
         requests again before it restarts
+    :param is_confirmed: the removed entry stayed missing for the grace period at a
+        daemon that the store served, so it did not expire in an outage
     """
 
     server_id: str
     revision: Revision
     was_removed: bool
     started_ms: int = 0
+    is_confirmed: bool = False
+
+    def adds_to(self, known: "LeavingReport") -> bool:
+        """Return whether this report says more than an earlier one."""
+        is_confirmation = self.is_confirmed and not known.is_confirmed
+        return self.revision > known.revision or (known.was_removed and is_confirmation)
 
 
 @attrs.frozen
 class _LeavingRecord:
-    """A report on a leaving server, and the monotonic time of its eviction."""
+    """A report on a leaving server, with its local times.
+
+    :param expires_ms: monotonic time of its eviction
+    :param missing_since_ms: monotonic time at which this daemon read from the store
+        that the entry was gone, ``None`` if it did not
+    """
 
     report: LeavingReport
     expires_ms: int
+    missing_since_ms: int | None = None
 
 
 @attrs.define
@@ -114,23 +132,27 @@
         self._ready_by_service: dict[str, tuple[Server, ...]] = {}
         self._unreachable_domains: frozenset[str] = frozenset()
         self._store_answer_ms: int | None = None
+        self._served_since_ms: int | None = None
         self.has_listing = False
 
     def mark_store_unavailable(self, now_ms: int) -> None:
         """Keep servers whose entries vanish: their leases may expire in the outage."""
+        self._served_since_ms = None
         if self._outage_start_ms is None:
             self._outage_start_ms = now_ms
 
     def mark_store_available(self, now_ms: int) -> None:
         """Start the grace period in which servers register again after an outage."""
         self._store_answer_ms = now_ms
+        if self._served_since_ms is None:
+            self._served_since_ms = now_ms
         if self._outage_start_ms is not None:
             self._outage_start_ms = None
             self._outage_end_ms = now_ms
 
     def mark_store_restored(self, now_ms: int) -> None:
         """Start the grace period in which servers write their lost entries again."""
-        self._outage_end_ms = now_ms
+        self._outage_end_ms = self._served_since_ms = now_ms
 
     def _in_grace(self, now_ms: int) -> bool:
         if self._outage_start_ms is not None:
@@ -210,19 +232,26 @@
         server = self._entries.pop(server_id).server
         was_removed = server.state is not ServerState.DRAINING
         report = LeavingReport(server_id, revision, was_removed, server.started_ms)
-        self._record_leaving(report, now_ms)
+        self._record_leaving(report, now_ms, missing_since_ms=now_ms)
         self._ready_by_service.clear()
 
-    def _record_leaving(self, report: LeavingReport, now_ms: int) -> None:
+    def _record_leaving(
+        self, report: LeavingReport, now_ms: int, missing_since_ms: int | None = None
+    ) -> None:
         record = self._leaving.pop(report.server_id, None)
         if record is not None and record.report.started_ms == report.started_ms:
             report = attrs.evolve(
                 report,
                 revision=max(report.revision, record.report.revision),
                 was_removed=report.was_removed and record.report.was_removed,
+                is_confirmed=report.is_confirmed or record.report.is_confirmed,
             )
+            if missing_since_ms is None:
+                missing_since_ms = record.missing_since_ms
         expires_ms = now_ms + LEAVING_RETENTION_MS
-        self._leaving[report.server_id] = _LeavingRecord(report, expires_ms)
+        self._leaving[report.server_id] = _LeavingRecord(
+            report, expires_ms, missing_since_ms
+        )
         if len(self._leaving) > MAX_LEAVING_RECORDS:
             del self._leaving[next(iter(self._leaving))]
 
@@ -264,17 +293,17 @@
         """Record that a server is leaving, as a peer reported.
 
         The record holds against entries that are read later but were written before, or
-        that the store may have from an older copy.  A removal that a peer saw is no
-        news during an outage of the store and in the grace period after it, since the
-        lease may have expired in the outage.
+        that the store may have from an older copy.  A removal that a peer saw counts
+        during an outage of the store and in the grace period after it only once it is
+        confirmed, since the lease may have expired in the outage.
 
         :param source: name of the peer
         :returns: whether the report is new
         """
-        if report.was_removed and self._in_grace(now_ms):
+        if report.was_removed and not report.is_confirmed and self._in_grace(now_ms):
             return False
         record = self._leaving.get(report.server_id)
-        if record is not None and record.report.revision >= report.revision:
+        if record is not None and not report.adds_to(record.report):
             return False
         entry = self._entries.get(report.server_id)
         if entry is not None and _supersedes(entry.server, entry.revision, report):
@@ -305,7 +334,34 @@
             self._announcement_offset = 0
         start, count = self._announcement_offset, MAX_LEAVING_PER_HEARTBEAT
         self._announcement_offset += count
-        return tuple(record.report for record in latest[start : start + count])
+        return tuple(
+            attrs.evolve(
+                record.report,
+                is_confirmed=record.report.is_confirmed
+                or self._confirms(record, now_ms),
+            )
+            for record in latest[start : start + count]
+        )
+
+    def _confirms(self, record: _LeavingRecord, now_ms: int) -> bool:
+        """Return whether an entry was missing for the grace period without an outage.
+
+        The store has served this daemon since it read that the entry was gone.
+        """
+        missing_since_ms, served_since_ms = (
+            record.missing_since_ms,
+            self._served_since_ms,
+        )
+        if missing_since_ms is None or served_since_ms is None:
+            return False
+        view_age_ms = self.view_age_ms(now_ms)
+        return (
+            record.report.was_removed
+            and served_since_ms <= missing_since_ms
+            and now_ms - missing_since_ms >= REREGISTRATION_GRACE_MS
+            and view_age_ms is not None
+            and view_age_ms <= MAX_CONFIRMING_VIEW_AGE_MS
+        )
 
     def mark_misdirected(self, server_id: str) -> None:
         """Exclude a server at whose address another one answered."""
@@ -337,9 +393,7 @@
             and entry.server.state is ServerState.READY
             and entry.server.address == server.address
             and entry.server.started_ms == server.started_ms
-            and (
-                entry.expires_ms is None or entry.server in self.ready(server.service)
-            )
+            and (entry.expires_ms is None or entry.server in self.ready(server.service))
         )
 
     def ready(self, service: str) -> tuple[Server, ...]:
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -150,6 +150,7 @@
                     revision=report.revision.number,
                     era=report.revision.era,
                     was_removed=report.was_removed,
+                    confirmed=report.is_confirmed,
                     source=heartbeat.name,
                 )
         limit_changes = state.server_limits.merge(
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -64,6 +64,7 @@
                 era=report.revision.era,
                 started_ms=report.started_ms,
                 removed=report.was_removed,
+                confirmed=report.is_confirmed,
             )
             for report in heartbeat.leaving_servers
         ],
@@ -128,6 +129,7 @@
                 Revision(row.era, row.revision),
                 row.removed,
                 row.started_ms,
+                row.confirmed,
             )
             for row in message.leaving_servers
         ),
