Send further reads while the store leaves one without an answer

Callers got requests sent to a server that had left, since the grace period began up to 900 ms after the store's return: a read that was sent before it stayed without an answer until it timed out, and the next one followed a pause. Evidence: store.lost with ReadTimeout and the failing scenario, noticed after more than 300 ms. Afterwards all entries are read again, which also tells the era. The scenario passes.

--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -104,11 +104,31 @@
                     with anyio.CancelScope() as self._watch_scope:
                         await self._watch(listing.at)
                 case Err(unavailable):
-                    self._record_store_failure(unavailable)
-                    await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
+                    await self._wait_until_back(unavailable)
+
+    async def _wait_until_back(self, unavailable: Unavailable) -> None:
+        """Wait until the store answers again.
+
+        A read that was sent before the store's return may stay without an answer until
+        it times out, so further reads are sent meanwhile.
+        """
+        self._record_store_failure(unavailable)
+
+        async def read() -> None:
+            key = const.MEMBER_PREFIX + self._state.members.own.address
+            if isinstance(await self._kv.get(key), Ok):
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
+                group.start_soon(read)
 
     async def _watch(self, revision: Revision) -> None:
-        """Apply the changes after a revision until they are no longer complete."""
+        """Apply the changes after a revision until they are no longer complete.
+
+        After an outage, all entries are read again: the store may be in another era.
+        """
         while True:
             match await self._kv.watch("", revision, const.WATCH_WAIT_MS):
                 case Ok(Changes(events, at=revision)):
@@ -127,8 +147,8 @@
                 case Err(Restored()):
                     return
                 case Err(Unavailable() as unavailable):
-                    self._record_store_failure(unavailable)
-                    await anyio.sleep(seconds(const.STORE_RETRY_INTERVAL_MS))
+                    await self._wait_until_back(unavailable)
+                    return
 
     async def _ask_peers_for_settings(self, listing: Listing) -> None:
         """Activate the settings of some peers before those of the first listing.
