Send nothing more to a server that says in an answer that it leaves

Callers could get requests sent to a server that had said in its answers that it leaves: Server-Leaving was not read, and a daemon that the store refuses, or whose view of the store still has the server as ready, went on. Every answer of a server now counts (answers, refusals, streams, stage calls, releases), holds until the server's restart whatever its entry says, and goes to the peers with the heartbeats. An answer of another server at the address does not count.

--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -171,6 +171,33 @@
     When the registry waits 2400 ms
     Then the ready servers are "s2"
 
+  Scenario: A server that said that it leaves is not used although its entry says ready
+    Given servers "s1, s2" of a service that started at 5000
+    When "s1" says in an answer that it leaves
+    And "s1" is listed again as ready after 1000 ms
+    Then the ready servers are "s2"
+    When "s1" is listed again as ready after 70000 ms
+    Then the ready servers are "s2"
+    When "s1" restarts under the same identifier
+    Then the ready servers are "s1, s2"
+
+  Scenario: A daemon that the store does not answer hears what a server said to a peer
+    Given servers "s1, s2" of a service that started at 5000
+    And a peer that the store serves
+    When the store begins to refuse this daemon
+    And "s1" says to the peer that it leaves
+    And 200 ms pass for both
+    Then the ready servers are "s2"
+    When "s1" is listed again as ready after 1000 ms
+    Then the ready servers are "s2"
+
+  Scenario: What a server said before its restart does not count after it
+    Given servers "s1, s2" of a service that started at 5000
+    And a request that is assigned to "s1"
+    When "s1" restarts under the same identifier
+    And the answer to the request says that "s1" leaves
+    Then the ready servers are "s1, s2"
+
   Scenario: A server whose address belongs to another process gets no requests
     Given servers "s1, s2" of a service
     When another server answers a request at the address of "s1"
--- a/features/daemon/platform.feature
+++ b/features/daemon/platform.feature
@@ -79,6 +79,11 @@
     When the server "desk-1" announces that it is draining
     Then within 1000 ms only "desk-2" receives requests
 
+  Scenario: A server that says in an answer that it leaves receives no new requests
+    Given a site with two daemons
+    When the server "desk-1" says in its answers that it leaves
+    Then within 1000 ms only "desk-2" receives requests
+
   Scenario: A stopping daemon becomes unready immediately and finishes its streams
     Given a site with two daemons
     When a daemon receives SIGTERM while it relays a generation
--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -54,3 +54,21 @@
     Given an upstream that refuses with a body without end
     When a request is forwarded to it
     Then the attempt failed with queue-full within 4 s, and at most 4 MB were taken
+
+  Scenario Outline: A server that says in an answer that it leaves gets nothing more
+    Given an upstream that <does>
+    When a <purpose> is answered by it, and its entry is read as ready again
+    Then a request, a stage call and a release are not sent to it
+
+    Examples:
+      | does                                  | purpose      |
+      | answers and says that it leaves       | request      |
+      | answers and says that it leaves       | stage call   |
+      | answers and says that it leaves       | free results |
+      | refuses and says that it leaves       | request      |
+      | begins a stream as it leaves          | request      |
+
+  Scenario: What another server at the address says of itself does not count
+    Given an upstream that is another one and says that it leaves
+    When a request is answered by it, and its entry is read as ready again
+    Then a request is sent to it
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -401,6 +401,17 @@
     put(context.site.store, f"servers/{name}", server.entry())
 
 
+@when('the server "{name}" says in its answers that it leaves')
+def say_leaving(context: Any, name: str) -> None:
+    """Have the first daemon receive such an answer; the second one hears of it."""
+    server = context.site.servers[name]
+    server.says_leaving = True
+    wait_for(
+        "the server has answered",
+        lambda: context.site.call("/lookup/1").is_success and bool(server.executed),
+    )
+
+
 @then('within {ms:d} ms only "{name}" receives requests')
 def check_only_server(context: Any, ms: int, name: str) -> None:
     time.sleep(ms / 1_000)
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -59,6 +59,16 @@
     "sends a stale answer without end": STALE,
     "sends informational heads on and on": b"HTTP/1.1 100 Continue\r\n\r\n",
     "refuses with a body without end": REFUSAL,
+    "answers and says that it leaves": SEALED
+    + b"Server-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}",
+    "refuses and says that it leaves": (
+        b"HTTP/1.1 503 Busy\r\nCowsliphitch-Request-Id: r1\r\nServer-Leaving: 1\r\n"
+        b"Cowsliphitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "begins a stream as it leaves": SEALED + b"Server-Leaving: 1\r\n\r\n" + EVENTS,
+    "is another one and says that it leaves": (
+        b"HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+    ),
 }
 FILLER = b"x" * 65_536
 ENDLESS: dict[str, bytes] = {
@@ -295,3 +305,32 @@
     assert context.refusal.reason.value == reason, context.refusal
     assert context.took_s < s, context.took_s
     assert context.sender.sent_bytes <= mb * MEGABYTE, context.sender.sent_bytes
+
+
+@when("a {purpose} is answered by it, and its entry is read as ready again")
+def answered_and_listed(context: Any, purpose: str) -> None:
+    sender = context.sender
+    context.refused = []
+
+    async def action(client: ServerClient, _group: TaskGroup) -> None:
+        await sender.send(client, "s1", Purpose(purpose))
+        now = sender.state.clock.now_ms()
+        sender.state.servers.put(sender.server("s1"), Revision(1, 9), now)
+        for again in Purpose:
+            try:
+                await sender.send(client, "s1", again)
+            except UpstreamError as exc:
+                assert exc.refusal.verdict.value == "not-run", exc.refusal
+                context.refused.append(again)
+
+    anyio.run(sender.run, action)
+
+
+@then("a request, a stage call and a release are not sent to it")
+def nothing_is_sent(context: Any) -> None:
+    assert context.refused == list(Purpose), context.refused
+
+
+@then("a request is sent to it")
+def is_sent(context: Any) -> None:
+    assert not context.refused, context.refused
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -332,3 +332,30 @@
     time_passes(context, first_ms)
     context.peer.put(server(name), next_revision(context), context.now_ms)
     time_passes(context, ms)
+
+
+@when('"{name}" says in an answer that it leaves')
+def says_leaving(context: Any, name: str) -> None:
+    listed = context.registry.get(name)
+    assert context.registry.mark_leaving_by_answer(listed, context.now_ms)
+    assert not context.registry.mark_leaving_by_answer(listed, context.now_ms)
+
+
+@when('"{name}" says to the peer that it leaves')
+def says_leaving_to_peer(context: Any, name: str) -> None:
+    listed = context.peer.get(name)
+    assert context.peer.mark_leaving_by_answer(listed, context.now_ms)
+
+
+@when('the answer to the request says that "{name}" leaves')
+def says_leaving_late(context: Any, name: str) -> None:
+    assert context.assigned_server.id == name
+    context.registry.mark_leaving_by_answer(context.assigned_server, context.now_ms)
+
+
+@when('"{name}" is listed again as ready after {ms:d} ms')
+def listed_again(context: Any, name: str, ms: int) -> None:
+    context.now_ms += ms
+    context.registry.next_announcement(context.now_ms)
+    started_ms = context.registry.get(name).started_ms
+    put(context, server(name, started_ms=started_ms))
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -102,6 +102,7 @@
     :param wrong_server: the address now belongs to another server
     :param results_lost: a stage result that the request reads no longer exists
     :param load: the server's load, ``None`` if it is not reported
+    :param is_leaving: the server says that it wants no further requests
     """
 
     status: int
@@ -110,6 +111,7 @@
     wrong_server: bool
     results_lost: bool
     load: Load | None
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -40,15 +40,17 @@
 MAX_LEAVING_PER_HEARTBEAT: Final = 8
 
 
-# Source of what the store itself says about a server.
+# Sources of what the store says about a server, and the server about itself.
 STORE_SOURCE: Final = "store"
+ANSWER_SOURCE: Final = "answer"
 
 
 @attrs.frozen
 class Knowledge:
     """What is known of a server's state, for logs.
 
-    :param source: ``STORE_SOURCE`` or the name of the peer that reported it
+    :param source: ``STORE_SOURCE``, ``ANSWER_SOURCE`` or the name of the peer that
+        reported it
     :param updated_ms: monotonic time at which this daemon learned it
     :param revision: revision of the store at which its entry was written
     """
@@ -69,6 +71,8 @@
         requests again before it restarts
     :param is_confirmed: the removed entry stayed missing for the grace period at a
         daemon that the store served, so it did not expire in an outage
+    :param is_from_server: the server said in an answer that it leaves, which only its
+        restart ends, whatever its entry says
     """
 
     server_id: str
@@ -76,11 +80,16 @@
     was_removed: bool
     started_ms: int = 0
     is_confirmed: bool = False
+    is_from_server: bool = False
 
     def adds_to(self, known: "LeavingReport") -> bool:
         """Return whether this report says more than an earlier one."""
         is_confirmation = self.is_confirmed and not known.is_confirmed
-        return self.revision > known.revision or (known.was_removed and is_confirmation)
+        return (
+            self.revision > known.revision
+            or (known.was_removed and is_confirmation)
+            or (self.is_from_server and not known.is_from_server)
+        )
 
 
 @attrs.frozen
@@ -108,6 +117,7 @@
     :param expires_ms: monotonic time at which the server is removed unless its entry
         returns, ``None`` while its entry exists
     :param misdirected: another server answered at its address
+    :param has_announced_leaving: it said in an answer that it leaves
     """
 
     server: Server
@@ -116,6 +126,7 @@
     source: str = STORE_SOURCE
     expires_ms: int | None = None
     misdirected: bool = False
+    has_announced_leaving: bool = False
 
 
 class ServerRegistry:
@@ -199,7 +210,15 @@
             else:
                 server = attrs.evolve(server, state=ServerState.DRAINING)
                 source = previous.source if previous is not None else source
+        has_announced_leaving = (
+            previous is not None
+            and previous.has_announced_leaving
+            and previous.server.started_ms == server.started_ms
+        )
+        if has_announced_leaving:
+            server = attrs.evolve(server, state=ServerState.DRAINING)
         entry = self._entries[server.id] = _Entry(server, revision, now_ms, source)
+        entry.has_announced_leaving = has_announced_leaving
         if previous is not None and previous.server.address == server.address:
             entry.misdirected = (
                 previous.misdirected and previous.server.started_ms == server.started_ms
@@ -245,6 +264,7 @@
                 revision=max(report.revision, record.report.revision),
                 was_removed=report.was_removed and record.report.was_removed,
                 is_confirmed=report.is_confirmed or record.report.is_confirmed,
+                is_from_server=report.is_from_server or record.report.is_from_server,
             )
             if missing_since_ms is None:
                 missing_since_ms = record.missing_since_ms
@@ -309,10 +329,40 @@
         if entry is not None and _supersedes(entry.server, entry.revision, report):
             return False
         self._record_leaving(report, now_ms)
-        if entry is not None and entry.server.state is ServerState.READY:
+        if entry is not None:
+            self._mark_draining(entry, report, now_ms, source)
+        return True
+
+    def _mark_draining(
+        self, entry: _Entry, report: LeavingReport, now_ms: int, source: str
+    ) -> None:
+        entry.has_announced_leaving |= report.is_from_server
+        if entry.server.state is ServerState.READY:
             entry.server = attrs.evolve(entry.server, state=ServerState.DRAINING)
             entry.updated_ms, entry.source = now_ms, source
             self._ready_by_service.clear()
+
+    def mark_leaving_by_answer(self, server: Server, now_ms: int) -> bool:
+        """Record that a server said in an answer that it leaves.
+
+        This holds until the server restarts, whatever its entry says.
+
+        :param server: the server as it was when the request was sent
+        :returns: whether this is news
+        """
+        entry = self._entries.get(server.id)
+        if (
+            entry is None
+            or entry.has_announced_leaving
+            or entry.server.started_ms != server.started_ms
+            or entry.server.address != server.address
+        ):
+            return False
+        report = LeavingReport(
+            server.id, entry.revision, False, server.started_ms, is_from_server=True
+        )
+        self._record_leaving(report, now_ms)
+        self._mark_draining(entry, report, now_ms, ANSWER_SOURCE)
         return True
 
     def next_announcement(self, now_ms: int) -> tuple[LeavingReport, ...]:
@@ -442,6 +492,8 @@
     known = 0 not in (server.started_ms, report.started_ms)
     if known and server.started_ms != report.started_ms:
         return server.started_ms > report.started_ms
+    if report.is_from_server:
+        return False
     if revision.era == report.revision.era:
         return revision > report.revision
     if revision.era < report.revision.era:
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -151,6 +151,7 @@
                     era=report.revision.era,
                     was_removed=report.was_removed,
                     confirmed=report.is_confirmed,
+                    said=report.is_from_server,
                     source=heartbeat.name,
                 )
         limit_changes = state.server_limits.merge(
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -24,6 +24,7 @@
 )
 from cowsliphitch.core.limits.models import Denied, LimitChange, UnreadableLimit
 from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.core.servers.registry import ANSWER_SOURCE
 from cowsliphitch.core.verdict import Reason, may_have_run, not_run
 from cowsliphitch.platform import servers as wire
 from cowsliphitch.telemetry.logs import event
@@ -103,7 +104,7 @@
             ) as answer:
                 has_answered = True
                 self._reachability.record_answer(server.failure_domain)
-                self._observe_limit(server, answer.head)
+                self._observe_head(server, answer.head)
                 yield answer
         except UpstreamError as exc:
             if not has_answered:
@@ -204,10 +205,26 @@
             bytes=len(request.body),
         )
 
-    def _observe_limit(self, server: Server, head: AnswerHead) -> None:
-        """Record the limit that an answer names, unless another server sent it."""
-        if wire.decode_head(head).wrong_server:
+    def _observe_head(self, server: Server, head: AnswerHead) -> None:
+        """Record what a server says of itself, unless another one sent the answer."""
+        metadata = wire.decode_head(head)
+        if metadata.wrong_server:
             return
+        self._observe_limit(server, head)
+        now = self._state.clock.now_ms()
+        if metadata.is_leaving and self._state.servers.mark_leaving_by_answer(
+            server, now
+        ):
+            event(
+                _LOGGER,
+                "server.leaving",
+                server=server.id,
+                status=metadata.status,
+                source=ANSWER_SOURCE,
+            )
+
+    def _observe_limit(self, server: Server, head: AnswerHead) -> None:
+        """Record the limit on requests that an answer names."""
         named = wire.decode_limit(head)
         if isinstance(named, UnreadableLimit):
             event(
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -65,6 +65,7 @@
                 started_ms=report.started_ms,
                 removed=report.was_removed,
                 confirmed=report.is_confirmed,
+                said=report.is_from_server,
             )
             for report in heartbeat.leaving_servers
         ],
@@ -130,6 +131,7 @@
                 row.removed,
                 row.started_ms,
                 row.confirmed,
+                row.said,
             )
             for row in message.leaving_servers
         ),
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -47,6 +47,7 @@
     :param crashing_part: prompt part on which it crashes instead of answering
     :param crashes: number of its crashes
     :param limit: the limit on requests a second that its answers name, as sent
+    :param says_leaving: its answers say that it leaves
     :param arrivals_ms: monotonic times at which requests arrived
     """
 
@@ -67,6 +68,7 @@
     crashing_part: str = ""
     crashes: int = 0
     limit: str | None = None
+    says_leaving: bool = False
     arrivals_ms: list[int] = attrs.Factory(list)
     _crash_scope: anyio.CancelScope | None = None
     _handle_numbers: Any = attrs.Factory(itertools.count)
@@ -164,16 +166,19 @@
         else:
             await self._answer(reply, 200, b"done", id_header + seal)
 
-    def _limit_header(self) -> tuple[tuple[bytes, bytes], ...]:
-        if self.limit is None:
-            return ()
-        return ((b"server-limit", self.limit.encode()),)
+    def _own_headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Return what the answers say about the server itself."""
+        values = {
+            b"server-limit": self.limit.encode() if self.limit is not None else None,
+            b"server-leaving": b"1" if self.says_leaving else None,
+        }
+        return tuple((name, value) for name, value in values.items() if value)
 
     async def _stream(self, req: EdgeRequest, reply: Reply, headers: Any) -> None:
         after = int(req.get(b"last-event-id") or "0")
         await anyio.sleep(seconds(self.prefill_ms))
         content_type = ((b"content-type", b"text/event-stream"),)
-        headers += content_type + self._limit_header()
+        headers += content_type + self._own_headers()
         await reply.start(200, headers, None)
         for number in range(after + 1, EVENT_COUNT + 1):
             await reply.send(b"id: %d\ndata: event\n\n" % number)
@@ -186,7 +191,7 @@
     async def _answer(
         self, reply: Reply, status: int, body: bytes, headers: Any = ()
     ) -> None:
-        await reply.start(status, (*headers, *self._limit_header()), len(body))
+        await reply.start(status, (*headers, *self._own_headers()), len(body))
         if body:
             await reply.send(body)
         await reply.end()
