Send nothing to a server for the time that its refusal names

Callers' requests were sent again and again to a server that had refused with 503 and Retry-After, since the header of servers was not read. The server now gets no requests, stage calls, releases, resumed streams or probes from this daemon until the time is over or it restarts; the owner of the stages does not choose it for this daemon either, and results at it are freed afterwards. If no other server is left, the caller's Retry-After is the rest of that time. Times over 60 s are cut, and values that are no time in seconds are ignored and logged.

--- a/features/core/servers.feature
+++ b/features/core/servers.feature
@@ -198,6 +198,25 @@
     And the answer to the request says that "s1" leaves
     Then the ready servers are "s1, s2"
 
+  Scenario: A server that wants nothing for a while gets requests after it, or after its restart
+    Given servers "s1, s2" of a service that started at 5000
+    When "s1" wants nothing for 3000 ms
+    And "s1" is listed again as ready after 1000 ms
+    Then the ready servers are "s2"
+    When the registry waits 2100 ms
+    Then the ready servers are "s1, s2"
+    When "s1" wants nothing for 3000 ms
+    And "s1" restarts under the same identifier
+    Then the ready servers are "s1, s2"
+
+  Scenario: A server that wants nothing for a while is used again during an outage of the store
+    Given servers "s1, s2" of a service that started at 5000
+    When the store begins to refuse this daemon
+    And "s1" wants nothing for 3000 ms
+    Then the ready servers are "s2"
+    When the registry waits 3100 ms
+    Then the ready servers are "s1, s2"
+
   Scenario: A server whose address belongs to another process gets no requests
     Given servers "s1, s2" of a service
     When another server answers a request at the address of "s1"
--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -72,3 +72,45 @@
     Given an upstream that is another one and says that it leaves
     When a request is answered by it, and its entry is read as ready again
     Then a request is sent to it
+
+  Scenario: A server that refuses with Retry-After gets nothing until that time is over
+    Given a server whose refusals have Retry-After 1
+    When a request is answered by it, and its entry is read as ready again
+    Then a request, a stage call and a release are not sent to it
+    When 1100 ms have passed
+    Then it takes requests again
+
+  Scenario Outline: A Retry-After without a usable time is ignored
+    Given a server whose refusals have Retry-After <value>
+    When a request is answered by it, and its entry is read as ready again
+    Then a request is sent to it
+
+    Examples:
+      | value                         |
+      | -5                            |
+      | soon                          |
+      | nan                           |
+      | 1e999                         |
+      | Wed, 21 Oct 2026 07:28:00 GMT |
+
+  Scenario: A Retry-After of ages is bounded
+    Given a server whose refusals have Retry-After 1000000000000000000000000000000
+    When a request is answered by it, and its entry is read as ready again
+    Then a request, a stage call and a release are not sent to it
+    And it gets requests again within 60 s
+
+  Scenario: A request whose server wants none for a while goes to another
+    Given servers "s1, s2" that listen
+    When "s1" wants nothing for 3000 ms and a request is forwarded with the choices "s1, s2"
+    Then the request was answered by "s2", and no retry was spent
+
+  Scenario: A caller is told when the only server takes requests again
+    Given servers "s1" that listen
+    When "s1" wants nothing for 3000 ms and a request is forwarded
+    Then the request was refused at once, with a Retry-After of 2900 to 3000 ms
+    And "s1" has received nothing
+
+  Scenario: A server that wants nothing for a while is not probed
+    Given servers "s1" that listen
+    When "s1" wants nothing for 3000 ms and its domain is suspect
+    Then "s1" is not probed
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -213,10 +213,15 @@
     assert context.refusal.verdict.value == "not-run", context.refusal
 
 
-def forward(context: Any, choices: list[str], kind: RouteKind = RouteKind.ONCE) -> None:
-    """Forward an order or a stream; its servers are chosen in the given order."""
+def forward(
+    context: Any, choices: list[str] | None, kind: RouteKind = RouteKind.ONCE
+) -> None:
+    """Forward an order or a stream.
+
+    Its servers are chosen in the given order, or by the forwarder if there is none.
+    """
     sender = context.sender
-    remaining = iter(choices)
+    remaining = iter(choices or [])
 
     async def choose() -> Server | None:
         name = next(remaining, None)
@@ -242,9 +247,8 @@
             priority=1,
             public=True,
         )
-        ctx = RequestContext(
-            request, route, "service", None, 1, now + 6_000, choose_server=choose
-        )
+        ctx = RequestContext(request, route, "service", None, 1, now + 6_000)
+        ctx.choose_server = None if choices is None else choose
         context.reply = RecordedReply()
         context.refusal = await forwarder.run(ctx, context.reply)
 
@@ -276,6 +280,100 @@
     context.sender = Sender(["s1"], does)
 
 
+@given("a server whose refusals have Retry-After {value}")
+def server_that_refuses(context: Any, value: str) -> None:
+    script = f"refuses with Retry-After {value}"
+    SCRIPTS[script] = (
+        b"HTTP/1.1 503 Busy\r\nCowsliphitch-Request-Id: r1\r\n"
+        b"Cowsliphitch-Not-Executed: 1\r\nRetry-After: %s\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    ) % value.encode()
+    context.sender = Sender(["s1"], script)
+
+
+def pause(context: Any, name: str, ms: int) -> None:
+    """Have a server want nothing from this daemon for a time."""
+    state = context.sender.state
+    state.servers.pause(context.sender.server(name), state.clock.now_ms() + ms)
+
+
+@when("{ms:d} ms have passed")
+def time_has_passed(context: Any, ms: int) -> None:
+    time.sleep(ms / 1_000)
+    state = context.sender.state
+    state.servers.expire(state.clock.now_ms())
+
+
+@then("it takes requests again")
+def takes_requests_again(context: Any) -> None:
+    sender = context.sender
+    assert sender.state.servers.is_usable(sender.server("s1"))
+
+
+@then("it gets requests again within {s:d} s")
+def gets_requests_again(context: Any, s: int) -> None:
+    servers, now = context.sender.state.servers, context.sender.state.clock.now_ms()
+    assert not servers.ready("service")
+    servers.expire(now + s * 1_000)
+    assert servers.ready("service")
+
+
+@when(
+    '"{name}" wants nothing for {ms:d} ms and a request is forwarded with the choices'
+    ' "{names}"'
+)
+def forward_after_pause(context: Any, name: str, ms: int, names: str) -> None:
+    pause(context, name, ms)
+    forward(context, names.split(", "))
+
+
+@when('"{name}" wants nothing for {ms:d} ms and a request is forwarded')
+def forward_to_paused(context: Any, name: str, ms: int) -> None:
+    pause(context, name, ms)
+    started_s = time.monotonic()
+    forward(context, None)
+    context.took_s = time.monotonic() - started_s
+
+
+@then("the request was refused at once, with a Retry-After of {low:d} to {high:d} ms")
+def refused_at_once(context: Any, low: int, high: int) -> None:
+    assert context.refusal.verdict.value == "not-run", context.refusal
+    assert low <= context.refusal.retry_after_ms <= high, context.refusal
+    assert context.took_s < 1, context.took_s
+
+
+@then('"{name}" has received nothing')
+def has_received_nothing(context: Any, name: str) -> None:
+    assert context.sender.received[name] == b"", context.sender.received
+
+
+@when('"{name}" wants nothing for {ms:d} ms and its domain is suspect')
+def suspect_domain(context: Any, name: str, ms: int) -> None:
+    pause(context, name, ms)
+    context.probed = []
+    sender = context.sender
+
+    async def action(client: ServerClient, group: TaskGroup) -> None:
+        async def probe(server: Server) -> None:
+            context.probed.append(server.id)
+
+        with (
+            mock.patch.object(client, "_probe_server", probe),
+            mock.patch.object(
+                client._reachability, "suspect_domains", lambda *_: ["domain"]
+            ),
+        ):
+            with anyio.move_on_after(0.4):
+                await client.run_probes()
+
+    anyio.run(sender.run, action)
+
+
+@then('"{name}" is not probed')
+def is_not_probed(context: Any, name: str) -> None:
+    assert name not in context.probed, context.probed
+
+
 @when("a {kind} is forwarded to it")
 def forward_to_it(context: Any, kind: str) -> None:
     started_s = time.monotonic()
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -359,3 +359,8 @@
     context.registry.next_announcement(context.now_ms)
     started_ms = context.registry.get(name).started_ms
     put(context, server(name, started_ms=started_ms))
+
+
+@when('"{name}" wants nothing for {ms:d} ms')
+def wants_nothing(context: Any, name: str, ms: int) -> None:
+    context.registry.pause(context.registry.get(name), context.now_ms + ms)
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -118,6 +118,8 @@
         returns, ``None`` while its entry exists
     :param misdirected: another server answered at its address
     :param has_announced_leaving: it said in an answer that it leaves
+    :param paused_until_ms: monotonic time until which it wants no requests from this
+        daemon, ``None`` if it takes them
     """
 
     server: Server
@@ -127,6 +129,7 @@
     expires_ms: int | None = None
     misdirected: bool = False
     has_announced_leaving: bool = False
+    paused_until_ms: int | None = None
 
 
 class ServerRegistry:
@@ -210,15 +213,17 @@
             else:
                 server = attrs.evolve(server, state=ServerState.DRAINING)
                 source = previous.source if previous is not None else source
-        has_announced_leaving = (
-            previous is not None
-            and previous.has_announced_leaving
-            and previous.server.started_ms == server.started_ms
+        same_process = (
+            previous
+            if previous is not None and previous.server.started_ms == server.started_ms
+            else None
         )
-        if has_announced_leaving:
+        if same_process is not None and same_process.has_announced_leaving:
             server = attrs.evolve(server, state=ServerState.DRAINING)
         entry = self._entries[server.id] = _Entry(server, revision, now_ms, source)
-        entry.has_announced_leaving = has_announced_leaving
+        if same_process is not None:
+            entry.has_announced_leaving = same_process.has_announced_leaving
+            entry.paused_until_ms = same_process.paused_until_ms
         if previous is not None and previous.server.address == server.address:
             entry.misdirected = (
                 previous.misdirected and previous.server.started_ms == server.started_ms
@@ -296,8 +301,12 @@
     def expire(self, now_ms: int) -> list[Server]:
         """Remove and return the servers whose entries did not return in time.
 
-        None is removed during an outage of the store.
+        None is removed during an outage of the store.  Pauses that are over end.
         """
+        for entry in self._entries.values():
+            if entry.paused_until_ms is not None and now_ms >= entry.paused_until_ms:
+                entry.paused_until_ms = None
+                self._ready_by_service.pop(entry.server.service, None)
         if self._outage_start_ms is not None:
             return []
         expired = [
@@ -365,6 +374,31 @@
         self._mark_draining(entry, report, now_ms, ANSWER_SOURCE)
         return True
 
+    def pause(self, server: Server, until_ms: int) -> None:
+        """Exclude a server for a time, since it wants no requests from this daemon.
+
+        Its restart ends the pause.
+
+        :param server: the server as it was when the request was sent
+        """
+        entry = self._entries.get(server.id)
+        if entry is not None and entry.server.started_ms == server.started_ms:
+            entry.paused_until_ms = max(until_ms, entry.paused_until_ms or 0)
+            self._ready_by_service.clear()
+
+    def paused(self, service: str) -> dict[str, int]:
+        """Return the ready servers of a service that want no requests for a time.
+
+        :returns: monotonic time of the end of the pause, by server identifier
+        """
+        return {
+            entry.server.id: entry.paused_until_ms
+            for entry in self._entries.values()
+            if entry.server.service == service
+            and entry.server.state is ServerState.READY
+            and entry.paused_until_ms is not None
+        }
+
     def next_announcement(self, now_ms: int) -> tuple[LeavingReport, ...]:
         """Return reports on servers that left, for the next heartbeat.
 
@@ -434,12 +468,14 @@
     def is_usable(self, server: Server) -> bool:
         """Return whether a server chosen earlier may still get new requests.
 
-        It may not once it drains, moves, restarts, is misdirected or is removed.
+        It may not once it drains, moves, restarts, is misdirected or is removed, or
+        while it wants no requests.
         """
         entry = self._entries.get(server.id)
         return (
             entry is not None
             and not entry.misdirected
+            and entry.paused_until_ms is None
             and entry.server.state is ServerState.READY
             and entry.server.address == server.address
             and entry.server.started_ms == server.started_ms
@@ -466,7 +502,9 @@
             listed = [entry for entry in entries if entry.expires_ms is None]
             is_most_listed = len(listed) * 2 > len(entries)
             servers = tuple(
-                entry.server for entry in (listed if is_most_listed else entries)
+                entry.server
+                for entry in (listed if is_most_listed else entries)
+                if entry.paused_until_ms is None
             )
             self._ready_by_service[service] = servers
         return servers
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -152,8 +152,9 @@
                 return self._final_refusal(ctx, quarantine_refusal)
             if server is None:
                 detail = f"no server of {ctx.service} is ready"
+                retry_after_ms = self._state.retry_after_ms(ctx.service, RETRY_AFTER_MS)
                 return self._final_refusal(
-                    ctx, not_run(Reason.NO_UPSTREAM, detail, RETRY_AFTER_MS)
+                    ctx, not_run(Reason.NO_UPSTREAM, detail, retry_after_ms)
                 )
             try:
                 await self._attempt(ctx, server, reply)
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -16,6 +16,7 @@
 from contextlib import asynccontextmanager, contextmanager
 
 import anyio
+from result import Err, Ok
 
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.fleet.reachability import (
@@ -23,7 +24,7 @@
     Reachability,
 )
 from cowsliphitch.core.limits.models import Denied, LimitChange, UnreadableLimit
-from cowsliphitch.core.servers.models import Server, ServerState
+from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.servers.registry import ANSWER_SOURCE
 from cowsliphitch.core.verdict import Reason, may_have_run, not_run
 from cowsliphitch.platform import servers as wire
@@ -168,11 +169,23 @@
     def _check_usable(self, server: Server, purpose: Purpose) -> None:
         """Check that a server still takes what is about to be sent.
 
-        :raises UpstreamError: the server is draining, was removed or has restarted
+        :raises UpstreamError: the server is draining, was removed, has restarted or
+            wants no requests for a time
         """
         if self._state.servers.is_usable(server):
             return
-        event(_LOGGER, "server.not_sent", purpose=purpose.value, server=server.id)
+        until_ms = self._state.servers.paused(server.service).get(server.id)
+        pause_ms = until_ms - self._state.clock.now_ms() if until_ms else None
+        event(
+            _LOGGER,
+            "server.not_sent",
+            purpose=purpose.value,
+            server=server.id,
+            pause_ms=pause_ms,
+        )
+        if pause_ms is not None:
+            detail = f"{server.id} wants no requests for {pause_ms} ms"
+            raise UpstreamError(not_run(Reason.RATE_LIMITED, detail, pause_ms))
         detail = f"{server.id} is leaving or gone; nothing was sent to it"
         raise UpstreamError(not_run(Reason.UPSTREAM_LEAVING, detail))
 
@@ -222,6 +235,22 @@
                 status=metadata.status,
                 source=ANSWER_SOURCE,
             )
+        self._observe_pause(server, head)
+
+    def _observe_pause(self, server: Server, head: AnswerHead) -> None:
+        """Leave a server alone for the time that its refusal names."""
+        match wire.decode_retry_after(head):
+            case Ok(int(pause_ms)):
+                self._state.servers.pause(server, self._state.clock.now_ms() + pause_ms)
+                event(_LOGGER, "server.paused", server=server.id, pause_ms=pause_ms)
+            case Err(value):
+                event(
+                    _LOGGER,
+                    "server.pause_unreadable",
+                    logging.WARNING,
+                    server=server.id,
+                    value=value,
+                )
 
     def _observe_limit(self, server: Server, head: AnswerHead) -> None:
         """Record the limit on requests that an answer names."""
@@ -295,7 +324,7 @@
                         server
                         for server in self._state.servers.all()
                         if server.failure_domain == domain
-                        and server.state is ServerState.READY
+                        and self._state.servers.is_usable(server)
                     ]
                     for server in _probe_targets(servers, round_number):
                         group.start_soon(self._probe_server, server)
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -31,6 +31,7 @@
 from cowsliphitch.core.clock import MS_PER_SECOND, seconds
 from cowsliphitch.core.engines.selector import CostWeights, EngineChoice, EngineSelector
 from cowsliphitch.core.limits.models import Denied, Granted
+from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
 from cowsliphitch.peers.fleet.models import (
@@ -230,7 +231,7 @@
             objective_ms - now,
             self._bytes_by_domain(request, results),
             now,
-            frozenset(request.excluded_engines),
+            frozenset((*request.excluded_engines, *request.paused_engines)),
         )
 
     def _assign_engine(
@@ -442,23 +443,34 @@
         return max(1, round(limit * const.MAX_CONNECTION_SHARE))
 
     async def _free_results(self, service: str, handles: tuple[str, ...]) -> None:
-        """Free results at the servers that hold them.
+        """Free results at the servers that hold them, at each one by itself."""
+        for address, handles_at_server in itertools.groupby(
+            sorted(handles, key=wire.server_address_of), key=wire.server_address_of
+        ):
+            self._group.start_soon(
+                self._free_results_of, service, address, list(handles_at_server)
+            )
+
+    async def _free_results_of(
+        self, service: str, address: str, handles: list[str]
+    ) -> None:
+        """Free results at one server, after the time in which it wants no requests.
 
         Results at a server that can't be reached or is leaving expire there.
         """
-        holders = {
-            server.address: server
-            for server in self._state.servers.all()
-            if server.service == service and self._state.servers.is_usable(server)
-        }
-        for address, handles_at_server in itertools.groupby(
-            sorted(handles, key=wire.server_address_of), key=wire.server_address_of
+        servers = self._state.servers
+        holder = next(
+            (s for s in servers.all() if (s.service, s.address) == (service, address)),
+            None,
+        )
+        while holder is not None and (
+            until_ms := servers.paused(service).get(holder.id)
         ):
-            freed = list(handles_at_server)
-            holder = holders.get(address)
-            if holder is not None:
-                await self._free_results_at(holder, freed)
-            self.planner.record_freed(service, freed)
+            left_ms = until_ms - self._state.clock.now_ms()
+            await anyio.sleep(seconds(max(left_ms, TICK_INTERVAL_MS)))
+        if holder is not None and servers.is_usable(holder):
+            await self._free_results_at(holder, handles)
+        self.planner.record_freed(service, handles)
         self._start_calls()
 
     async def _free_results_at(self, holder: Server, handles: list[str]) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -15,7 +15,7 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.models import Route
 from cowsliphitch.core.requests.models import CallerRequest, Generation
-from cowsliphitch.core.verdict import Refusal
+from cowsliphitch.core.verdict import Reason, Refusal
 from cowsliphitch.peers.fleet.models import (
     EngineProgressReport,
     PeerCallFailed,
@@ -111,6 +111,11 @@
             case StagesCompleted():
                 return StageRunResult(owner, reply)
             case StagesRefused(refusal):
+                if refusal.reason is Reason.NO_UPSTREAM:
+                    retry_after_ms = self._state.retry_after_ms(
+                        params.engine_service, refusal.retry_after_ms or 0
+                    )
+                    refusal = attrs.evolve(refusal, retry_after_ms=retry_after_ms)
                 raise StageError(refusal)
 
     def report_progress(self, owner: str, report: EngineProgressReport) -> None:
@@ -185,6 +190,7 @@
             generation=params.request.generation or NO_GENERATION,
             engine_service=params.engine_service,
             excluded_engines=params.excluded_engines,
+            paused_engines=tuple(self._state.servers.paused(params.engine_service)),
         )
 
     def _owner_candidates(self, route: Route) -> list[str]:
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -64,6 +64,15 @@
         """Return whether the load balancer should send new connections."""
         return not self.stopping and self.can_serve()
 
+    def retry_after_ms(self, service: str, default_ms: int) -> int:
+        """Return when a caller should return if no server of a service is ready.
+
+        :param default_ms: time in ms unless all servers want no requests for longer
+        """
+        ends_ms = self.servers.paused(service).values()
+        left_ms = min(ends_ms, default=0) - self.clock.now_ms()
+        return max(default_ms, left_ms)
+
     def can_serve(self) -> bool:
         """Return whether settings are active and the servers were listed."""
         return self.deployment is not None and self.servers.has_listing
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -222,6 +222,7 @@
         engines=request.engine_service,
         avoid=request.excluded_engines,
         lost_owners=request.unreachable_owners,
+        paused=request.paused_engines,
     )
 
 
@@ -258,6 +259,7 @@
         engine_service=message.engines,
         excluded_engines=tuple(message.avoid),
         unreachable_owners=tuple(message.lost_owners),
+        paused_engines=tuple(message.paused),
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -73,6 +73,8 @@
     :param engine_service: name of the service whose engines can run the request
     :param excluded_engines: identifiers of engines that already failed the request
     :param unreachable_owners: addresses of daemons that did not answer this request
+    :param paused_engines: identifiers of engines that want no requests from the sender
+        for now
     """
 
     request_id: str
@@ -87,6 +89,7 @@
     engine_service: str
     excluded_engines: tuple[str, ...] = ()
     unreachable_owners: tuple[str, ...] = ()
+    paused_engines: tuple[str, ...] = ()
 
 
 # Service and result handles of each final stage.
