--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,7 +11,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -48,19 +48,17 @@
 class Site:
     """Stand-in servers in an event loop thread, and processes for daemons and store."""
 
-    def __init__(self, resumable: bool) -> None:
+    def __init__(self, resumable: bool, engine_versions: Sequence[str]) -> None:
         freed: set[str] = set()
         self.servers = {
             name: SiteServer(name, name.rpartition("-")[0], all_freed=freed)
-            for name in (
-                "desk-1",
-                "desk-2",
-                "encode-1",
-                "rerank-1",
-                "engine-1",
-                "engine-2",
-            )
+            for name in ("desk-1", "desk-2", "encode-1", "rerank-1")
         }
+        for number, version in enumerate(engine_versions, 1):
+            name = f"engine-{number}"
+            self.servers[name] = SiteServer(
+                name, "engine", version=version, all_freed=freed
+            )
         self.resumable = resumable
         self.directory = Path(tempfile.mkdtemp())
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -163,8 +161,10 @@
         self.portal_context.__exit__(None, None, None)
 
 
-def set_up_site(context: Any, resumable: bool) -> None:
-    context.site = Site(resumable)
+def set_up_site(
+    context: Any, resumable: bool, engine_versions: Sequence[str] = ("v1", "v1")
+) -> None:
+    context.site = Site(resumable, engine_versions)
     # The thread of the event loop would keep behave from exiting if the start fails.
     context.add_cleanup(context.site.close)
     context.site.start()
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -24,6 +24,8 @@
 EVENT_COUNT: Final = 4
 MAX_CONNECTIONS: Final = 200
 
+FIRST_VERSION: Final = "v1"
+
 # Time until a crashed server listens again.
 CRASH_MS: Final = 500
 SEAL: Final = (b"cowsliphitch-response-seal", b"seal")
@@ -33,9 +35,12 @@
 class SiteServer:
     """Stand-in of an engine, a stage server or a plain server, by its service.
 
+    :param version: version of its software; engines mark their events with it, except
+        ``FIRST_VERSION``
     :param mode: ``good``, ``full`` (refuses), ``reset`` (runs the request and closes
         the connection without an answer), ``unsealed`` (answers without the seal),
         ``cut`` (interrupts its streams within an event)
+    :param cut_after: event after which it interrupts its streams
     :param executed: identifiers of the requests that it ran
     :param received: the same requests, as it received them
     :param piece_count: pieces of stages that it ran
@@ -54,7 +59,9 @@
     id: str
     service: str
     domain: str = "domain-a"
+    version: str = FIRST_VERSION
     mode: str = "good"
+    cut_after: int = 2
     port: int = attrs.Factory(free_port)
     state: str = "ready"
     executed: list[str] = attrs.Factory(list)
@@ -84,7 +91,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.domain,
-            "version": "v1",
+            "version": self.version,
             "slots": 4,
             "state": self.state,
             "cold_left_ms": 0,
@@ -176,15 +183,17 @@
 
     async def _stream(self, req: EdgeRequest, reply: Reply, headers: Any) -> None:
         after = int(req.get(b"last-event-id") or "0")
+        mark = "" if self.version == FIRST_VERSION else f" {self.version}"
+        text = f"event{mark}".encode()
         await anyio.sleep(seconds(self.prefill_ms))
         content_type = ((b"content-type", b"text/event-stream"),)
         headers += content_type + self._own_headers()
         await reply.start(200, headers, None)
         for number in range(after + 1, EVENT_COUNT + 1):
-            await reply.send(b"id: %d\ndata: event\n\n" % number)
+            await reply.send(b"id: %d\ndata: %s\n\n" % (number, text))
             await anyio.sleep(0.02)
-            if self.mode == "cut" and number == 2:
-                await reply.send(b"id: 3\nda")
+            if self.mode == "cut" and number == self.cut_after:
+                await reply.send(b"id: %d\nda" % (number + 1))
                 return
         await reply.end()
 
