Keep a stream with the software version that began it

An interrupted stream went on at any usable engine, within its answer and in the caller's next attempt, since nothing knew versions and Resumes was not read. The version is now part of a server's identity. A stream is bound to the version that writes its first event; the daemon tells its peers with heartbeats and writes it to the store, under a lease, while the service has several versions or lately had, so that it survives a kill of all daemons. A take-up finds its first attempt by Resumes; if its version is unknown or has no ready server, it is refused at once as not run.

--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -54,6 +54,8 @@
     :param piece_counts: number of pieces of each stage, 0 for a stage that is skipped
     :param piece_key: identifies the input of the first stages' pieces
     :param last_event_id: id of the last event received from an interrupted stream
+    :param resumed_id: identifier of the attempt that received the first event of that
+        stream, ``None`` if the caller does not name it
     """
 
     id: str
@@ -70,6 +72,12 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ""
     last_event_id: str | None = None
+    resumed_id: str | None = None
+
+    @property
+    def stream_id(self) -> str:
+        """Return the attempt by which the caller names the stream from now on."""
+        return self.resumed_id if self.last_event_id and self.resumed_id else self.id
 
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
--- a/packages/core/src/cowsliphitch/core/servers/models.py
+++ b/packages/core/src/cowsliphitch/core/servers/models.py
@@ -21,6 +21,8 @@
     :param started_ms: Unix time of its start, 0 if it did not register one
     :param warmup_remaining_ms: remaining time after its start until it is at
         full speed
+    :param version: version of its software, empty if it did not register one;
+        versions have no order
     """
 
     id: str
@@ -31,3 +33,4 @@
     slots: int
     started_ms: int = 0
     warmup_remaining_ms: int = 0
+    version: str = ""
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -468,8 +468,8 @@
     def is_usable(self, server: Server) -> bool:
         """Return whether a server chosen earlier may still get new requests.
 
-        It may not once it drains, moves, restarts, is misdirected or is removed, or
-        while it wants no requests.
+        It may not once it drains, moves, restarts, has another version, is misdirected
+        or is removed, or while it wants no requests.
         """
         entry = self._entries.get(server.id)
         return (
@@ -479,6 +479,7 @@
             and entry.server.state is ServerState.READY
             and entry.server.address == server.address
             and entry.server.started_ms == server.started_ms
+            and entry.server.version == server.version
             and (entry.expires_ms is None or entry.server in self.ready(server.service))
         )
 
--- a/packages/core/src/cowsliphitch/core/verdict.py
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -48,6 +48,8 @@
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     PEER_UNAVAILABLE = "peer-unavailable"
     QUARANTINED = "quarantined"
+    UNKNOWN_STREAM = "unknown-stream"
+    VERSION_GONE = "version-gone"
     SHUTTING_DOWN = "shutting-down"
     NOT_CONFIGURED = "not-configured"
 
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -39,6 +39,7 @@
 from .stage_runner import StageRunner
 from .state import GatewayState
 from .store_coordinator import StoreCoordinator
+from .stream_coordinator import StreamCoordinator
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -119,8 +120,9 @@
         stage_runner = StageRunner(
             state, self._stage_executor, self._peer_connections, group
         )
+        streams = StreamCoordinator(state, self._kv, self._metrics)
         handler = RequestHandler(
-            state, forwarder, stage_runner, self._metrics, quarantine
+            state, forwarder, stage_runner, self._metrics, quarantine, streams
         )
         self._in_flight = handler.in_flight
         self._caller_edge = EdgeServer(
@@ -135,6 +137,7 @@
         group.start_soon(self._store.run)
         group.start_soon(self._store.register)
         group.start_soon(self._fleet.run)
+        group.start_soon(streams.run)
         group.start_soon(self._server_client.run_probes)
         group.start_soon(self._run_maintenance)
 
@@ -174,6 +177,7 @@
             self._server_client.update_reachability()
             self._stage_executor.run_maintenance()
             servers = self._state.servers.all()
+            self._state.streams.observe_servers(servers, now)
             self._state.placement.retain_servers({s.id for s in servers})
             self._state.server_limits.retain_servers(servers, now)
             self._permits.evict_expired()
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -25,6 +25,21 @@
 PEERS_ASKED_AT_START: Final = 3
 PEER_SETTINGS_TIMEOUT_MS: Final = 300
 
+# Keys of the streams that began at each daemon.  A new key begins after the time below,
+# so that few streams are written again with each change.
+STREAM_PREFIX: Final = "streams/"
+STREAM_KEY_MS: Final = 5_000
+
+# Time between two writes of a daemon, at least, and for each daemon of the fleet: it
+# bounds the writes of all daemons together to 100 a second.
+STREAM_WRITE_INTERVAL_MS: Final = 250
+STREAM_WRITE_INTERVAL_PER_DAEMON_MS: Final = 10
+
+# Time for which the record of a stream that is taken up again is waited for: it comes
+# with the next heartbeats of the daemon that began it.
+STREAM_RECORD_WAIT_MS: Final = 300
+STREAM_RECORD_POLL_MS: Final = 25
+
 # Delay of the maintenance from which it is logged.
 LOOP_DELAY_WARNING_MS: Final = 200
 
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -106,6 +106,7 @@
             capacity=state.members.own.capacity,
             suspect_parts=state.prompt_parts.next_reports(state.clock.now_ms()),
             store_era=self.store.era if self.store is not None else 0,
+            streams=state.streams.next_announcement(interval_ms, state.clock.now_ms()),
             limits={
                 server_checksum(server_id): report
                 for server_id, report in state.server_limits.next_reports(
@@ -167,6 +168,7 @@
             log_limit_change(change)
         if self.store is not None:
             self.store.learn_era(heartbeat.store_era, heartbeat.name)
+        state.streams.learn(heartbeat.streams, heartbeat.name, now)
         if heartbeat.suspect_parts:
             self._quarantine.merge(heartbeat.suspect_parts, heartbeat.name)
         if (
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -4,6 +4,7 @@
 again only if it did not run or may run again, and if the retry budget allows it.
 """
 
+import functools
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, nullcontext, suppress
@@ -19,6 +20,7 @@
 from cowsliphitch.core.deployment.models import MAX_PRIORITY, Route, RouteKind, Team
 from cowsliphitch.core.requests.models import AnswerMetadata, CallerRequest
 from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.streams.models import StreamOrigin
 from cowsliphitch.core.verdict import (
     Reason,
     Refusal,
@@ -69,6 +71,8 @@
     :param preferred_server: server of the first attempt, if it is still usable
     :param permit: permit for the preferred or chosen server, if it is limited
     :param stage_results: handles of the stage results that the engine reads as inputs
+    :param version: software version that the server must have, since it began the
+        stream, ``None`` for any
     :param choose_server: chooses the server of an attempt instead of the forwarder,
         ``None`` if the forwarder chooses
     :param on_sent: called before the request is sent to a server
@@ -87,6 +91,7 @@
     preferred_server: Server | None = None
     permit: Permit | None = None
     stage_results: tuple[str, ...] = ()
+    version: str | None = None
     choose_server: Callable[[], Awaitable[Server | None]] | None = None
     on_sent: Callable[[], None] = lambda: None
     on_head: Callable[[], None] = lambda: None
@@ -124,8 +129,9 @@
         :raises UpstreamError: all servers limit their requests
         """
         now = self._state.clock.now_ms()
+        ready = self._state.servers.ready(ctx.service)
         servers = self._state.placement.ranked(
-            self._state.servers.ready(ctx.service),
+            [s for s in ready if ctx.version in (None, s.version)],
             now,
             frozenset(ctx.attempts.tried_servers),
         )
@@ -151,7 +157,8 @@
             if quarantine_refusal is not None:
                 return self._final_refusal(ctx, quarantine_refusal)
             if server is None:
-                detail = f"no server of {ctx.service} is ready"
+                version = f" with version {ctx.version}" if ctx.version else ""
+                detail = f"no server of {ctx.service}{version} is ready"
                 retry_after_ms = self._state.retry_after_ms(ctx.service, RETRY_AFTER_MS)
                 return self._final_refusal(
                     ctx, not_run(Reason.NO_UPSTREAM, detail, retry_after_ms)
@@ -181,11 +188,16 @@
 
     async def _select_server(self, ctx: RequestContext) -> Server | None:
         server, ctx.preferred_server = ctx.preferred_server, None
-        if server is not None and self._state.servers.is_usable(server):
-            return server
-        if ctx.choose_server is not None:
-            return await ctx.choose_server()
-        return await self.choose_server(ctx)
+        if server is not None and not self._state.servers.is_usable(server):
+            server = None
+        if server is None:
+            choose_server = ctx.choose_server or functools.partial(
+                self.choose_server, ctx
+            )
+            server = await choose_server()
+        if server is not None and ctx.version not in (None, server.version):
+            return None
+        return server
 
     def _record_failure(
         self, ctx: RequestContext, server: Server, refusal: Refusal
@@ -254,7 +266,7 @@
                 await self._check_answer(answer, metadata, ctx)
                 placement.record_answer(server.id, self._state.clock.now_ms() - now)
                 ctx.on_head()
-                await self._relay_answer(ctx, answer, metadata, reply)
+                await self._relay_answer(ctx, server, answer, metadata, reply)
                 if metadata.is_success:
                     self._quarantine.record_answer(ctx.request)
         except UpstreamError as exc:
@@ -329,19 +341,20 @@
     async def _relay_answer(
         self,
         ctx: RequestContext,
+        server: Server,
         answer: Answer,
         metadata: AnswerMetadata,
         reply: Reply,
     ) -> None:
         ctx.status = metadata.status
         if ctx.route.kind is RouteKind.STREAM and metadata.is_success:
-            await self._relay_stream(ctx, answer, reply)
+            await self._relay_stream(ctx, server, answer, reply)
             return
         content = await answer.read(const.MAX_ANSWER_BYTES)
         await relay_buffered_answer(answer, content, reply)
 
     async def _relay_stream(
-        self, ctx: RequestContext, answer: Answer, reply: Reply
+        self, ctx: RequestContext, server: Server, answer: Answer, reply: Reply
     ) -> None:
         """Pass complete events on as they arrive.
 
@@ -353,6 +366,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            self._record_version(ctx, server)
             if not reply.started:
                 progress.first_event_ms = self._state.clock.now_ms()
                 await reply.start(
@@ -375,6 +389,34 @@
             )
         await reply.end()
 
+    def _record_version(self, ctx: RequestContext, server: Server) -> None:
+        """Bind a stream to the version that writes it.
+
+        A server that restarted after it was chosen, with another version, is noticed
+        once its new entry is read.
+        """
+        listed = self._state.servers.get(server.id)
+        version = server.version
+        if listed is not None and listed.started_ms != server.started_ms:
+            version = listed.version
+        has_begun = ctx.stream_progress.first_event_ms is not None
+        if has_begun and version == ctx.version:
+            return
+        request, origin = ctx.request, StreamOrigin(ctx.service, version)
+        event(
+            _LOGGER,
+            "stream.began",
+            request=request.id,
+            resumes=request.resumed_id,
+            server=server.id,
+            version=version,
+            before=ctx.version,
+        )
+        ctx.version = version
+        self._state.streams.record_begun(
+            {request.id, request.stream_id}, origin, self._state.clock.now_ms()
+        )
+
     def _retry_budget(self, service: str) -> SlidingWindowRetryBudget:
         if service not in self._budgets:
             self._budgets[service] = SlidingWindowRetryBudget(self._allowance)
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -38,6 +38,7 @@
 from .permits import Permit
 from .stage_runner import StageError, StageRunner, StageRunParams, StageRunResult
 from .state import GatewayState
+from .stream_coordinator import StreamCoordinator
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -135,8 +136,10 @@
         stage_runner: StageRunner,
         metrics: RequestMetrics,
         quarantine: EngineQuarantine,
+        streams: StreamCoordinator,
     ) -> None:
         """Initialize with the shared components of the daemon."""
+        self._streams = streams
         self._quarantine = quarantine
         self.in_flight = InFlightRequests(state, quarantine)
         self._state = state
@@ -210,7 +213,7 @@
         return RequestContext(
             request=request,
             route=route,
-            service=route.service_for(request.id),
+            service=route.service_for(request.stream_id),
             team=team,
             priority=route.priority if priority is None else priority,
             deadline_ms=request.received_ms + timeout_ms,
@@ -247,6 +250,10 @@
 
         If the stage results are lost before the request ran, the stages run once more.
         """
+        if ctx.route.kind is RouteKind.STREAM and ctx.request.last_event_id:
+            refusal = await self._streams.bind(ctx)
+            if refusal is not None:
+                return refusal
         deployment = self._state.deployment
         has_engines = deployment is not None and deployment.has_engines(ctx.service)
         if not has_engines and not ctx.route.stages:
@@ -265,6 +272,7 @@
             deadline_ms=min(ms for ms in deadlines_ms if ms is not None),
             objective_ms=ctx.request.received_ms + ctx.route.objective_ms,
             engine_service=ctx.service,
+            version=ctx.version,
         )
         refusal = await self._run_at_engine(ctx, params, log_fields, reply)
         is_result_lost = refusal is not None and refusal.reason is Reason.RESULT_LOST
@@ -301,6 +309,7 @@
                 engine_only=engine_only,
                 excluded_engines=tuple(ctx.attempts.tried_servers),
                 deadline_ms=ctx.deadline_ms,
+                version=ctx.version,
             )
             try:
                 chosen = await self._stage_runner.run(engine_params)
--- a/packages/gateway/src/cowsliphitch/gateway/metrics.py
+++ b/packages/gateway/src/cowsliphitch/gateway/metrics.py
@@ -39,10 +39,18 @@
             "cowsliphitch_first_event_duration", unit="ms"
         )
 
+        self._take_ups = self._meter.create_counter("cowsliphitch_stream_take_ups")
         self._loop_delays = self._meter.create_histogram(
             "cowsliphitch_loop_delay", unit="ms"
         )
 
+    def record_take_up(self, outcome: str) -> None:
+        """Count a stream that a caller takes up again.
+
+        :param outcome: ``bound`` to its version, or the reason of the refusal
+        """
+        self._take_ups.add(1, {"outcome": outcome})
+
     def record_loop_delay(self, delay_ms: int) -> None:
         """Record by how much the event loop ran a periodic task too late."""
         self._loop_delays.record(delay_ms)
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -225,9 +225,10 @@
         self, request: RunStagesRequest, objective_ms: int, results: StageResults
     ) -> EngineChoice | None:
         now = self._state.clock.now_ms()
+        engines = self._state.servers.ready(request.engine_service)
         return self.engine_selector.choose(
             request.generation,
-            self._state.servers.ready(request.engine_service),
+            [e for e in engines if request.version in (None, e.version)],
             objective_ms - now,
             self._bytes_by_domain(request, results),
             now,
@@ -261,6 +262,7 @@
             "engine.chosen",
             request=request.request_id,
             server=choice.server.id,
+            version=choice.server.version,
             expected_ms=round(choice.first_token_ms),
             read_again=choice.recomputed_tokens,
             parts=tuple(part.id for part in request.generation.shared_parts),
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -67,6 +67,7 @@
     :param engine_service: name of the service whose engines can run the request
     :param engine_only: choose an engine without running the stages
     :param excluded_engines: identifiers of engines that already failed the request
+    :param version: software version that the engine must have, ``None`` for any
     """
 
     request: CallerRequest
@@ -78,6 +79,7 @@
     engine_service: str
     engine_only: bool = False
     excluded_engines: tuple[str, ...] = ()
+    version: str | None = None
 
 
 class StageRunner:
@@ -191,6 +193,7 @@
             engine_service=params.engine_service,
             excluded_engines=params.excluded_engines,
             paused_engines=tuple(self._state.servers.paused(params.engine_service)),
+            version=params.version,
         )
 
     def _owner_candidates(self, route: Route) -> list[str]:
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -15,6 +15,7 @@
 from cowsliphitch.core.quarantine.prompt_parts import PromptPartRegistry
 from cowsliphitch.core.servers.placement import ServerPlacement
 from cowsliphitch.core.servers.registry import ServerRegistry
+from cowsliphitch.core.streams.registry import StreamRegistry
 
 
 @attrs.define
@@ -28,6 +29,7 @@
     :param versions: the active version of the operator's settings
     :param placement: load and failures of the servers, to choose the least loaded one
     :param server_limits: limits on requests that servers name
+    :param streams: software versions that began streams
     :param prompt_parts: prompt parts that are suspected of crashing engines
     :param loop_delay: how late this daemon's event loop is
     :param stopping: SIGTERM was received
@@ -43,6 +45,7 @@
     servers: ServerRegistry = attrs.Factory(ServerRegistry)
     placement: ServerPlacement = attrs.Factory(ServerPlacement)
     server_limits: LimitTable = attrs.Factory(LimitTable)
+    streams: StreamRegistry = attrs.Factory(StreamRegistry)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -18,6 +18,7 @@
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, Member
 from cowsliphitch.core.revisions import FIRST_ERA, LeaseRef, Revision
 from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.platform import operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.platform.store.models import (
@@ -34,7 +35,7 @@
 )
 from cowsliphitch.telemetry.logs import event
 
-from . import const
+from . import const, stream_records
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -271,6 +272,9 @@
             listing.at,
             now,
         )
+        self._state.streams.observe_servers(self._state.servers.all(), now)
+        for entry in _entries_under(const.STREAM_PREFIX, listing.entries):
+            self._learn_streams(entry, now)
         self._members = _decode_members(listing)
         self._state.members.set_listed(self._members.values(), now)
         for entry in listing.entries:
@@ -296,6 +300,20 @@
                 self._apply_member_event(change, now)
             elif change.key == operator_document.KEY and isinstance(change, Entry):
                 self._activate_entry(change)
+            elif change.key.startswith(const.STREAM_PREFIX) and isinstance(
+                change, Entry
+            ):
+                self._learn_streams(change, now)
+        self._state.streams.observe_servers(self._state.servers.all(), now)
+
+    def _learn_streams(self, entry: Entry, now_ms: int) -> None:
+        """Learn which versions began the streams of another daemon."""
+        match stream_records.decode(entry.value):
+            case Ok(content):
+                self._state.streams.learn_versions(content.versions, now_ms)
+                self._state.streams.learn(content.groups, STORE_SOURCE, now_ms)
+            case Err(detail):
+                event(_LOGGER, "streams.unreadable", key=entry.key, cause=detail)
 
     def _apply_server_event(self, change: Event, now_ms: int) -> None:
         server_id = change.key.removeprefix(server_entries.PREFIX)
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -24,6 +24,7 @@
 from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.servers.registry import LeavingReport
+from cowsliphitch.core.streams.models import StreamOrigin, StreamRecords
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
 
 from ..wire import fleet_pb2 as pb
@@ -99,6 +100,14 @@
             for server, report in heartbeat.limits.items()
         ],
         store_era=heartbeat.store_era,
+        streams=[
+            pb.StreamGroup(
+                service=group.origin.service,
+                version=group.origin.version,
+                streams=group.streams,
+            )
+            for group in heartbeat.streams
+        ],
     )
     return bytes(message.SerializeToString())
 
@@ -155,6 +164,10 @@
             for row in message.limits
         },
         store_era=message.store_era,
+        streams=tuple(
+            StreamRecords(StreamOrigin(row.service, row.version), tuple(row.streams))
+            for row in message.streams
+        ),
     )
 
 
@@ -223,6 +236,7 @@
         avoid=request.excluded_engines,
         lost_owners=request.unreachable_owners,
         paused=request.paused_engines,
+        version=request.version,
     )
 
 
@@ -260,6 +274,7 @@
         excluded_engines=tuple(message.avoid),
         unreachable_owners=tuple(message.lost_owners),
         paused_engines=tuple(message.paused),
+        version=message.version if message.HasField("version") else None,
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -13,6 +13,7 @@
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.servers.registry import LeavingReport
+from cowsliphitch.core.streams.models import StreamRecords
 from cowsliphitch.core.verdict import Refusal
 
 
@@ -38,6 +39,7 @@
     :param limits: limits that servers named to the daemon, by checksum of the server's
         identifier
     :param store_era: era of the store as the daemon knows it
+    :param streams: streams that began at the daemon, by their origin
     """
 
     name: str
@@ -55,6 +57,7 @@
     suspect_parts: tuple[PartReport, ...] = ()
     limits: dict[int, LimitReport] = attrs.Factory(dict)
     store_era: int = 0
+    streams: tuple[StreamRecords, ...] = ()
 
 
 @attrs.frozen
@@ -75,6 +78,7 @@
     :param unreachable_owners: addresses of daemons that did not answer this request
     :param paused_engines: identifiers of engines that want no requests from the sender
         for now
+    :param version: software version that the engine must have, ``None`` for any
     """
 
     request_id: str
@@ -90,6 +94,7 @@
     excluded_engines: tuple[str, ...] = ()
     unreachable_owners: tuple[str, ...] = ()
     paused_engines: tuple[str, ...] = ()
+    version: str | None = None
 
 
 # Service and result handles of each final stage.
