Test that requests which crash servers are refused over a kill of all daemons (failing)

Four scenarios fail: a prompt part crashes an engine after each kill of all daemons, and an order, a lookup and a begun generation that come again crash a server every time.

--- a/features/daemon/platform.feature
+++ b/features/daemon/platform.feature
@@ -120,3 +120,22 @@
     And all sound generations were answered
     When a daemon restarts and gets 2 generations with the part
     Then no further engine crashed
+
+  Scenario: A prompt part that crashes engines is refused although all daemons are killed between the crashes
+    Given a site with two daemons
+    And engines that crash on one prompt part
+    When 6 generations with the part are sent, and all daemons are killed and start again after each
+    Then at most 3 engines crashed
+
+  Scenario Outline: A request that crashes servers is refused when it comes again
+    Given a site with two daemons
+    And servers that crash on one request
+    When <request> comes 6 times through both daemons, and others between them
+    Then at most 3 servers crashed
+    And all others were answered
+
+    Examples:
+      | request                             |
+      | an order                            |
+      | a lookup                            |
+      | a generation after its first event  |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -136,7 +136,11 @@
             return 0
 
     def call(
-        self, path: str, headers: dict[str, str] | None = None, daemon: int = 0
+        self,
+        path: str,
+        headers: dict[str, str] | None = None,
+        daemon: int = 0,
+        body: str = "",
     ) -> httpx.Response:
         number = next(self.request_numbers)
         defaults = {
@@ -146,7 +150,9 @@
             "cowsliphitch-deadline-ms": "3000",
         }
         url = f"http://127.0.0.1:{self.daemons[daemon]['callers']}{path}"
-        return httpx.post(url, headers=defaults | (headers or {}), timeout=8.0)
+        return httpx.post(
+            url, headers=defaults | (headers or {}), content=body, timeout=8.0
+        )
 
     def executed(self) -> list[str]:
         return [
@@ -604,3 +610,70 @@
 @then("no further engine crashed")
 def no_further_crash(context: Any) -> None:
     assert crash_count(context) == context.crashes_before, crash_count(context)
+
+
+@when(
+    "{count:d} generations with the part are sent, and all daemons are killed and start"
+    " again after each"
+)
+def kill_between_crashes(context: Any, count: int) -> None:
+    for number in range(count):
+        generate_with_part(context, CRASHING_PART, number % 2)
+        time.sleep(PAUSE_BETWEEN_CRASHES_S)
+        for daemon in context.site.daemons:
+            daemon["process"].kill()
+        for daemon_number in range(len(context.site.daemons)):
+            context.site.restart_daemon(daemon_number)
+
+
+CRASHING_BODY = "crash"
+
+
+@given("servers that crash on one request")
+def servers_crash_on_request(context: Any) -> None:
+    context.part_numbers = itertools.count(1)
+    for server in context.site.servers.values():
+        server.crashing_body = CRASHING_BODY.encode()
+
+
+def send_one(
+    context: Any, request: str, body: str, daemon: int
+) -> httpx.Response | None:
+    """Send a request of a kind; return ``None`` if its answer broke off."""
+    path, headers = "/order/7", {}
+    if request == "a lookup":
+        path = "/lookup/7"
+    elif request.startswith("a generation"):
+        number = next(context.part_numbers)
+        path = "/generation/7"
+        headers = PROMPT_HEADERS | {
+            "cowsliphitch-pieces": "1,1",
+            "cowsliphitch-prompt-prefix": f"{FIRST_PART}:50,{number:04x}:20",
+        }
+    try:
+        return context.site.call(path, headers, daemon, body)
+    except httpx.RemoteProtocolError:
+        return None
+
+
+@when("{request} comes {count:d} times through both daemons, and others between them")
+def request_comes_again(context: Any, request: str, count: int) -> None:
+    context.sound_answers = []
+    for number in range(count):
+        send_one(context, request, CRASHING_BODY, number % 2)
+        time.sleep(PAUSE_BETWEEN_CRASHES_S)
+        answer = send_one(context, request, f"sound {number}", number % 2)
+        assert answer is not None
+        context.sound_answers.append(answer)
+
+
+@then("at most {count:d} servers crashed")
+def at_most_servers(context: Any, count: int) -> None:
+    crashes = sum(server.crashes for server in context.site.servers.values())
+    assert 1 <= crashes <= count, crashes
+
+
+@then("all others were answered")
+def others_were_answered(context: Any) -> None:
+    statuses = [answer.status_code for answer in context.sound_answers]
+    assert set(statuses) == {200}, statuses
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -50,6 +50,8 @@
     :param call_ms: duration of a call that runs pieces
     :param prefill_ms: time from the receipt of a prompt to its first event
     :param crashing_part: prompt part on which it crashes instead of answering
+    :param crashing_body: body on which it crashes instead of answering, an engine after
+        its first event; empty if there is none
     :param crashes: number of its crashes
     :param limit: the limit on requests a second that its answers name, as sent
     :param says_leaving: its answers say that it leaves
@@ -73,6 +75,7 @@
     call_ms: int = 20
     prefill_ms: int = 0
     crashing_part: str = ""
+    crashing_body: bytes = b""
     crashes: int = 0
     limit: str | None = None
     says_leaving: bool = False
@@ -164,6 +167,10 @@
             await anyio.sleep(seconds(self.prefill_ms))
             self._crash()
             await anyio.sleep_forever()
+        crashes_on_body = bool(self.crashing_body) and req.body == self.crashing_body
+        if crashes_on_body and self.service != "engine":
+            self._crash()
+            await anyio.sleep_forever()
         id_header = ((b"cowsliphitch-request-id", request.encode()),)
         if self.mode == "reset":
             return
@@ -192,6 +199,9 @@
         for number in range(after + 1, EVENT_COUNT + 1):
             await reply.send(b"id: %d\ndata: %s\n\n" % (number, text))
             await anyio.sleep(0.02)
+            if self.crashing_body and req.body == self.crashing_body:
+                self._crash()
+                await anyio.sleep_forever()
             if self.mode == "cut" and number == self.cut_after:
                 await reply.send(b"id: %d\nda" % (number + 1))
                 return
