Refuse a request that crashes servers when it comes again (suspected)

Callers' requests that crash a server could crash one each time that they came: only parts of prompts were suspect, and only of requests without an event, so an order, a lookup or a begun stream was sent on without end. A digest of these is now suspect of each crash under the request, whether it had begun or not, exchanged and quarantined like a part; a take-up of a stream has the same digest as its first attempt. Stand-in servers name their start, as those of the platform do, so that daemons tell two crashes apart.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -619,13 +619,21 @@
 def kill_between_crashes(context: Any, count: int) -> None:
     for number in range(count):
         generate_with_part(context, CRASHING_PART, number % 2)
-        time.sleep(PAUSE_BETWEEN_CRASHES_S)
+        wait_for_restarts(context)
         for daemon in context.site.daemons:
             daemon["process"].kill()
         for daemon_number in range(len(context.site.daemons)):
             context.site.restart_daemon(daemon_number)
 
 
+def wait_for_restarts(context: Any) -> None:
+    """Wait until crashed servers listen again, and register them with their start."""
+    time.sleep(PAUSE_BETWEEN_CRASHES_S)
+    for server in context.site.servers.values():
+        put(context.site.store, f"servers/{server.id}", server.entry())
+    time.sleep(PAUSE_BETWEEN_CRASHES_S / 4)
+
+
 CRASHING_BODY = "crash"
 
 
@@ -661,7 +669,7 @@
     context.sound_answers = []
     for number in range(count):
         send_one(context, request, CRASHING_BODY, number % 2)
-        time.sleep(PAUSE_BETWEEN_CRASHES_S)
+        wait_for_restarts(context)
         answer = send_one(context, request, f"sound {number}", number % 2)
         assert answer is not None
         context.sound_answers.append(answer)
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -258,11 +258,15 @@
             None,
         )
 
-    def is_suspect(self, parts: Collection[str]) -> bool:
-        """Return whether a request should not be tried at another engine."""
+    def is_suspect(
+        self, parts: Collection[str], crashes: int = CRASHES_TO_STOP_RETRIES
+    ) -> bool:
+        """Return whether a request should not be tried at another engine.
+
+        :param crashes: number of crashes from which it should not
+        """
         return any(
-            record.crash_count >= CRASHES_TO_STOP_RETRIES
-            for _, record in self._records_within(parts)
+            record.crash_count >= crashes for _, record in self._records_within(parts)
         )
 
     def _records_within(
@@ -275,6 +279,20 @@
             if record is not None and record.company <= present:
                 yield part, record
 
+    @property
+    def has_records(self) -> bool:
+        """Return whether any part is suspect."""
+        return bool(self._records)
+
+    def worst_reports(self, limit: int, now_ms: int) -> tuple[PartReport, ...]:
+        """Return reports on the parts with the most crashes, at most ``limit``."""
+        ordered = sorted(
+            self._records, key=lambda p: self._records[p].crash_count, reverse=True
+        )
+        return tuple(
+            self._records[part].report(part, now_ms) for part in ordered[:limit]
+        )
+
     def next_reports(self, now_ms: int) -> tuple[PartReport, ...]:
         """Return what the next heartbeat reports, the worst parts in each."""
         ordered = sorted(
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -3,6 +3,8 @@
 These classes are independent of the headers that carry them.
 """
 
+import hashlib
+
 import attrs
 
 Header = tuple[bytes, bytes]
@@ -79,6 +81,18 @@
         """Return the attempt by which the caller names the stream from now on."""
         return self.resumed_id if self.last_event_id and self.resumed_id else self.id
 
+    @property
+    def digest(self) -> str:
+        """Return a digest of target, caller and body.
+
+        A request that crashes servers comes again with the same ones, under another
+        identifier.
+        """
+        content = hashlib.blake2b(digest_size=8)
+        for part in (self.target, (self.api_key or "").encode(), self.body):
+            content.update(b"%d:" % len(part) + part)
+        return content.hexdigest()
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """Return the prompt parts that other requests may share, by identifier."""
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -1,9 +1,11 @@
-"""Detection of engine crashes, and refusal of the requests that cause them.
+"""Detection of crashes of servers, and refusal of the requests that cause them.
 
-Fault: a request crashes each engine that begins to answer it.  When a connection to an
-engine is lost before the first event, the engine is probed: a refused connection means
-that it crashed.  A timeout or a success doesn't, since a network fault must not make a
-request suspect.
+Fault: a request crashes each server that begins to answer it.  When a connection to a
+server is lost, the server is probed: a refused connection means that it crashed.  A
+timeout or a success doesn't, since a network fault must not make a request suspect.
+
+The prompt parts of a request are suspect if it was lost before its first event, and the
+request itself, which comes again with the same content, whenever it was lost.
 """
 
 import logging
@@ -30,6 +32,10 @@
 CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.STREAM_CUT})
 
 
+# Crashes of servers under a request from which it is not tried at another one when it
+# comes again.
+CRASHES_TO_STOP_REPEATS = 1
+
 # A later crash of an engine with the same start time is another one: it has restarted,
 # and its new entry has not been read yet.
 SAME_CRASH_MS = 1_000
@@ -50,8 +56,20 @@
     time_ms: int
 
 
+@attrs.frozen
+class _LostRequest:
+    """A request whose connection was lost.
+
+    :param parts: its shared prompt parts, none if it had begun to be answered
+    :param digest: digest of its content
+    """
+
+    parts: tuple[str, ...]
+    digest: str
+
+
 class EngineQuarantine:
-    """Record crashes with the parts of the requests, and apply the quarantine."""
+    """Record crashes with the requests that were lost, and apply the quarantine."""
 
     def __init__(self, state: GatewayState, group: TaskGroup) -> None:
         """Initialize without a suspicion.
@@ -60,8 +78,8 @@
         """
         self._state = state
         self._group = group
-        # Parts of the requests that were lost with each engine that is being probed.
-        self._lost_parts: dict[Server, list[tuple[str, ...]]] = {}
+        # Requests that were lost with each server that is being probed.
+        self._lost_requests: dict[Server, list[_LostRequest]] = {}
         self._last_crashes: OrderedDict[tuple[str, int], _LastCrash] = OrderedDict()
         self._listeners: list[Callable[[], None]] = []
 
@@ -70,53 +88,76 @@
         self._listeners.append(listener)
 
     def refusal_of(self, request: CallerRequest) -> Refusal | None:
-        """Return the refusal of a request with a quarantined part."""
-        part = self._state.prompt_parts.quarantined_part(
-            request.shared_part_ids, self._state.clock.now_ms()
-        )
-        if part is None:
-            return None
-        detail = f"requests with the prompt part {part} crash engines"
-        return not_run(Reason.QUARANTINED, detail)
+        """Return the refusal of a quarantined request, or one with such a part."""
+        now = self._state.clock.now_ms()
+        part = self._state.prompt_parts.quarantined_part(request.shared_part_ids, now)
+        if part is not None:
+            detail = f"requests with the prompt part {part} crash engines"
+            return not_run(Reason.QUARANTINED, detail)
+        requests = self._state.suspect_requests
+        if requests.quarantined and requests.quarantined_part((request.digest,), now):
+            detail = f"requests with the digest {request.digest} crash servers"
+            return not_run(Reason.QUARANTINED, detail)
+        return None
 
     def may_retry(self, request: CallerRequest) -> bool:
-        """Return whether a request may be sent to an engine after another lost it."""
-        return not self._state.prompt_parts.is_suspect(request.shared_part_ids)
+        """Return whether a request may be sent to a server after another lost it."""
+        requests = self._state.suspect_requests
+        return not (
+            self._state.prompt_parts.is_suspect(request.shared_part_ids)
+            or (
+                requests.has_records
+                and requests.is_suspect((request.digest,), CRASHES_TO_STOP_REPEATS)
+            )
+        )
 
     def record_answer(self, request: CallerRequest) -> None:
-        """Record that an engine answered a request completely."""
-        if not request.shared_part_ids:
-            return
-        change = self._state.prompt_parts.record_answer(
-            request.shared_part_ids, self._state.clock.now_ms()
-        )
-        self._apply(change, "answer")
+        """Record that a server answered a request completely."""
+        now, requests = self._state.clock.now_ms(), self._state.suspect_requests
+        if request.shared_part_ids:
+            change = self._state.prompt_parts.record_answer(
+                request.shared_part_ids, now
+            )
+            self._apply(change, "answer")
+        if requests.has_records:
+            self._apply(requests.record_answer((request.digest,), now), "answer")
 
     def record_lost_request(
-        self, request: CallerRequest, server: Server, reason: Reason
+        self, request: CallerRequest, server: Server, reason: Reason, has_begun: bool
     ) -> None:
-        """Probe an engine that lost a request before its first event."""
-        parts = request.shared_part_ids
-        if reason not in CRASH_REASONS or not parts:
+        """Probe a server that lost a request.
+
+        :param has_begun: the first event of its answer was passed on
+        """
+        if reason not in CRASH_REASONS:
             return
-        if server in self._lost_parts:
-            self._lost_parts[server].append(parts)
+        parts = () if has_begun else request.shared_part_ids
+        lost = _LostRequest(parts, request.digest)
+        if server in self._lost_requests:
+            self._lost_requests[server].append(lost)
             return
-        self._lost_parts[server] = [parts]
+        self._lost_requests[server] = [lost]
         self._group.start_soon(self._probe, server)
 
-    def merge(self, reports: Iterable[PartReport], source: str) -> None:
-        """Add what a peer knows of suspect parts.
+    def merge(
+        self,
+        parts: Iterable[PartReport],
+        requests: Iterable[PartReport],
+        source: str,
+    ) -> None:
+        """Add what a peer, or the store, knows of suspect parts and requests.
 
         :param source: name of the peer
         """
         now = self._state.clock.now_ms()
-        self._apply(self._state.prompt_parts.merge(reports, now), source)
+        self._apply(self._state.prompt_parts.merge(parts, now), source)
+        self._apply(self._state.suspect_requests.merge(requests, now), source)
 
     def expire(self) -> None:
         """End quarantines whose time is over."""
         now = self._state.clock.now_ms()
-        self._apply(self._state.prompt_parts.expire(now), "expiry")
+        for registry in (self._state.prompt_parts, self._state.suspect_requests):
+            self._apply(registry.expire(now), "expiry")
 
     async def _probe(self, server: Server) -> None:
         has_crashed = False
@@ -125,25 +166,29 @@
                 f"http://{server.address}", const.CRASH_PROBE_TIMEOUT_MS
             )
         finally:
-            requests = self._lost_parts.pop(server)
+            requests = self._lost_requests.pop(server)
         event(
             _LOGGER,
             "engine.crashed" if has_crashed else "engine.still_listens",
             server=server.id,
             lost_requests=len(requests),
-            parts=sorted({part for parts in requests for part in parts}),
+            parts=sorted({part for lost in requests for part in lost.parts}),
+            digests=sorted({lost.digest for lost in requests}),
         )
         if has_crashed:
             self._record_crash(server, requests)
 
-    def _record_crash(
-        self, server: Server, requests: Collection[tuple[str, ...]]
-    ) -> None:
+    def _record_crash(self, server: Server, requests: Collection[_LostRequest]) -> None:
         now = self._state.clock.now_ms()
         crash = self._identify_crash(server, now)
-        for parts in requests:
-            change = self._state.prompt_parts.record_crash(crash, parts, now)
-            self._apply(change, "own requests")
+        for lost in requests:
+            for registry, parts in (
+                (self._state.prompt_parts, lost.parts),
+                (self._state.suspect_requests, (lost.digest,)),
+            ):
+                if parts:
+                    change = registry.record_crash(crash, parts, now)
+                    self._apply(change, "own requests")
 
     def _identify_crash(self, server: Server, now_ms: int) -> int:
         """Return an identifier that the daemons agree on without exchanging it."""
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -105,6 +105,7 @@
             interval_ms=interval_ms,
             capacity=state.members.own.capacity,
             suspect_parts=state.prompt_parts.next_reports(state.clock.now_ms()),
+            suspect_requests=state.suspect_requests.next_reports(state.clock.now_ms()),
             store_era=self.store.era if self.store is not None else 0,
             streams=state.streams.next_announcement(interval_ms, state.clock.now_ms()),
             limits={
@@ -169,8 +170,10 @@
         if self.store is not None:
             self.store.learn_era(heartbeat.store_era, heartbeat.name)
         state.streams.learn(heartbeat.streams, heartbeat.name, now)
-        if heartbeat.suspect_parts:
-            self._quarantine.merge(heartbeat.suspect_parts, heartbeat.name)
+        if heartbeat.suspect_parts or heartbeat.suspect_requests:
+            self._quarantine.merge(
+                heartbeat.suspect_parts, heartbeat.suspect_requests, heartbeat.name
+            )
         if (
             heartbeat.settings_version > state.versions.version
             and not self._is_fetching
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -208,8 +208,10 @@
         if refusal.reason not in BLAMELESS_REASONS:
             self._state.placement.record_failure(server.id, now, is_unreachable)
             ctx.on_failure()
-        if ctx.stream_progress.first_event_ms is None:
-            self._quarantine.record_lost_request(ctx.request, server, refusal.reason)
+        has_begun = ctx.stream_progress.first_event_ms is not None
+        self._quarantine.record_lost_request(
+            ctx.request, server, refusal.reason, has_begun
+        )
         event(
             _LOGGER,
             "attempt.failed",
@@ -219,7 +221,7 @@
             reason=refusal.reason.value,
             cause=refusal.detail,
             left_ms=ctx.deadline_ms - self._state.clock.now_ms(),
-            began=ctx.stream_progress.first_event_ms is not None,
+            began=has_begun,
             parts=ctx.request.shared_part_ids,
         )
 
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -31,6 +31,7 @@
     :param server_limits: limits on requests that servers name
     :param streams: software versions that began streams
     :param prompt_parts: prompt parts that are suspected of crashing engines
+    :param suspect_requests: requests that are suspected of crashing servers, by digest
     :param loop_delay: how late this daemon's event loop is
     :param stopping: SIGTERM was received
     :param stopping_since_ms: monotonic time at which ``stopping`` was set
@@ -47,6 +48,7 @@
     server_limits: LimitTable = attrs.Factory(LimitTable)
     streams: StreamRegistry = attrs.Factory(StreamRegistry)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
+    suspect_requests: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
     stopping_since_ms: int = 0
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -79,17 +79,8 @@
         ],
         interval_ms=heartbeat.interval_ms,
         capacity=heartbeat.capacity,
-        suspect_parts=[
-            pb.SuspectPart(
-                part=report.part,
-                crashes=report.crashes,
-                cleared=report.cleared,
-                crash_count=report.crash_count,
-                company=report.company,
-                quarantine_left_ms=report.quarantine_left_ms,
-            )
-            for report in heartbeat.suspect_parts
-        ],
+        suspect_parts=_suspects_to_wire(heartbeat.suspect_parts),
+        suspect_requests=_suspects_to_wire(heartbeat.suspect_requests),
         limits=[
             pb.ServerLimit(
                 server=server,
@@ -148,17 +139,8 @@
         duties={row.duty: row.term for row in message.duties},
         interval_ms=message.interval_ms or HEARTBEAT_INTERVAL_MS,
         capacity=message.capacity or DEFAULT_CAPACITY,
-        suspect_parts=tuple(
-            PartReport(
-                row.part,
-                frozenset(row.crashes),
-                frozenset(row.cleared),
-                row.crash_count,
-                frozenset(row.company),
-                row.quarantine_left_ms,
-            )
-            for row in message.suspect_parts
-        ),
+        suspect_parts=_suspects_from_wire(message.suspect_parts),
+        suspect_requests=_suspects_from_wire(message.suspect_requests),
         limits={
             row.server: LimitReport(row.per_s or None, row.age_ms, row.sent)
             for row in message.limits
@@ -171,6 +153,34 @@
     )
 
 
+def _suspects_to_wire(reports: Iterable[PartReport]) -> list[pb.SuspectPart]:
+    return [
+        pb.SuspectPart(
+            part=report.part,
+            crashes=report.crashes,
+            cleared=report.cleared,
+            crash_count=report.crash_count,
+            company=report.company,
+            quarantine_left_ms=report.quarantine_left_ms,
+        )
+        for report in reports
+    ]
+
+
+def _suspects_from_wire(rows: Iterable[pb.SuspectPart]) -> tuple[PartReport, ...]:
+    return tuple(
+        PartReport(
+            row.part,
+            frozenset(row.crashes),
+            frozenset(row.cleared),
+            row.crash_count,
+            frozenset(row.company),
+            row.quarantine_left_ms,
+        )
+        for row in rows
+    )
+
+
 def progress_to_wire(report: EngineProgressReport) -> pb.ProgressNote:
     """Encode a progress report."""
     return pb.ProgressNote(
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -36,6 +36,7 @@
         name
     :param capacity: processor capacity of the daemon's VM
     :param suspect_parts: prompt parts that may crash engines
+    :param suspect_requests: requests that may crash servers, by digest
     :param limits: limits that servers named to the daemon, by checksum of the server's
         identifier
     :param store_era: era of the store as the daemon knows it
@@ -58,6 +59,7 @@
     limits: dict[int, LimitReport] = attrs.Factory(dict)
     store_era: int = 0
     streams: tuple[StreamRecords, ...] = ()
+    suspect_requests: tuple[PartReport, ...] = ()
 
 
 @attrs.frozen
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -26,6 +26,9 @@
 
 FIRST_VERSION: Final = "v1"
 
+# Unix time of the first start of a server; each crash makes it later.
+FIRST_START_MS: Final = 1_700_000_000_000
+
 # Time until a crashed server listens again.
 CRASH_MS: Final = 500
 SEAL: Final = (b"cowsliphitch-response-seal", b"seal")
@@ -99,6 +102,7 @@
             "state": self.state,
             "cold_left_ms": 0,
             "seq": 1,
+            "born": FIRST_START_MS + self.crashes,
         }
         return json.dumps(entry)
 
