Keep suspects in the store, so that a kill of all daemons does not clear them

Callers' requests with a part that crashes engines crashed one after each kill of all daemons: heartbeats spread what is known of crashes, and it was lost with the last daemon. A daemon now writes its worst suspects under a lease after each crash that it detected, and one that starts reads them. Crashes of a stored report are not simultaneous with later ones.

--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -127,8 +127,12 @@
         if not self.is_quarantined(now_ms):
             self.quarantined_until_ms = now_ms + min(left_ms, QUARANTINE_MS)
 
-    def merge(self, report: PartReport, now_ms: int) -> bool:
-        """Add a peer's report; return whether it has news."""
+    def merge(self, report: PartReport, now_ms: int, is_past: bool) -> bool:
+        """Add a peer's report; return whether it has news.
+
+        :param is_past: the report was stored some time ago, so that later crashes are
+            not simultaneous with its own
+        """
         is_known = (
             report.crashes <= self.crashes.keys()
             and report.cleared <= self.cleared
@@ -140,6 +144,8 @@
         self.company &= report.company
         self.clear(report.cleared)
         self.add(report.crashes | report.cleared, now_ms)
+        if is_past:
+            self.last_counted_ms = None
         open_at_peer = report.crashes - self.cleared
         if open_at_peer and self.open_crashes <= open_at_peer:
             self.crash_count = max(self.crash_count, report.crash_count)
@@ -233,12 +239,17 @@
             self._answered.popitem(last=False)
         return self._update(now_ms) if records else QuarantineChange()
 
-    def merge(self, reports: Iterable[PartReport], now_ms: int) -> QuarantineChange:
-        """Add what a peer knows."""
+    def merge(
+        self, reports: Iterable[PartReport], now_ms: int, is_past: bool = False
+    ) -> QuarantineChange:
+        """Add what a peer knows, or knew when it stored it.
+
+        :param is_past: the reports were stored some time ago
+        """
         has_news = False
         for report in reports:
             record = self._record_of(report.part, report.company)
-            has_news |= record.merge(report, now_ms)
+            has_news |= record.merge(report, now_ms, is_past)
         return self._update(now_ms) if has_news else QuarantineChange()
 
     def expire(self, now_ms: int) -> QuarantineChange:
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -17,6 +17,7 @@
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.limits.const import WINDOW_MS
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
+from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.peers.fleet.models import PeerRequestHandlers
 from cowsliphitch.peers.fleet.rpc import PeerConnections, make_server
 from cowsliphitch.platform import headers as header_names
@@ -40,6 +41,7 @@
 from .state import GatewayState
 from .store_coordinator import StoreCoordinator
 from .stream_coordinator import StreamCoordinator
+from .suspect_coordinator import SuspectCoordinator
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -110,8 +112,15 @@
         quarantine = EngineQuarantine(state, group)
         self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, group)
         self._store = StoreCoordinator(
-            self._kv, state, self._fleet.schedule_heartbeat, self._fleet.fetch_settings
+            self._kv,
+            state,
+            self._fleet.schedule_heartbeat,
+            self._fleet.fetch_settings,
+            lambda suspects: quarantine.merge(
+                suspects.parts, suspects.requests, STORE_SOURCE
+            ),
         )
+        suspects = SuspectCoordinator(state, self._kv, quarantine)
         self._fleet.store = self._store
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
@@ -138,6 +147,7 @@
         group.start_soon(self._store.register)
         group.start_soon(self._fleet.run)
         group.start_soon(streams.run)
+        group.start_soon(suspects.run)
         group.start_soon(self._server_client.run_probes)
         group.start_soon(self._run_maintenance)
 
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -40,6 +40,12 @@
 STREAM_RECORD_WAIT_MS: Final = 300
 STREAM_RECORD_POLL_MS: Final = 25
 
+# Key of the suspects that each daemon knows, the most of them that it writes, and the
+# time between two writes.
+SUSPECT_PREFIX: Final = "suspects/"
+MAX_STORED_SUSPECTS: Final = 32
+SUSPECT_WRITE_INTERVAL_MS: Final = 200
+
 # Delay of the maintenance from which it is logged.
 LOOP_DELAY_WARNING_MS: Final = 200
 
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -19,6 +19,7 @@
 from cowsliphitch.core.quarantine.prompt_parts import PartReport, QuarantineChange
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 from cowsliphitch.telemetry.logs import event
 from cowsliphitch.upstreams.transport.probe import refuses_connections
@@ -82,11 +83,16 @@
         self._lost_requests: dict[Server, list[_LostRequest]] = {}
         self._last_crashes: OrderedDict[tuple[str, int], _LastCrash] = OrderedDict()
         self._listeners: list[Callable[[], None]] = []
+        self._crash_listeners: list[Callable[[], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Have a function called when the quarantine of a part begins."""
         self._listeners.append(listener)
 
+    def add_crash_listener(self, listener: Callable[[], None]) -> None:
+        """Have a function called when this daemon has detected a crash."""
+        self._crash_listeners.append(listener)
+
     def refusal_of(self, request: CallerRequest) -> Refusal | None:
         """Return the refusal of a quarantined request, or one with such a part."""
         now = self._state.clock.now_ms()
@@ -147,11 +153,14 @@
     ) -> None:
         """Add what a peer, or the store, knows of suspect parts and requests.
 
-        :param source: name of the peer
+        :param source: name of the peer, or ``STORE_SOURCE``
         """
-        now = self._state.clock.now_ms()
-        self._apply(self._state.prompt_parts.merge(parts, now), source)
-        self._apply(self._state.suspect_requests.merge(requests, now), source)
+        now, is_past = self._state.clock.now_ms(), source == STORE_SOURCE
+        for registry, reports in (
+            (self._state.prompt_parts, parts),
+            (self._state.suspect_requests, requests),
+        ):
+            self._apply(registry.merge(reports, now, is_past), source)
 
     def expire(self) -> None:
         """End quarantines whose time is over."""
@@ -189,6 +198,8 @@
                 if parts:
                     change = registry.record_crash(crash, parts, now)
                     self._apply(change, "own requests")
+        for listener in self._crash_listeners:
+            listener()
 
     def _identify_crash(self, server: Server, now_ms: int) -> int:
         """Return an identifier that the daemons agree on without exchanging it."""
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -35,11 +35,12 @@
 )
 from cowsliphitch.telemetry.logs import event
 
-from . import const, stream_records
+from . import const, stream_records, suspect_records
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
 
+LearnSuspects = Callable[[suspect_records.Suspects], None]
 FetchSettings = Callable[[Sequence[str]], Awaitable[None]]
 
 
@@ -54,6 +55,7 @@
 
     :param on_settings_activated: called when a version of the settings was activated
     :param fetch_settings: fetches and activates the settings of the peers at addresses
+    :param learn_suspects: adds what other daemons wrote of suspect requests
     """
 
     def __init__(
@@ -62,12 +64,14 @@
         state: GatewayState,
         on_settings_activated: Callable[[], None],
         fetch_settings: FetchSettings = _fetch_nothing,
+        learn_suspects: LearnSuspects = lambda _suspects: None,
     ) -> None:
         """Initialize without a lease or any listed member."""
         self._kv = kv
         self._state = state
         self._on_settings_activated = on_settings_activated
         self._fetch_settings = fetch_settings
+        self._learn_suspects = learn_suspects
         self._rng = random.Random(state.members.own.address)
         self._members: dict[str, Member] = {}
         self._outage_since_ms: int | None = None
@@ -275,6 +279,8 @@
         self._state.streams.observe_servers(self._state.servers.all(), now)
         for entry in _entries_under(const.STREAM_PREFIX, listing.entries):
             self._learn_streams(entry, now)
+        for entry in _entries_under(const.SUSPECT_PREFIX, listing.entries):
+            self._learn_suspect_entry(entry)
         self._members = _decode_members(listing)
         self._state.members.set_listed(self._members.values(), now)
         for entry in listing.entries:
@@ -306,6 +312,14 @@
                 self._learn_streams(change, now)
         self._state.streams.observe_servers(self._state.servers.all(), now)
 
+    def _learn_suspect_entry(self, entry: Entry) -> None:
+        """Learn which requests crashed servers before this daemon started."""
+        match suspect_records.decode(entry.value):
+            case Ok(suspects):
+                self._learn_suspects(suspects)
+            case Err(detail):
+                event(_LOGGER, "suspects.unreadable", key=entry.key, cause=detail)
+
     def _learn_streams(self, entry: Entry, now_ms: int) -> None:
         """Learn which versions began the streams of another daemon."""
         match stream_records.decode(entry.value):
