--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -140,7 +140,7 @@
                     self._record_store_answer()
                     self._apply_events(events)
                     if events:
-                        await anyio.sleep(seconds(self._watch_pause_ms()))
+                        await anyio.sleep(seconds(self._watch_pause_ms(events)))
                 case Err(Compacted()):
                     event(
                         _LOGGER,
@@ -192,12 +192,17 @@
         if self._watch_scope is not None:
             self._watch_scope.cancel()
 
-    def _watch_pause_ms(self) -> int:
+    def _watch_pause_ms(self, events: Sequence[Event]) -> int:
         """Return the time for which changes are collected before the next watch.
 
         Every watch returns at the first change, so without a pause all daemons call the
-        store once for each change of any key.
+        store once for each change of any key.  Streams change all the time, and
+        heartbeats bring them sooner.
+
+        :param events: the latest changes
         """
+        if all(change.key.startswith(const.STREAM_PREFIX) for change in events):
+            return const.MAX_WATCH_PAUSE_MS
         daemon_count = 1 + len(self._state.members.peers())
         return min(const.MAX_WATCH_PAUSE_MS, daemon_count * const.WATCH_PAUSE_MS)
 
