Bound all values that come from outside, and name no server for an odd entry

Daemons ended again and again because of one odd entry among those of the servers: a value nested 100,000 deep raised RecursionError in the task that reads the store, cold_left_ms of 1e400 OverflowError, an identifier beyond Latin-1 UnicodeEncodeError at the send; slots of 10**30 or negative times were taken.

--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -16,6 +16,13 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.versions import ActiveDeployment
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, Member
+from cowsliphitch.core.json_values import (
+    address,
+    decode_object,
+    number,
+    text,
+    whole_number,
+)
 from cowsliphitch.core.revisions import FIRST_ERA, LeaseRef, Revision
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.servers.registry import STORE_SOURCE
@@ -349,7 +356,9 @@
                 )
             case Entry():
                 server = self._decode_server(change)
-                if server is not None:
+                if server is None:
+                    self._state.servers.remove(server_id, change.revision, now_ms)
+                else:
                     self._state.servers.put(server, change.revision, now_ms)
                     self._report_server(server, change.revision)
 
@@ -451,15 +460,15 @@
 
 def _decode_member(entry: Entry) -> Member | None:
     try:
-        fields = json.loads(entry.value)
+        fields = decode_object(entry.value)
         return Member(
-            address=entry.key.removeprefix(const.MEMBER_PREFIX),
-            name=str(fields["name"]),
-            failure_domain=str(fields["failure_domain"]),
-            started_ms=int(fields["lifetime"]),
-            capacity=float(fields.get("capacity", DEFAULT_CAPACITY)),
+            address=address(entry.key.removeprefix(const.MEMBER_PREFIX)),
+            name=text(fields["name"]),
+            failure_domain=text(fields["failure_domain"]),
+            started_ms=whole_number(fields["lifetime"]),
+            capacity=number(fields.get("capacity", DEFAULT_CAPACITY)),
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError):
         event(
             _LOGGER,
             "member.unreadable",
--- a/packages/gateway/src/cowsliphitch/gateway/stream_records.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stream_records.py
@@ -5,6 +5,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cowsliphitch.core.json_values import decode_object, text
 from cowsliphitch.core.streams.models import StreamOrigin, StreamRecords
 
 
@@ -37,21 +38,31 @@
     :returns: the content, or why it is not valid
     """
     try:
-        rows = json.loads(value)
+        rows = decode_object(value)
         return Ok(
             StreamContent(
                 tuple(
-                    StreamOrigin(str(service), str(version))
-                    for service, version in rows["versions"]
+                    _origin(service, version) for service, version in rows["versions"]
                 ),
                 tuple(
                     StreamRecords(
-                        StreamOrigin(str(service), str(version)),
-                        tuple(int(stream, 16) for stream in streams),
+                        _origin(service, version),
+                        tuple(_checksum(stream) for stream in streams),
                     )
                     for service, version, streams in rows["streams"]
                 ),
             )
         )
-    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+    except (ValueError, KeyError, TypeError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
+
+
+def _origin(service: object, version: object) -> StreamOrigin:
+    return StreamOrigin(text(service), text(version) if version else "")
+
+
+def _checksum(value: object) -> int:
+    checksum = int(text(value), 16)
+    if not 0 <= checksum < 2**64:
+        raise ValueError("expected a checksum of 64 bits")
+    return checksum
--- a/packages/gateway/src/cowsliphitch/gateway/suspect_records.py
+++ b/packages/gateway/src/cowsliphitch/gateway/suspect_records.py
@@ -2,13 +2,18 @@
 
 import json
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
 import attrs
 from result import Err, Ok, Result
 
+from cowsliphitch.core.json_values import decode_object, text, whole_number
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 
+# Largest values of the fields that heartbeats pass on.
+_MAX_CHECKSUM: Final = 2**32 - 1
+_MAX_COUNT: Final = 1_000_000
+
 
 @attrs.frozen
 class Suspects:
@@ -47,21 +52,21 @@
     :returns: the suspects, or why the value is not valid
     """
     try:
-        rows = json.loads(value)
+        rows = decode_object(value)
         return Ok(Suspects(_reports(rows["parts"]), _reports(rows["requests"])))
-    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+    except (ValueError, KeyError, TypeError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
 
 
 def _reports(rows: Iterable[Any]) -> tuple[PartReport, ...]:
     return tuple(
         PartReport(
-            str(part),
-            frozenset(int(crash) for crash in crashes),
-            frozenset(int(crash) for crash in cleared),
-            int(crash_count),
-            frozenset(str(other) for other in company),
-            int(quarantine_left_ms),
+            text(part),
+            frozenset(whole_number(crash, _MAX_CHECKSUM) for crash in crashes),
+            frozenset(whole_number(crash, _MAX_CHECKSUM) for crash in cleared),
+            whole_number(crash_count, _MAX_COUNT),
+            frozenset(text(other) for other in company),
+            whole_number(quarantine_left_ms, _MAX_COUNT),
         )
         for part, crashes, cleared, crash_count, company, quarantine_left_ms in rows
     )
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
@@ -237,8 +237,10 @@
         return const.DEFAULT_KEEP_ALIVE_MS
     for parameter in header.decode("latin-1").split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdecimal():
-            return max(0, int(value) * 1_000 - const.KEEP_ALIVE_MARGIN_MS)
+        digits = value.strip()
+        if name.lower() == "timeout" and digits.isdecimal():
+            timeout_s = int(digits[: const.MAX_KEEP_ALIVE_DIGITS])
+            return max(0, timeout_s * 1_000 - const.KEEP_ALIVE_MARGIN_MS)
     return const.DEFAULT_KEEP_ALIVE_MS
 
 
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/const.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/const.py
@@ -13,6 +13,9 @@
 # Idle timeout that is assumed if an answer states none.
 DEFAULT_KEEP_ALIVE_MS: Final = 2_000
 
+# Digits of an idle timeout that are read, so that a server can't name any number.
+MAX_KEEP_ALIVE_DIGITS: Final = 9
+
 # Maximum of one read from a socket.
 READ_BYTES: Final = 65_536
 MAX_HEAD_BYTES: Final = 65_536
