Use no connection again after a failure

Callers could be told that a request did not run while a server ran it: a faulty server wrote an earlier refusal once more on a kept connection, and a head without an identifier, or with that of the same request at its second try, was taken for the next answer. A connection is now closed after any answer from 400 on, so that a repeated refusal reaches nobody; stage calls, whose answers have no identifier, are covered as well. A refusal's body is no longer read.

--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -53,6 +53,13 @@
     ),
     "never answers": b"",
 }
+REFUSAL = b"HTTP/1.1 503 Busy\r\n%sContent-Length: 2\r\n\r\nno"
+REPEATED_REFUSALS = {
+    "refuses, and once more without identifier before it answers": REFUSAL % b"",
+    "refuses, and once more with the identifier before it answers": REFUSAL
+    % b"X-Request: one\r\n",
+    "refuses, and once more at once": REFUSAL % b"X-Request: one\r\n",
+}
 KEEP_ALIVE_SCRIPTS = {
     "answers with a length",
     "answers in chunks",
@@ -72,6 +79,9 @@
 
     async def serve(self, stream: SocketStream) -> None:
         self.connections += 1
+        if self.script in REPEATED_REFUSALS:
+            await self.refuse_twice(stream, REPEATED_REFUSALS[self.script])
+            return
         try:
             while await stream.receive():
                 if self.script == "never answers":
@@ -92,6 +102,21 @@
         self.closed.set()
         await stream.aclose()
 
+    async def refuse_twice(self, stream: SocketStream, refusal: bytes) -> None:
+        """Refuse the first request; repeat that before the second one's answer."""
+        try:
+            await stream.receive()
+            if self.connections == 1:
+                at_once = self.script.endswith("at once")
+                await stream.send(refusal * (2 if at_once else 1))
+                await stream.receive()
+                await stream.send(refusal)
+            await stream.send(answer())
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+        await stream.aclose()
+
 
 async def exchange(pool: ConnectionPool, port: int, max_open: int = 4) -> Any:
     request = OutgoingRequest(b"GET", b"/", ((b"host", b"x"),), b"", b"one")
@@ -163,6 +188,15 @@
     assert context.server.connections == count, context.server.connections
 
 
+@then(
+    "it accepted {count:d} connections, and the first was refused and the second"
+    ' answered "{text}"'
+)
+def assert_refused_then_answered(context: Any, count: int, text: str) -> None:
+    assert context.results == ["no", text], context.results
+    assert context.server.connections == count, context.server.connections
+
+
 @when("a request is cancelled after {ms:d} ms")
 def cancel_request(context: Any, ms: int) -> None:
     async def action(pool: ConnectionPool) -> None:
--- a/features/upstreams/http1.feature
+++ b/features/upstreams/http1.feature
@@ -36,6 +36,17 @@
       | answers with the close option                 | 2           |
       | answers with a keep-alive timeout of a second | 2           |
 
+  Scenario Outline: A refusal that a server writes once more answers no later request
+    Given a server that <does>
+    When two requests are sent to it
+    Then it accepted 2 connections, and the first was refused and the second answered "hello"
+
+    Examples:
+      | does                                                      |
+      | refuses, and once more without identifier before it answers |
+      | refuses, and once more with the identifier before it answers |
+      | refuses, and once more at once                            |
+
   Scenario: The limit of open connections is enforced
     Given a server that answers with a length
     When a request is sent to it while no connection is allowed
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -52,9 +52,6 @@
 # Largest answer that is buffered in memory before it is sent to the caller.
 MAX_ANSWER_BYTES: Final = 8 * 1_048_576
 
-# Body of a refusal that is read to keep the connection; a longer one is cut off.
-MAX_REFUSAL_BYTES: Final = 65_536
-
 # The final answer is sent this long before the route's timeout, so that it arrives in
 # time.
 ROUTE_TIMEOUT_MARGIN_MS: Final = 20
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -7,7 +7,7 @@
 import functools
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, nullcontext, suppress
+from contextlib import asynccontextmanager, nullcontext
 
 import attrs
 
@@ -265,7 +265,7 @@
         try:
             async with self._exchange(ctx, server, request, permit) as answer:
                 metadata = wire.decode_head(answer.head)
-                await self._check_answer(answer, metadata, ctx)
+                self._check_answer(metadata, ctx)
                 placement.record_answer(server.id, self._state.clock.now_ms() - now)
                 ctx.on_head()
                 await self._relay_answer(ctx, server, answer, metadata, reply)
@@ -307,19 +307,13 @@
             return None
         return max(0, min(MAX_PRIORITY, ctx.priority))
 
-    async def _check_answer(
-        self, answer: Answer, metadata: AnswerMetadata, ctx: RequestContext
-    ) -> None:
+    def _check_answer(self, metadata: AnswerMetadata, ctx: RequestContext) -> None:
         """Check that an answer may be passed on.
 
         :raises UpstreamError: the server did not run the request, the answer is not
             valid, or it is a failure after which the request may be sent again
         """
         if metadata.not_run:
-            # The head alone says that the request did not run.  Reading the rest only
-            # keeps the connection.
-            with suppress(UpstreamError):
-                await answer.read(const.MAX_REFUSAL_BYTES)
             reason = _not_run_reason(metadata)
             if metadata.wrong_server and ctx.server_id is not None:
                 self._state.servers.mark_misdirected(ctx.server_id)
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager, suppress
+from typing import Final
 
 import attrs
 from anyio.abc import TaskGroup
@@ -19,6 +20,8 @@
 from .connection import Connection, connect
 from .models import AnswerHead, OutgoingRequest, UpstreamError
 
+FIRST_FAILURE_STATUS: Final = 400
+
 
 @attrs.define
 class _Origin:
@@ -112,8 +115,9 @@
     ) -> AsyncIterator[Answer]:
         """Send a request and read the head of its answer.
 
-        The connection returns to the pool if the answer was read to its end and the
-        server allows reuse, and is closed otherwise.
+        The connection returns to the pool if the answer was read to its end, is no
+        failure and the server allows reuse, and is closed otherwise: a faulty server
+        may write a refusal once more, which would look like the next answer.
 
         :param address: host and port
         :param max_open: limit of open connections to this address
@@ -128,7 +132,11 @@
             await self._send_request(connection, request)
             answer = Answer(await connection.read_head(request), connection)
             yield answer
-            reusable = answer.is_complete and connection.finish_exchange(answer.head)
+            reusable = (
+                answer.is_complete
+                and answer.head.status < FIRST_FAILURE_STATUS
+                and connection.finish_exchange(answer.head)
+            )
         finally:
             if reusable:
                 origin.idle.append(connection)
