Specify streams that are taken up again while two versions serve

One stream, two versions and daemons that are killed together: by induction, a stream never has events of two versions, if a version with an open stream leaves only after it was written that two served. Three faulty variants (no read of the store at the start, a guess, versions not stored) yield counterexamples.

--- a/features/spec/model.feature
+++ b/features/spec/model.feature
@@ -65,3 +65,15 @@
       | an own claim that is found after a drill counts    |
       | a claim counts although another era acknowledged it |
       | a key that is older than the era is claimed        |
+
+  Scenario: A stream that is taken up again has events of one version
+    Then the "streams" specification holds for any number of steps
+
+  Scenario Outline: A faulty variant of taking a stream up again yields a counterexample
+    Then the "streams" specification breaks with "<variant>"
+
+    Examples:
+      | variant                                          |
+      | the daemons do not read the store at their start |
+      | a stream without a record goes to any version    |
+      | the versions in service are not stored           |
--- a/features/steps/spec_steps.py
+++ b/features/steps/spec_steps.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from behave import then
-from spec import config, config_drill, drill, order_drill, orders
+from spec import config, config_drill, drill, order_drill, orders, streams
 from spec.machine import counterexample, holds
 
 SPECIFICATIONS = {
@@ -12,6 +12,7 @@
     "config drill": config_drill,
     "drill": drill,
     "order drill": order_drill,
+    "streams": streams,
 }
 MAX_STEPS = 14
 
