Test that heartbeats and requests for engines keep the new fields

A field that is encoded or decoded on one side only would end what it carries: confirmed removals, a server's own word, streams, suspect requests, the version and the paused engines.

--- a/features/peers/heartbeats.feature
+++ b/features/peers/heartbeats.feature
@@ -9,3 +9,17 @@
     When its event loop runs for 20 passes
     Then it has applied the last heartbeat of each of the 40 peers
     And it has applied no more than 40 heartbeats
+
+  Scenario: A heartbeat arrives with all that it carries
+    When a heartbeat with a confirmed removal, a server's own word, streams and suspects is sent
+    Then the peer receives the same heartbeat
+
+  Scenario Outline: A request for an engine arrives with its version and the paused engines
+    When an engine of <version> is requested, and two engines are paused
+    Then the owner receives the same request
+
+    Examples:
+      | version     |
+      | any version |
+      | no version  |
+      | version v1  |
--- a/features/steps/heartbeat_steps.py
+++ b/features/steps/heartbeat_steps.py
@@ -4,12 +4,18 @@
 from typing import Any
 
 import anyio
+import attrs
 from anyio.lowlevel import checkpoint
 from behave import given, then, when
 
+from cowsliphitch.core.quarantine.prompt_parts import PartReport
+from cowsliphitch.core.requests.models import Generation
+from cowsliphitch.core.revisions import Revision
+from cowsliphitch.core.servers.registry import LeavingReport
+from cowsliphitch.core.streams.models import StreamOrigin, StreamRecords
 from cowsliphitch.peers.fleet import convert
 from cowsliphitch.peers.fleet.heartbeats import HeartbeatSocket
-from cowsliphitch.peers.fleet.models import Heartbeat
+from cowsliphitch.peers.fleet.models import Heartbeat, RunStagesRequest
 from cowsliphitch.standins.processes import free_port
 
 
@@ -72,3 +78,55 @@
 @then("it has applied no more than {count:d} heartbeats")
 def applied_at_most(context: Any, count: int) -> None:
     assert len(context.applied) <= count, len(context.applied)
+
+
+@when(
+    "a heartbeat with a confirmed removal, a server's own word, streams and suspects is"
+    " sent"
+)
+def send_full_heartbeat(context: Any) -> None:
+    crashes, company = frozenset({1, 2}), frozenset({"p"})
+    suspects = (PartReport("p", crashes, frozenset({2}), 2, company, 5),)
+    context.sent = attrs.evolve(
+        heartbeat("p1", 1),
+        address="127.0.0.1:1",
+        leaving_servers=(
+            LeavingReport("s1", Revision(1, 5), True, 7, is_confirmed=True),
+            LeavingReport("s2", Revision(1, 6), False, 8, is_from_server=True),
+        ),
+        streams=(StreamRecords(StreamOrigin("engine", "v1"), (1, 2**64 - 1)),),
+        suspect_parts=suspects,
+        suspect_requests=suspects,
+    )
+
+
+@then("the peer receives the same heartbeat")
+def receives_same(context: Any) -> None:
+    content = convert.heartbeat_to_wire(context.sent)
+    assert convert.heartbeat_from_wire(content, "127.0.0.1:1") == context.sent
+
+
+@when("an engine of {version} is requested, and two engines are paused")
+def request_engine(context: Any, version: str) -> None:
+    versions = {"any version": None, "no version": "", "version v1": "v1"}
+    context.request = RunStagesRequest(
+        request_id="r1",
+        stages=(),
+        piece_counts=(),
+        piece_key="",
+        remaining_ms=1,
+        objective_remaining_ms=1,
+        priority=1,
+        team="red",
+        generation=Generation("m", 1, 1, ()),
+        engine_service="engine",
+        paused_engines=("e1", "e2"),
+        version=versions[version],
+    )
+
+
+@then("the owner receives the same request")
+def receives_same_request(context: Any) -> None:
+    message = convert.request_to_wire(context.request)
+    received = type(message).FromString(message.SerializeToString())
+    assert convert.request_from_wire(received) == context.request
