--- a/packages/core/src/cowsliphitch/core/json_values.py
+++ b/packages/core/src/cowsliphitch/core/json_values.py
@@ -63,6 +63,16 @@
     return value
 
 
+def string(value: object) -> str:
+    """Return a text of any length and content.
+
+    :raises ValueError: the value is not a text
+    """
+    if not isinstance(value, str):
+        raise ValueError(f"expected a text, not {type(value).__name__}")
+    return value
+
+
 def text(value: object) -> str:
     """Return a printable, non-empty text of bounded length.
 
