Log the crashes that are known of a suspect and those that count

The hypotheses on crashes in bursts differ in what a record holds when a crash does not raise its count. suspects.crashed has, for each part or digest with a new crash, the crashes known and counted and the source of the news; attempt.failed names the digest.

--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -73,12 +73,26 @@
     quarantine_left_ms: int = 0
 
 
+@attrs.frozen
+class CountedCrashes:
+    """Crashes that were added to a part's record.
+
+    :param known: number of crashes that it may have caused
+    :param counted: number of them that count towards its quarantine
+    """
+
+    part: str
+    known: int
+    counted: int
+
+
 @attrs.frozen
 class QuarantineChange:
-    """Parts whose quarantine began or ended."""
+    """Parts whose quarantine began or ended, and those with new crashes."""
 
     quarantined: tuple[str, ...] = ()
     released: tuple[str, ...] = ()
+    crashed: tuple[CountedCrashes, ...] = ()
 
 
 @attrs.define
@@ -164,6 +178,10 @@
         """Return whether requests with the part are refused."""
         return now_ms < self.quarantined_until_ms
 
+    def counted_crashes(self, part: str) -> CountedCrashes:
+        """Return how many of its crashes are known and how many count."""
+        return CountedCrashes(part, len(self.open_crashes), self.crash_count)
+
     def forget_old_crashes(self, now_ms: int) -> None:
         """Drop crashes past their retention, and the oldest beyond the limit."""
         kept = [
@@ -221,11 +239,13 @@
         :param parts: the request's parts that other requests may share
         """
         suspects = [p for p in parts if p not in self._answered] or list(parts)
+        crashed: list[CountedCrashes] = []
         for part in suspects:
             record = self._record_of(part, frozenset(parts))
             record.company &= frozenset(parts)
             record.add((crash,), now_ms)
-        return self._update(now_ms)
+            crashed.append(record.counted_crashes(part))
+        return attrs.evolve(self._update(now_ms), crashed=tuple(crashed))
 
     def record_answer(self, parts: Collection[str], now_ms: int) -> QuarantineChange:
         """Record that a request was answered, so none of its parts crashes engines."""
@@ -247,10 +267,16 @@
         :param is_past: the reports were stored some time ago
         """
         has_news = False
+        crashed: dict[str, CountedCrashes] = {}
         for report in reports:
             record = self._record_of(report.part, report.company)
+            is_new_crash = not report.crashes <= record.crashes.keys()
             has_news |= record.merge(report, now_ms, is_past)
-        return self._update(now_ms) if has_news else QuarantineChange()
+            if is_new_crash:
+                crashed[report.part] = record.counted_crashes(report.part)
+        if not has_news:
+            return QuarantineChange()
+        return attrs.evolve(self._update(now_ms), crashed=tuple(crashed.values()))
 
     def expire(self, now_ms: int) -> QuarantineChange:
         """Drop old crashes and end quarantines whose time is over."""
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -216,6 +216,15 @@
 
     def _apply(self, change: QuarantineChange, source: str) -> None:
         """Log a change of the quarantine and end the requests that it covers."""
+        if change.crashed:
+            event(
+                _LOGGER,
+                "suspects.crashed",
+                parts=[row.part for row in change.crashed],
+                known=[row.known for row in change.crashed],
+                counted=[row.counted for row in change.crashed],
+                source=source,
+            )
         for part in change.quarantined:
             event(
                 _LOGGER, "part.quarantined", logging.WARNING, part=part, source=source
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -223,6 +223,7 @@
             left_ms=ctx.deadline_ms - self._state.clock.now_ms(),
             began=has_begun,
             parts=ctx.request.shared_part_ids,
+            digest=ctx.request.digest,
         )
 
     def _final_refusal(self, ctx: RequestContext, last_refusal: Refusal) -> Refusal:
