--- /dev/null
+++ b/features/daemon/crashing_requests.feature
@@ -0,0 +1,46 @@
+Feature: Requests that crash servers in bursts
+
+  Guards against a request that crashes each server that runs it and comes through several
+  daemons within a moment, and against refusing the sound requests that are lost beside it.
+
+  Scenario Outline: A request that crashes servers within a moment is refused once they are back
+    Given a site with 3 daemons and 4 order desks
+    And servers that crash 50 ms after they receive one request
+    When <request> comes 3 times, 120 ms apart, through one daemon after the other
+    And the crashed servers are back
+    And it comes 6 times at the same moment through all daemons
+    Then at most 3 copies of it reached servers
+
+    Examples:
+      | request                            |
+      | an order                           |
+      | a lookup                           |
+      | a generation after its first event |
+
+  Scenario Outline: Copies of a request that crashed a server are tried one at a time
+    Given a site with 3 daemons and 4 order desks
+    And servers that crash 50 ms after they receive one request
+    When <request> comes once
+    And the crashed servers are back
+    And it comes 6 times at the same moment through all daemons
+    And the crashed servers are back
+    And it comes 6 times at the same moment through all daemons
+    Then at most 3 copies of it reached servers
+
+    Examples:
+      | request                            |
+      | an order                           |
+      | a lookup                           |
+      | a generation after its first event |
+
+  Scenario: Sound lookups that are lost beside requests that crash servers are answered when they come again
+    Given a site with 3 daemons and 4 order desks
+    And servers that crash 50 ms after they receive one request
+    When 2 crashing lookups come at the same moment as 8 sound ones with their path, 4 times
+    Then at most 3 copies of each crashing lookup reached servers
+    And each sound lookup was answered within 5 tries
+
+  Scenario: Lookups that are lost when all servers crash at once are answered when they come again
+    Given a site with 3 daemons and 4 order desks
+    When all order desks crash 3 times while 8 lookups are at them
+    Then each sound lookup was answered within 5 tries
--- /dev/null
+++ b/features/steps/crashing_request_steps.py
@@ -0,0 +1,148 @@
+"""Steps for requests that crash servers and come again at the same moment."""
+
+import itertools
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import httpx
+from behave import given, then, when
+from platform_steps import (
+    CRASHING_BODY,
+    send_one,
+    set_up_site,
+    wait_for_restarts,
+)
+
+# Time after which a caller repeats a request whose answer does not say when.
+REPEAT_S = 0.3
+
+LOOKUP_MS = 60
+
+
+@given("a site with {daemons:d} daemons and {desks:d} order desks")
+def start_site(context: Any, daemons: int, desks: int) -> None:
+    set_up_site(context, resumable=False, daemon_count=daemons, desk_count=desks)
+    context.part_numbers = itertools.count(1)
+    context.sound_tries: list[list[int]] = []
+
+
+@given("servers that crash {ms:d} ms after they receive one request")
+def servers_crash(context: Any, ms: int) -> None:
+    for server in context.site.servers.values():
+        server.crashing_bodies = frozenset({CRASHING_BODY.encode()})
+        server.crash_delay_ms = ms
+
+
+@when("{request} comes once")
+def comes_once(context: Any, request: str) -> None:
+    context.crashing_request = request
+    send_one(context, request, CRASHING_BODY, 0)
+
+
+@when(
+    "{request} comes {count:d} times, {ms:d} ms apart,"
+    " through one daemon after the other"
+)
+def comes_in_turn(context: Any, request: str, count: int, ms: int) -> None:
+    context.crashing_request = request
+    with ThreadPoolExecutor(count) as pool:
+        for number in range(count):
+            daemon = number % context.site.daemon_count
+            pool.submit(send_one, context, request, CRASHING_BODY, daemon)
+            time.sleep(ms / 1_000)
+
+
+@when("the crashed servers are back")
+def servers_are_back(context: Any) -> None:
+    wait_for_restarts(context)
+
+
+@when("it comes {count:d} times at the same moment through all daemons")
+def comes_at_once(context: Any, count: int) -> None:
+    with ThreadPoolExecutor(count) as pool:
+        for number in range(count):
+            daemon = number % context.site.daemon_count
+            pool.submit(
+                send_one, context, context.crashing_request, CRASHING_BODY, daemon
+            )
+
+
+def copies_at_servers(context: Any, body: str) -> int:
+    return sum(
+        req.body == body.encode()
+        for server in context.site.servers.values()
+        for req in server.received
+    )
+
+
+@then("at most {count:d} copies of it reached servers")
+def at_most_copies(context: Any, count: int) -> None:
+    copies = copies_at_servers(context, CRASHING_BODY)
+    assert 1 <= copies <= count, copies
+
+
+def send_until_answered(context: Any, body: str, daemon: int, max_tries: int) -> None:
+    """Send a sound lookup, and again as callers do after a failure or a refusal."""
+    statuses: list[int] = []
+    context.sound_tries.append(statuses)
+    for number in range(max_tries):
+        try:
+            answer = context.site.call(
+                "/lookup/7", {}, (daemon + number) % context.site.daemon_count, body
+            )
+        except httpx.RemoteProtocolError:
+            statuses.append(0)
+            continue
+        statuses.append(answer.status_code)
+        if answer.status_code == 200:
+            return
+        time.sleep(float(answer.headers.get("retry-after", REPEAT_S)))
+
+
+@when(
+    "{crashing:d} crashing lookups come at the same moment as {sound:d} sound ones"
+    " with their path, {waves:d} times"
+)
+def come_beside_sound(context: Any, crashing: int, sound: int, waves: int) -> None:
+    context.crashing_bodies = [f"{CRASHING_BODY} {n}" for n in range(crashing)]
+    for server in context.site.servers.values():
+        server.crashing_bodies = frozenset(b.encode() for b in context.crashing_bodies)
+        server.answer_delay_ms = LOOKUP_MS
+    for wave in range(waves):
+        with ThreadPoolExecutor(crashing + sound) as pool:
+            for number in range(sound):
+                pool.submit(
+                    send_until_answered, context, f"sound {wave} {number}", number, 8
+                )
+            for number, body in enumerate(context.crashing_bodies):
+                pool.submit(send_one, context, "a lookup", body, number)
+        wait_for_restarts(context)
+
+
+@then("at most {count:d} copies of each crashing lookup reached servers")
+def at_most_copies_of_each(context: Any, count: int) -> None:
+    copies = [copies_at_servers(context, body) for body in context.crashing_bodies]
+    assert all(1 <= number <= count for number in copies), copies
+
+
+@when("all order desks crash {waves:d} times while {count:d} lookups are at them")
+def all_crash(context: Any, waves: int, count: int) -> None:
+    desks = [s for s in context.site.servers.values() if s.service == "desk"]
+    for server in desks:
+        server.answer_delay_ms = LOOKUP_MS
+    with ThreadPoolExecutor(count) as pool:
+        for number in range(count):
+            pool.submit(send_until_answered, context, f"sound {number}", number, 20)
+        for _ in range(waves):
+            time.sleep(LOOKUP_MS / 2_000)
+            for server in desks:
+                context.site.portal.call(server.crash)
+            wait_for_restarts(context)
+
+
+@then("each sound lookup was answered within {count:d} tries")
+def sound_were_answered(context: Any, count: int) -> None:
+    assert context.sound_tries
+    for statuses in context.sound_tries:
+        assert statuses[-1] == 200 and len(statuses) <= count, context.sound_tries
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -48,12 +48,20 @@
 class Site:
     """Stand-in servers in an event loop thread, and processes for daemons and store."""
 
-    def __init__(self, resumable: bool, engine_versions: Sequence[str]) -> None:
+    def __init__(
+        self,
+        resumable: bool,
+        engine_versions: Sequence[str],
+        daemon_count: int = 2,
+        desk_count: int = 2,
+    ) -> None:
         freed: set[str] = set()
+        desks = [f"desk-{number}" for number in range(1, desk_count + 1)]
         self.servers = {
             name: SiteServer(name, name.rpartition("-")[0], all_freed=freed)
-            for name in ("desk-1", "desk-2", "encode-1", "rerank-1")
+            for name in (*desks, "encode-1", "rerank-1")
         }
+        self.daemon_count = daemon_count
         for number, version in enumerate(engine_versions, 1):
             name = f"engine-{number}"
             self.servers[name] = SiteServer(
@@ -76,7 +84,7 @@
         put(self.store, "op/config", document(1, TEAM_BY_KEY, self.resumable))
         for server in self.servers.values():
             put(self.store, f"servers/{server.id}", server.entry())
-        self.daemons += [self._start_daemon(n) for n in range(2)]
+        self.daemons += [self._start_daemon(n) for n in range(self.daemon_count)]
         for daemon in self.daemons:
             wait_for("a daemon is ready", lambda d=daemon: self.status(d) == 200)
 
@@ -168,9 +176,13 @@
 
 
 def set_up_site(
-    context: Any, resumable: bool, engine_versions: Sequence[str] = ("v1", "v1")
+    context: Any,
+    resumable: bool,
+    engine_versions: Sequence[str] = ("v1", "v1"),
+    daemon_count: int = 2,
+    desk_count: int = 2,
 ) -> None:
-    context.site = Site(resumable, engine_versions)
+    context.site = Site(resumable, engine_versions, daemon_count, desk_count)
     # The thread of the event loop would keep behave from exiting if the start fails.
     context.add_cleanup(context.site.close)
     context.site.start()
@@ -641,7 +653,7 @@
 def servers_crash_on_request(context: Any) -> None:
     context.part_numbers = itertools.count(1)
     for server in context.site.servers.values():
-        server.crashing_body = CRASHING_BODY.encode()
+        server.crashing_bodies = frozenset({CRASHING_BODY.encode()})
 
 
 def send_one(
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -53,8 +53,11 @@
     :param call_ms: duration of a call that runs pieces
     :param prefill_ms: time from the receipt of a prompt to its first event
     :param crashing_part: prompt part on which it crashes instead of answering
-    :param crashing_body: body on which it crashes instead of answering, an engine after
-        its first event; empty if there is none
+    :param crashing_bodies: bodies on which it crashes instead of answering, an engine
+        after its first event
+    :param crash_delay_ms: time from the receipt of such a body to the crash
+    :param answer_delay_ms: time that it takes to answer other requests, unless it is an
+        engine
     :param crashes: number of its crashes
     :param limit: the limit on requests a second that its answers name, as sent
     :param says_leaving: its answers say that it leaves
@@ -78,7 +81,9 @@
     call_ms: int = 20
     prefill_ms: int = 0
     crashing_part: str = ""
-    crashing_body: bytes = b""
+    crashing_bodies: frozenset[bytes] = frozenset()
+    crash_delay_ms: int = 0
+    answer_delay_ms: int = 0
     crashes: int = 0
     limit: str | None = None
     says_leaving: bool = False
@@ -119,7 +124,7 @@
                 await self.http_server().run()
             await anyio.sleep(seconds(CRASH_MS))
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Close the listener and all connections."""
         self.crashes += 1
         if self._crash_scope is not None:
@@ -169,11 +174,11 @@
         prompt = req.get(b"cowsliphitch-prompt-prefix") or ""
         if self.crashing_part and f"{self.crashing_part}:" in prompt:
             await anyio.sleep(seconds(self.prefill_ms))
-            self._crash()
+            self.crash()
             await anyio.sleep_forever()
-        crashes_on_body = bool(self.crashing_body) and req.body == self.crashing_body
-        if crashes_on_body and self.service != "engine":
-            self._crash()
+        if req.body in self.crashing_bodies and self.service != "engine":
+            await anyio.sleep(seconds(self.crash_delay_ms))
+            self.crash()
             await anyio.sleep_forever()
         id_header = ((b"cowsliphitch-request-id", request.encode()),)
         if self.mode == "reset":
@@ -182,6 +187,7 @@
         if self.service == "engine":
             await self._stream(req, reply, id_header + seal)
         else:
+            await anyio.sleep(seconds(self.answer_delay_ms))
             await self._answer(reply, 200, b"done", id_header + seal)
 
     def _own_headers(self) -> tuple[tuple[bytes, bytes], ...]:
@@ -203,8 +209,8 @@
         for number in range(after + 1, EVENT_COUNT + 1):
             await reply.send(b"id: %d\ndata: %s\n\n" % (number, text))
             await anyio.sleep(0.02)
-            if self.crashing_body and req.body == self.crashing_body:
-                self._crash()
+            if req.body in self.crashing_bodies:
+                self.crash()
                 await anyio.sleep_forever()
             if self.mode == "cut" and number == self.cut_after:
                 await reply.send(b"id: %d\nda" % (number + 1))
