Count each crash of a server against the request that was at it

A crash less than 400 ms after the last counted one did not count, so that an outage does not quarantine a prompt part that sound requests share. A digest is at a server for each copy that was sent, so no outage can make one copy look like several. A request that was lost beside one that is quarantined by now is cleared of their common crashes.

Both new scenarios of quarantine.feature fail without the change.

--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -22,6 +22,19 @@
     When engines crash at daemons 1, 2, 3, 1, 2, 3 on requests with the parts "new", 50 ms apart
     Then each daemon accepts the parts "new"
 
+  Scenario: Crashes at the same time each count for the request that was at the servers
+    Given 3 daemons that exchange reports on requests
+    When engines crash at daemons 1, 2, 3 on requests with the parts "bad", 50 ms apart
+    Then each daemon refuses the parts "bad"
+
+  Scenario: A request that was lost beside a quarantined one is tried again
+    Given 3 daemons that exchange reports on requests
+    When engines that also prefill "sound" crash at daemons 1, 2 on requests with the parts "bad", 50 ms apart
+    And engines crash at daemons 3 on requests with the parts "bad", 50 ms apart
+    And engines crash at daemons 3 on requests with the parts "sound", 50 ms apart
+    Then each daemon refuses the parts "bad"
+    And each daemon accepts the parts "sound"
+
   Scenario: A part that another daemon has seen answered is not suspect
     Given 3 daemons that exchange reports
     And daemon 3 has seen the parts "first, good" answered
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -7,7 +7,12 @@
 from behave import given, then, when
 
 from cowsliphitch.core.quarantine import prompt_parts
-from cowsliphitch.core.quarantine.prompt_parts import PromptPartRegistry
+from cowsliphitch.core.quarantine.prompt_parts import (
+    CrashCounting,
+    EachCrash,
+    OncePerOutage,
+    PromptPartRegistry,
+)
 
 EXCHANGE_MS = 125
 ENGINE_COUNT = 9
@@ -19,9 +24,9 @@
 class QuarantineFleet:
     """Registries of several daemons; reports are exchanged as time passes."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, counting: CrashCounting) -> None:
         self.now_ms = 10_000
-        self.daemons = [PromptPartRegistry() for _ in range(count)]
+        self.daemons = [PromptPartRegistry(counting) for _ in range(count)]
         self.isolated: set[int] = set()
         self.crash_numbers = itertools.count(1)
 
@@ -50,7 +55,12 @@
 
 @given("{count:d} daemons that exchange reports")
 def daemons(context: Any, count: int) -> None:
-    context.quarantine = QuarantineFleet(count)
+    context.quarantine = QuarantineFleet(count, OncePerOutage())
+
+
+@given("{count:d} daemons that exchange reports on requests")
+def daemons_with_requests(context: Any, count: int) -> None:
+    context.quarantine = QuarantineFleet(count, EachCrash())
 
 
 @given("daemon {number:d} has seen the parts {parts} answered")
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -14,6 +14,9 @@
 
 Crashes at almost the same time count once, as an outage may end many engines that
 prefill the same part.
+
+The same records hold requests that crash servers, by digest.  A digest is at one server
+for each copy that was sent, so each crash under it counts.
 """
 
 from collections import OrderedDict
@@ -54,6 +57,24 @@
 MAX_REPORTS_PER_HEARTBEAT: Final = 6
 
 
+@attrs.frozen
+class OncePerOutage:
+    """Count crashes within some time of the last counted one as the same outage.
+
+    :param window_ms: that time
+    """
+
+    window_ms: int = SIMULTANEOUS_CRASHES_MS
+
+
+@attrs.frozen
+class EachCrash:
+    """Count every crash, as each one had a copy of the request of its own."""
+
+
+CrashCounting = OncePerOutage | EachCrash
+
+
 @attrs.frozen
 class PartReport:
     """What a daemon knows of a suspect part, for its peers.
@@ -100,6 +121,7 @@
     """Crashes while requests with one part waited for their first event.
 
     :param company: parts that all suspect requests with this part have in common
+    :param counting: which crashes raise the count
     :param crashes: monotonic time at which each crash became known
     :param cleared: crashes that the part did not cause
     :param last_counted_ms: monotonic time of the last crash that was counted
@@ -107,6 +129,7 @@
     """
 
     company: frozenset[str]
+    counting: CrashCounting
     crashes: dict[int, int] = attrs.Factory(dict)
     cleared: set[int] = attrs.Factory(set)
     crash_count: int = 0
@@ -119,19 +142,22 @@
         return self.crashes.keys() - self.cleared
 
     def add(self, crashes: Collection[int], now_ms: int) -> None:
-        """Add crashes, and count them unless they are simultaneous with the last."""
+        """Add crashes, count them, and begin the quarantine after enough of them."""
         new = set(crashes) - self.crashes.keys()
         self.crashes |= dict.fromkeys(new, now_ms)
         if not new - self.cleared:
             return
-        if (
-            self.last_counted_ms is None
-            or now_ms - self.last_counted_ms >= SIMULTANEOUS_CRASHES_MS
-        ):
-            self.last_counted_ms = now_ms
-            self.crash_count += 1
-            if self.crash_count >= CRASHES_TO_QUARANTINE:
-                self.quarantined_until_ms = now_ms + QUARANTINE_MS
+        match self.counting:
+            case EachCrash():
+                self.crash_count = len(self.open_crashes)
+            case OncePerOutage(window_ms):
+                last_ms = self.last_counted_ms
+                if last_ms is not None and now_ms - last_ms < window_ms:
+                    return
+                self.last_counted_ms = now_ms
+                self.crash_count += 1
+        if self.crash_count >= CRASHES_TO_QUARANTINE:
+            self.quarantined_until_ms = now_ms + QUARANTINE_MS
 
     def adopt_quarantine(self, left_ms: int, now_ms: int) -> None:
         """Begin a quarantine that a peer reports, unless it has begun here already.
@@ -220,8 +246,12 @@
     Times are monotonic time, in ms.
     """
 
-    def __init__(self) -> None:
-        """Initialize the registry without records."""
+    def __init__(self, counting: CrashCounting | None = None) -> None:
+        """Initialize the registry without records.
+
+        :param counting: which crashes count, ``OncePerOutage`` by default
+        """
+        self._counting = counting or OncePerOutage()
         self._records: dict[str, _PartRecord] = {}
         # The part that was answered last is the last one.
         self._answered: OrderedDict[str, None] = OrderedDict()
@@ -358,7 +388,7 @@
             if len(self._records) >= MAX_RECORDS:
                 oldest = min(self._records, key=lambda p: self._rank(p))
                 del self._records[oldest]
-            record = self._records[part] = _PartRecord(company)
+            record = self._records[part] = _PartRecord(company, self._counting)
         return record
 
     def _rank(self, part: str) -> tuple[bool, int]:
@@ -397,5 +427,19 @@
                 # Of two parts that always occur together, either may be the cause.
                 if name in record.company:
                     continue
-                if record.open_crashes < other.open_crashes:
-                    record.clear(record.open_crashes)
+                record.clear(self._explained_crashes(record, other, now_ms))
+
+    def _explained_crashes(
+        self, record: _PartRecord, quarantined: _PartRecord, now_ms: int
+    ) -> set[int]:
+        """Return the crashes of a suspect that a quarantined one caused.
+
+        A request is the only cause of the crashes under it.  Of parts, only one that
+        explains all of a suspect's crashes and more is sure to have caused them.
+        """
+        match self._counting:
+            case EachCrash() if not record.is_quarantined(now_ms):
+                return record.open_crashes & quarantined.open_crashes
+            case OncePerOutage() if record.open_crashes < quarantined.open_crashes:
+                return record.open_crashes
+        return set()
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -12,7 +12,7 @@
 from cowsliphitch.core.fleet.members import MemberTable
 from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.overload.loop_delay import LoopDelayMonitor
-from cowsliphitch.core.quarantine.prompt_parts import PromptPartRegistry
+from cowsliphitch.core.quarantine.prompt_parts import EachCrash, PromptPartRegistry
 from cowsliphitch.core.servers.placement import ServerPlacement
 from cowsliphitch.core.servers.registry import ServerRegistry
 from cowsliphitch.core.streams.registry import StreamRegistry
@@ -48,7 +48,9 @@
     server_limits: LimitTable = attrs.Factory(LimitTable)
     streams: StreamRegistry = attrs.Factory(StreamRegistry)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
-    suspect_requests: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
+    suspect_requests: PromptPartRegistry = attrs.Factory(
+        lambda: PromptPartRegistry(EachCrash())
+    )
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
     stopping_since_ms: int = 0
