Decide on a retry after it is known whether the server crashed

The forwarder now waits for the probe before a request that may be repeated goes on, is refused or comes again through its caller: some ms after a crash, 80 ms if the server still listens, not at all if its failure domain is cut off. A suspect of one crash may be retried, one of two may not.

--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -460,6 +460,10 @@
             self._unreachable_domains = domains
             self._ready_by_service.clear()
 
+    def is_cut_off(self, server: Server) -> bool:
+        """Return whether a server's failure domain is unreachable."""
+        return server.failure_domain in self._unreachable_domains
+
     def get(self, server_id: str) -> Server | None:
         """Return a server that is listed or kept during an outage."""
         entry = self._entries.get(server_id)
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
 
+import anyio
 import attrs
 from anyio.abc import TaskGroup
 
@@ -33,10 +34,6 @@
 CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.STREAM_CUT})
 
 
-# Crashes of servers under a request from which it is not tried at another one when it
-# comes again.
-CRASHES_TO_STOP_REPEATS = 1
-
 # A later crash of an engine with the same start time is another one: it has restarted,
 # and its new entry has not been read yet.
 SAME_CRASH_MS = 1_000
@@ -69,6 +66,18 @@
     digest: str
 
 
+@attrs.frozen
+class _Probe:
+    """A probe of a server that lost requests.
+
+    :param lost_requests: requests that were lost until it ends
+    :param done: set when the server is judged
+    """
+
+    lost_requests: list[_LostRequest] = attrs.Factory(list)
+    done: anyio.Event = attrs.Factory(anyio.Event)
+
+
 class EngineQuarantine:
     """Record crashes with the requests that were lost, and apply the quarantine."""
 
@@ -79,8 +88,7 @@
         """
         self._state = state
         self._group = group
-        # Requests that were lost with each server that is being probed.
-        self._lost_requests: dict[Server, list[_LostRequest]] = {}
+        self._probes: dict[Server, _Probe] = {}
         self._last_crashes: OrderedDict[tuple[str, int], _LastCrash] = OrderedDict()
         self._listeners: list[Callable[[], None]] = []
         self._crash_listeners: list[Callable[[], None]] = []
@@ -111,10 +119,7 @@
         requests = self._state.suspect_requests
         return not (
             self._state.prompt_parts.is_suspect(request.shared_part_ids)
-            or (
-                requests.has_records
-                and requests.is_suspect((request.digest,), CRASHES_TO_STOP_REPEATS)
-            )
+            or (requests.has_records and requests.is_suspect((request.digest,)))
         )
 
     def record_answer(self, request: CallerRequest) -> None:
@@ -138,12 +143,21 @@
         if reason not in CRASH_REASONS:
             return
         parts = () if has_begun else request.shared_part_ids
-        lost = _LostRequest(parts, request.digest)
-        if server in self._lost_requests:
-            self._lost_requests[server].append(lost)
-            return
-        self._lost_requests[server] = [lost]
-        self._group.start_soon(self._probe, server)
+        probe = self._probes.get(server)
+        if probe is None:
+            probe = self._probes[server] = _Probe()
+            self._group.start_soon(self._probe, server, probe)
+        probe.lost_requests.append(_LostRequest(parts, request.digest))
+
+    async def wait_until_judged(self, server: Server) -> None:
+        """Wait until it is known whether a server that lost requests has crashed.
+
+        Nothing is waited for at a server whose failure domain is cut off, since a
+        probe learns nothing there.
+        """
+        probe = self._probes.get(server)
+        if probe is not None and not self._state.servers.is_cut_off(server):
+            await probe.done.wait()
 
     def merge(
         self,
@@ -168,14 +182,15 @@
         for registry in (self._state.prompt_parts, self._state.suspect_requests):
             self._apply(registry.expire(now), "expiry")
 
-    async def _probe(self, server: Server) -> None:
+    async def _probe(self, server: Server, probe: _Probe) -> None:
         has_crashed = False
         try:
             has_crashed = await refuses_connections(
                 f"http://{server.address}", const.CRASH_PROBE_TIMEOUT_MS
             )
         finally:
-            requests = self._lost_requests.pop(server)
+            del self._probes[server]
+        requests = probe.lost_requests
         event(
             _LOGGER,
             "engine.crashed" if has_crashed else "engine.still_listens",
@@ -186,6 +201,7 @@
         )
         if has_crashed:
             self._record_crash(server, requests)
+        probe.done.set()
 
     def _record_crash(self, server: Server, requests: Collection[_LostRequest]) -> None:
         now = self._state.clock.now_ms()
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -169,6 +169,10 @@
             except UpstreamError as exc:
                 refusal = exc.refusal
             self._record_failure(ctx, server, refusal)
+            if ctx.route.kind is not RouteKind.ONCE:
+                # Whether it may be sent again, here or at another daemon, depends on
+                # whether the server crashed.
+                await self._quarantine.wait_until_judged(server)
             if reply.started and not ctx.route.resumable:
                 return self._final_refusal(ctx, refusal)
             now = self._state.clock.now_ms()
