Send one copy of a suspect request at a time, over all daemons

From the first crash on, a copy needs a trial, which the holder of the pool group's duty gives to one copy at a time. Sender and decider exchange what they know of the request in the call and at the end, so a lost or late heartbeat changes nothing.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -24,6 +24,11 @@
     When "s1" leaves and a request is forwarded with the choices "s1, s2"
     Then the request was answered by "s2", and no retry was spent
 
+  Scenario: A request that becomes suspect while the connection is opened is not sent
+    Given servers "s1, s2" that listen
+    When a request is forwarded that crashes a server elsewhere while the connection is opened
+    Then it was refused as suspect, and nothing was sent
+
   Scenario Outline: A stream without length or chunks is complete only if it ends after an event
     Given an upstream that <does>
     When a stream is forwarded to it
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -18,11 +19,13 @@
 from cowsliphitch.core.revisions import Revision
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.servers.registry import LeavingReport
+from cowsliphitch.core.verdict import Reason, Verdict
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.forwarding import Forwarder, RequestContext
 from cowsliphitch.gateway.permits import PermitBroker
 from cowsliphitch.gateway.server_client import Purpose, ServerClient
 from cowsliphitch.gateway.state import GatewayState
+from cowsliphitch.gateway.trials import TrialBroker
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.upstreams.http1 import pool as pool_module
@@ -176,15 +179,19 @@
             await answer.read(100)
 
     def leaving_on_connect(self, name: str) -> Any:
-        """Make a server leave while the first connection is opened."""
+        """Make a server leave while a connection is opened."""
+        return self.calling_on_connect(lambda: self.leave(name))
+
+    def calling_on_connect(self, change: Callable[[], object]) -> Any:
+        """Call a function while a connection is opened."""
         connect = pool_module.connect
 
-        async def connect_then_leave(*args: Any) -> Any:
+        async def connect_then_change(*args: Any) -> Any:
             connection = await connect(*args)
-            self.leave(name)
+            change()
             return connection
 
-        return mock.patch.object(pool_module, "connect", connect_then_leave)
+        return mock.patch.object(pool_module, "connect", connect_then_change)
 
 
 @given('servers "{names}" that listen')
@@ -213,6 +220,13 @@
     assert context.refusal.verdict.value == "not-run", context.refusal
 
 
+def caller_request(received_ms: int) -> CallerRequest:
+    headers = ((b"host", b"x"),)
+    return CallerRequest(
+        "r1", b"POST", b"/", "a.example", "/", headers, b"", received_ms
+    )
+
+
 def forward(
     context: Any, choices: list[str] | None, kind: RouteKind = RouteKind.ONCE
 ) -> None:
@@ -230,11 +244,12 @@
     async def action(client: ServerClient, group: TaskGroup) -> None:
         context.allowance = RetryAllowance(0.0, 0, 10_000)
         quarantine = EngineQuarantine(sender.state, group)
-        forwarder = Forwarder(sender.state, client, context.allowance, quarantine)
-        now = sender.state.clock.now_ms()
-        request = CallerRequest(
-            "r1", b"POST", b"/", "a.example", "/", ((b"host", b"x"),), b"", now
+        trials = TrialBroker(sender.state, PeerConnections(), quarantine, group)
+        forwarder = Forwarder(
+            sender.state, client, context.allowance, quarantine, trials
         )
+        now = sender.state.clock.now_ms()
+        request = caller_request(now)
         route = Route(
             name="order",
             host="a.example",
@@ -267,6 +282,28 @@
     forward(context, names.split(", "))
 
 
+@when(
+    "a request is forwarded that crashes a server elsewhere while the connection is"
+    " opened"
+)
+def forward_as_suspect(context: Any) -> None:
+    state = context.sender.state
+    digest = caller_request(0).digest
+
+    def become_suspect() -> None:
+        state.suspect_requests.record_crash(1, (digest,), state.clock.now_ms())
+
+    with context.sender.calling_on_connect(become_suspect):
+        forward(context, ["s1", "s2"], RouteKind.IDEMPOTENT)
+
+
+@then("it was refused as suspect, and nothing was sent")
+def refused_as_suspect(context: Any) -> None:
+    assert context.refusal.reason is Reason.SUSPECT, context.refusal
+    assert context.refusal.verdict is Verdict.NOT_RUN, context.refusal
+    assert not any(context.sender.received.values()), context.sender.received
+
+
 @then('the request was answered by "{name}", and no retry was spent')
 def answered_by(context: Any, name: str) -> None:
     # The allowance is 0, so a retry would have been refused.
--- a/packages/core/src/cowsliphitch/core/verdict.py
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -48,6 +48,7 @@
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     PEER_UNAVAILABLE = "peer-unavailable"
     QUARANTINED = "quarantined"
+    SUSPECT = "suspect"
     UNKNOWN_STREAM = "unknown-stream"
     VERSION_GONE = "version-gone"
     SHUTTING_DOWN = "shutting-down"
@@ -81,6 +82,7 @@
     Reason.PLATFORM_UNAVAILABLE: 503,
     Reason.PEER_UNAVAILABLE: 503,
     Reason.QUARANTINED: 422,
+    Reason.SUSPECT: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.NOT_CONFIGURED: 503,
 }
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -42,6 +42,7 @@
 from .store_coordinator import StoreCoordinator
 from .stream_coordinator import StreamCoordinator
 from .suspect_coordinator import SuspectCoordinator
+from .trials import TrialBroker
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -125,7 +126,11 @@
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
         )
-        forwarder = Forwarder(state, self._server_client, allowance, quarantine)
+        self._trials = TrialBroker(state, self._peer_connections, quarantine, group)
+        self._fleet.add_lost_listener(self._trials.end_of_holder)
+        forwarder = Forwarder(
+            state, self._server_client, allowance, quarantine, self._trials
+        )
         stage_runner = StageRunner(
             state, self._stage_executor, self._peer_connections, group
         )
@@ -157,6 +162,8 @@
             self._stage_executor.run_stages,
             self._stage_executor.record_progress,
             self._permits.grant,
+            self._trials.begin,
+            self._trials.end,
             self._newer_document,
         )
         host, _, port = cfg.listen.peers.rpartition(":")
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -18,11 +18,13 @@
 from anyio.abc import TaskGroup
 
 from cowsliphitch.core.quarantine.prompt_parts import PartReport, QuarantineChange
+from cowsliphitch.core.quarantine.trials import TRIAL_RETRY_AFTER_MS
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 from cowsliphitch.telemetry.logs import event
+from cowsliphitch.upstreams.http1.models import UpstreamError
 from cowsliphitch.upstreams.transport.probe import refuses_connections
 
 from . import const
@@ -114,6 +116,26 @@
             return not_run(Reason.QUARANTINED, detail)
         return None
 
+    def is_suspect(self, request: CallerRequest) -> bool:
+        """Return whether a request may have crashed a server, so that it is tried."""
+        requests = self._state.suspect_requests
+        return requests.has_records and requests.is_suspect((request.digest,), 1)
+
+    def check_sendable(self, request: CallerRequest, is_trial: bool) -> None:
+        """Check that a request may be sent to a server at this moment.
+
+        It may have become suspect since its server was chosen.
+
+        :param is_trial: no other copy of the request is at a server
+        :raises UpstreamError: the request is quarantined, or suspect and no trial
+        """
+        refusal = self.refusal_of(request)
+        if refusal is not None:
+            raise UpstreamError(refusal)
+        if not is_trial and self.is_suspect(request):
+            detail = f"a copy with the digest {request.digest} crashed a server"
+            raise UpstreamError(not_run(Reason.SUSPECT, detail, TRIAL_RETRY_AFTER_MS))
+
     def may_retry(self, request: CallerRequest) -> bool:
         """Return whether a request may be sent to a server after another lost it."""
         requests = self._state.suspect_requests
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import anyio
 from anyio.abc import TaskGroup
@@ -56,9 +56,14 @@
         self._schedule = HeartbeatSchedule()
         self._is_fetching = False
         self._live_addresses: set[str] = set()
+        self._lost_listeners: list[Callable[[str], None]] = []
         self.store: StoreCoordinator | None = None
         self.socket = HeartbeatSocket(state.members.own.address, self._apply_heartbeat)
 
+    def add_lost_listener(self, listener: Callable[[str], None]) -> None:
+        """Have a function called with the address of each member that fails."""
+        self._lost_listeners.append(listener)
+
     async def run(self) -> None:
         """Send heartbeats at a fixed interval until cancelled."""
         while True:
@@ -228,4 +233,6 @@
             self._state.placement.remove_peer(address)
             if not leaving:
                 self._connections.disconnect(address)
+                for listener in self._lost_listeners:
+                    listener(address)
         self._live_addresses = live
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -40,6 +40,7 @@
 from .relay import EventSplitter, StreamProgress, last_event_id, relay_buffered_answer
 from .server_client import Purpose, ServerClient
 from .state import GatewayState
+from .trials import TrialBroker
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -50,11 +51,14 @@
 # returns one may have run it, so its answer is not passed on.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# Refusals of a request because of what crashed servers.
+CRASHING_REASONS = frozenset({Reason.QUARANTINED, Reason.SUSPECT})
+
 # Failures of a server that was sent nothing.
 NOT_SENT_REASONS = frozenset({Reason.UPSTREAM_LEAVING, Reason.RATE_LIMITED})
 
 # Failures that are no evidence against the server.
-BLAMELESS_REASONS = frozenset({Reason.RESULT_LOST, Reason.RATE_LIMITED})
+BLAMELESS_REASONS = CRASHING_REASONS | {Reason.RESULT_LOST, Reason.RATE_LIMITED}
 
 # Failures after which a server is avoided for a while.
 UNREACHABLE_REASONS = frozenset(
@@ -78,6 +82,7 @@
     :param on_sent: called before the request is sent to a server
     :param on_head: called when the head of an answer was received and accepted
     :param on_failure: called when an attempt failed, except for lost stage results
+    :param is_trial: the request is suspect, and no other copy of it is at a server
     :param server_id: server of the latest attempt
     :param status: status of the answer that was passed on
     """
@@ -98,6 +103,7 @@
     on_failure: Callable[[], None] = lambda: None
     attempts: AttemptHistory = attrs.Factory(AttemptHistory)
     stream_progress: StreamProgress = attrs.Factory(StreamProgress)
+    is_trial: bool = False
     server_id: str | None = None
     status: int | None = None
 
@@ -111,13 +117,16 @@
         client: ServerClient,
         allowance: RetryAllowance,
         quarantine: EngineQuarantine,
+        trials: TrialBroker,
     ) -> None:
         """Initialize without retry budgets; a service gets one on first use.
 
         :param allowance: retries that all daemons may send to each service
         :param quarantine: refuses requests that crash engines
+        :param trials: decides when a suspect request may be sent
         """
         self._quarantine = quarantine
+        self._trials = trials
         self._state = state
         self._client = client
         self._allowance = allowance
@@ -163,20 +172,13 @@
                 return self._final_refusal(
                     ctx, not_run(Reason.NO_UPSTREAM, detail, retry_after_ms)
                 )
-            try:
-                await self._attempt(ctx, server, reply)
+            refusal = await self._try_server(ctx, server, reply)
+            if refusal is None:
                 return None
-            except UpstreamError as exc:
-                refusal = exc.refusal
-            self._record_failure(ctx, server, refusal)
-            if ctx.route.kind is not RouteKind.ONCE:
-                # Whether it may be sent again, here or at another daemon, depends on
-                # whether the server crashed.
-                await self._quarantine.wait_until_judged(server)
             if reply.started and not ctx.route.resumable:
                 return self._final_refusal(ctx, refusal)
             now = self._state.clock.now_ms()
-            if refusal.reason is Reason.RESULT_LOST:
+            if refusal.reason in CRASHING_REASONS | {Reason.RESULT_LOST}:
                 return self._final_refusal(ctx, refusal)
             if not may_retry(ctx.route, ctx.attempts) or (
                 ctx.attempts.may_have_run_on
@@ -190,6 +192,32 @@
                 event(_LOGGER, "retry.denied", request=ctx.request.id)
                 return self._final_refusal(ctx, refusal)
 
+    async def _try_server(
+        self, ctx: RequestContext, server: Server, reply: Reply
+    ) -> Refusal | None:
+        """Send a request to one server, as a trial if it is suspect.
+
+        :returns: the refusal if no complete answer was passed on
+        """
+        try:
+            async with self._trials.hold(
+                ctx.request, ctx.route, server, ctx.deadline_ms
+            ) as ctx.is_trial:
+                try:
+                    await self._attempt(ctx, server, reply)
+                except UpstreamError as exc:
+                    self._record_failure(ctx, server, exc.refusal)
+                    raise
+        except UpstreamError as exc:
+            refusal = exc.refusal
+        else:
+            return None
+        if ctx.route.kind is not RouteKind.ONCE:
+            # Whether it may be sent again, here or at another daemon, depends on
+            # whether the server crashed.
+            await self._quarantine.wait_until_judged(server)
+        return refusal
+
     async def _select_server(self, ctx: RequestContext) -> Server | None:
         server, ctx.preferred_server = ctx.preferred_server, None
         if server is not None and not self._state.servers.is_usable(server):
@@ -303,7 +331,14 @@
             self._client.cancel_if_unreachable(server) if may_repeat else nullcontext()
         ):
             async with self._client.exchange(
-                server, request, max_connections, Purpose.REQUEST, permit
+                server,
+                request,
+                max_connections,
+                Purpose.REQUEST,
+                permit,
+                functools.partial(
+                    self._quarantine.check_sendable, ctx.request, ctx.is_trial
+                ),
             ) as answer:
                 yield answer
 
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -12,7 +12,7 @@
 import itertools
 import logging
 import operator
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 
 import anyio
@@ -77,12 +77,15 @@
         max_connections: int,
         purpose: Purpose,
         permit: Permit | None = None,
+        check_sendable: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer, once the head has been read.
 
         Without a permit, a request to a limited server gets one first.
 
         :param max_connections: connections to the server that may be open at a time
+        :param check_sendable: called on the open connection, raises ``UpstreamError``
+            if the request may not be sent any more
         :raises UpstreamError: the server sent no answer, or may get nothing more
         """
         has_answered = False
@@ -96,6 +99,7 @@
         def before_send() -> None:
             # The server may have left while the connection was opened.
             self._check_usable(server, purpose)
+            check_sendable()
             self._log_send(server, request, purpose, chosen_ms)
             self._state.server_limits.record_sent(server.id, self._state.clock.now_ms())
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/const.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/const.py
@@ -14,6 +14,9 @@
 # waiting for anything.
 ACQUIRE_PERMIT_TIMEOUT_S: Final = 0.15
 
+# As for permits; a suspect is refused if the call fails, so it waits a little longer.
+TRIAL_TIMEOUT_S: Final = 0.3
+
 # Added to a request's remaining time, so that the peer can answer at the deadline.
 RUN_STAGES_TIMEOUT_MARGIN_S: Final = 0.1
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -29,6 +29,8 @@
 
 from ..wire import fleet_pb2 as pb
 from .models import (
+    BeginTrial,
+    EndTrial,
     EngineProgress,
     EngineProgressReport,
     Heartbeat,
@@ -37,6 +39,7 @@
     StageResults,
     StagesCompleted,
     StagesRefused,
+    TrialReply,
 )
 
 
@@ -154,30 +157,32 @@
 
 
 def _suspects_to_wire(reports: Iterable[PartReport]) -> list[pb.SuspectPart]:
-    return [
-        pb.SuspectPart(
-            part=report.part,
-            crashes=report.crashes,
-            cleared=report.cleared,
-            crash_count=report.crash_count,
-            company=report.company,
-            quarantine_left_ms=report.quarantine_left_ms,
-        )
-        for report in reports
-    ]
+    return [_suspect_to_wire(report) for report in reports]
 
 
 def _suspects_from_wire(rows: Iterable[pb.SuspectPart]) -> tuple[PartReport, ...]:
-    return tuple(
-        PartReport(
-            row.part,
-            frozenset(row.crashes),
-            frozenset(row.cleared),
-            row.crash_count,
-            frozenset(row.company),
-            row.quarantine_left_ms,
-        )
-        for row in rows
+    return tuple(_suspect_from_wire(row) for row in rows)
+
+
+def _suspect_to_wire(report: PartReport) -> pb.SuspectPart:
+    return pb.SuspectPart(
+        part=report.part,
+        crashes=report.crashes,
+        cleared=report.cleared,
+        crash_count=report.crash_count,
+        company=report.company,
+        quarantine_left_ms=report.quarantine_left_ms,
+    )
+
+
+def _suspect_from_wire(row: pb.SuspectPart) -> PartReport:
+    return PartReport(
+        row.part,
+        frozenset(row.crashes),
+        frozenset(row.cleared),
+        row.crash_count,
+        frozenset(row.company),
+        row.quarantine_left_ms,
     )
 
 
@@ -371,3 +376,57 @@
     if message.granted:
         return Granted(message.server, message.wait_ms)
     return Denied(message.server, message.retry_after_ms)
+
+
+def begin_trial_to_wire(request: BeginTrial) -> pb.TrialRequest:
+    """Encode a request for a trial."""
+    return pb.TrialRequest(
+        duty=request.duty,
+        holder=request.holder,
+        server=request.server_id,
+        duration_ms=max(0, request.duration_ms),
+        suspect=_suspect_to_wire(request.suspect),
+    )
+
+
+def begin_trial_from_wire(message: pb.TrialRequest) -> BeginTrial:
+    """Decode a request for a trial.
+
+    :raises ValueError: it names no suspect
+    """
+    if not message.suspect.part:
+        raise ValueError("the request for a trial names no suspect")
+    return BeginTrial(
+        message.duty,
+        message.holder,
+        message.server,
+        message.duration_ms,
+        _suspect_from_wire(message.suspect),
+    )
+
+
+def trial_reply_to_wire(reply: TrialReply) -> pb.TrialReply:
+    """Encode the reply to a request for a trial."""
+    return pb.TrialReply(
+        granted=reply.is_granted, suspect=_suspect_to_wire(reply.suspect)
+    )
+
+
+def trial_reply_from_wire(message: pb.TrialReply) -> TrialReply:
+    """Decode the reply to a request for a trial."""
+    return TrialReply(message.granted, _suspect_from_wire(message.suspect))
+
+
+def end_trial_to_wire(report: EndTrial) -> pb.TrialEnd:
+    """Encode the report that a copy was judged."""
+    return pb.TrialEnd(holder=report.holder, suspect=_suspect_to_wire(report.suspect))
+
+
+def end_trial_from_wire(message: pb.TrialEnd) -> EndTrial:
+    """Decode the report that a copy was judged.
+
+    :raises ValueError: it names no suspect
+    """
+    if not message.suspect.part:
+        raise ValueError("the end of a trial names no suspect")
+    return EndTrial(message.holder, _suspect_from_wire(message.suspect))
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -156,6 +156,47 @@
     released_results: StageResults = ()
 
 
+@attrs.frozen
+class BeginTrial:
+    """Request to send one copy of a suspect request to a server.
+
+    :param duty: name of the duty whose holder decides
+    :param holder: address of the daemon that sends the copy
+    :param server_id: server that it is sent to
+    :param duration_ms: longest time until the copy is judged
+    :param suspect: what the sender knows of the request
+    """
+
+    duty: str
+    holder: str
+    server_id: str
+    duration_ms: int
+    suspect: PartReport
+
+
+@attrs.frozen
+class TrialReply:
+    """Reply to a request for a trial.
+
+    :param suspect: what the replying daemon knows of the request
+    """
+
+    is_granted: bool
+    suspect: PartReport
+
+
+@attrs.frozen
+class EndTrial:
+    """Report that a copy was judged.
+
+    :param holder: address of the daemon that sent the copy
+    :param suspect: what that daemon knows of the request by now
+    """
+
+    holder: str
+    suspect: PartReport
+
+
 @attrs.frozen
 class PeerCallFailed:
     """Result of a call that got no usable answer from the peer."""
@@ -173,6 +214,8 @@
     :param run_stages: runs the stages of a request
     :param record_progress: records the progress of a request at its engine
     :param grant_permit: grants or denies a request to a limited server
+    :param begin_trial: decides whether a copy of a suspect request may be sent
+    :param end_trial: records that such a copy was judged
     :param get_document: returns version and content of the operator's document if it
         is newer than the given version, otherwise version 0 and no content
     """
@@ -180,4 +223,6 @@
     run_stages: Callable[[RunStagesRequest], Awaitable[RunStagesReply]]
     record_progress: Callable[[EngineProgressReport], None]
     grant_permit: Callable[[PermitRequest], Decision]
+    begin_trial: Callable[[BeginTrial], TrialReply]
+    end_trial: Callable[[EndTrial], None]
     get_document: Callable[[int], tuple[int, bytes]]
--- a/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
@@ -17,11 +17,14 @@
 from ..wire.fleet_grpc import FleetBase, FleetStub
 from . import const, convert
 from .models import (
+    BeginTrial,
+    EndTrial,
     EngineProgressReport,
     PeerCallFailed,
     PeerRequestHandlers,
     RunStagesReply,
     RunStagesRequest,
+    TrialReply,
 )
 
 _GRPC_CONFIG = Configuration(
@@ -70,6 +73,26 @@
         decision = self._handlers.grant_permit(request)
         await stream.send_message(convert.decision_to_wire(decision))
 
+    async def BeginTrial(self, stream: Any) -> None:
+        """Decide whether a peer may send a copy of a suspect request."""
+        message = await _receive(stream)
+        try:
+            request = convert.begin_trial_from_wire(message)
+        except ValueError as exc:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
+        reply = self._handlers.begin_trial(request)
+        await stream.send_message(convert.trial_reply_to_wire(reply))
+
+    async def EndTrial(self, stream: Any) -> None:
+        """Record that a peer's copy of a suspect request was judged."""
+        message = await _receive(stream)
+        try:
+            report = convert.end_trial_from_wire(message)
+        except ValueError as exc:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
+        self._handlers.end_trial(report)
+        await stream.send_message(pb.TrialEnded())
+
     async def FetchDocument(self, stream: Any) -> None:
         """Return the operator's document if it is newer than the peer's."""
         message = await _receive(stream)
@@ -161,6 +184,39 @@
             return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
         return convert.decision_from_wire(reply)
 
+    async def begin_trial(
+        self, address: str, request: BeginTrial
+    ) -> TrialReply | PeerCallFailed:
+        """Ask a peer whether a copy of a suspect request may be sent.
+
+        :returns: the reply, or why there is none
+        """
+        try:
+            reply = await _run_in_own_task(
+                self._stub(address).BeginTrial(
+                    convert.begin_trial_to_wire(request),
+                    timeout=const.TRIAL_TIMEOUT_S,
+                )
+            )
+        except _CALL_ERRORS as exc:
+            return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
+        return convert.trial_reply_from_wire(reply)
+
+    async def end_trial(self, address: str, report: EndTrial) -> PeerCallFailed | None:
+        """Report to a peer that a copy of a suspect request was judged.
+
+        :returns: why the report may be lost, ``None`` if the peer has it
+        """
+        try:
+            await _run_in_own_task(
+                self._stub(address).EndTrial(
+                    convert.end_trial_to_wire(report), timeout=const.TRIAL_TIMEOUT_S
+                )
+            )
+        except _CALL_ERRORS as exc:
+            return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
+        return None
+
     async def fetch_document(
         self,
         address: str,
--- a/packages/peers/src/cowsliphitch/peers/wire/fleet_grpc.py
+++ b/packages/peers/src/cowsliphitch/peers/wire/fleet_grpc.py
@@ -26,6 +26,14 @@
     async def AcquirePermit(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.PermitRequest, cowsliphitch.peers.wire.fleet_pb2.PermitReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def BeginTrial(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.TrialRequest, cowsliphitch.peers.wire.fleet_pb2.TrialReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def EndTrial(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.TrialEnd, cowsliphitch.peers.wire.fleet_pb2.TrialEnded]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchDocument(self, stream: 'grpclib.server.Stream[cowsliphitch.peers.wire.fleet_pb2.DocumentRequest, cowsliphitch.peers.wire.fleet_pb2.Document]') -> None:
         pass
@@ -50,6 +58,18 @@
                 cowsliphitch.peers.wire.fleet_pb2.PermitRequest,
                 cowsliphitch.peers.wire.fleet_pb2.PermitReply,
             ),
+            '/cowsliphitch.fleet.Fleet/BeginTrial': grpclib.const.Handler(
+                self.BeginTrial,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cowsliphitch.peers.wire.fleet_pb2.TrialRequest,
+                cowsliphitch.peers.wire.fleet_pb2.TrialReply,
+            ),
+            '/cowsliphitch.fleet.Fleet/EndTrial': grpclib.const.Handler(
+                self.EndTrial,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cowsliphitch.peers.wire.fleet_pb2.TrialEnd,
+                cowsliphitch.peers.wire.fleet_pb2.TrialEnded,
+            ),
             '/cowsliphitch.fleet.Fleet/FetchDocument': grpclib.const.Handler(
                 self.FetchDocument,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -80,6 +100,18 @@
             cowsliphitch.peers.wire.fleet_pb2.PermitRequest,
             cowsliphitch.peers.wire.fleet_pb2.PermitReply,
         )
+        self.BeginTrial = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cowsliphitch.fleet.Fleet/BeginTrial',
+            cowsliphitch.peers.wire.fleet_pb2.TrialRequest,
+            cowsliphitch.peers.wire.fleet_pb2.TrialReply,
+        )
+        self.EndTrial = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cowsliphitch.fleet.Fleet/EndTrial',
+            cowsliphitch.peers.wire.fleet_pb2.TrialEnd,
+            cowsliphitch.peers.wire.fleet_pb2.TrialEnded,
+        )
         self.FetchDocument = grpclib.client.UnaryUnaryMethod(
             channel,
             '/cowsliphitch.fleet.Fleet/FetchDocument',
