Report a crash to all daemons at once, and first in the heartbeats after it

Suspected, not shown to be a cause by itself: daemons that get a copy within 125 ms of the first crash have no record of it, so they send it without a trial. What a daemon knew went out with its next heartbeat, six of up to 256 records, three of them in turn; a crash of an engine makes dozens of sound requests suspect, too. Of several heartbeats that wait in a socket a peer reads only the last.

A crash is now followed by a heartbeat to all peers before the caller can return, and what this daemon saw in the last second is reported before the records in turn. A heartbeat reports 16 suspect requests. The new scenario of quarantine.feature fails without the change (200 other suspects); the one of crashing_requests.feature, copies right after a crash, passed once without it and is a guard only.

--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -96,6 +96,14 @@
     When 5000 requests with different parts are lost in crashes
     Then no daemon keeps more than 256 records, and a heartbeat reports at most 6
 
+  Scenario: A crash is in the next report however many others are suspect
+    Given 2 daemons that exchange reports on requests
+    When 200 requests with different parts are lost in crashes twice
+    And an engine crashes at daemon 1 on a request with the parts "new"
+    Then the next report of daemon 1 has the part "new"
+    When daemon 1 sees the parts "new" answered
+    Then the next report of daemon 1 has the part "new"
+
   Scenario: A quarantined part is kept when many others are suspect
     Given 2 daemons that exchange reports
     When engines crash at daemons 1, 2, 1 on requests with the parts "bad", 1000 ms apart
--- a/features/daemon/crashing_requests.feature
+++ b/features/daemon/crashing_requests.feature
@@ -33,6 +33,13 @@
       | a lookup                           |
       | a generation after its first event |
 
+  Scenario: Copies that come through other daemons right after a crash are tried, too
+    Given a site with 3 daemons and 6 order desks
+    And servers that crash 50 ms after they receive one request
+    When a lookup comes once
+    And it comes 6 times at the same moment through all daemons
+    Then at most 3 copies of it reached servers
+
   Scenario: Sound lookups that are lost beside requests that crash servers are answered when they come again
     Given a site with 3 daemons and 4 order desks
     And servers that crash 50 ms after they receive one request
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -156,6 +156,30 @@
             fleet.exchange()
 
 
+@when("{count:d} requests with different parts are lost in crashes twice")
+def many_parts_twice(context: Any, count: int) -> None:
+    fleet = context.quarantine
+    for crash_id, number in itertools.product((1, 2), range(count)):
+        fleet.daemons[0].record_crash(
+            crash_id * 10_000 + number, [f"part-{number}"], fleet.now_ms
+        )
+    fleet.wait(2_000)
+
+
+@when('an engine crashes at daemon {number:d} on a request with the parts "{parts}"')
+def engine_crashes(context: Any, number: int, parts: str) -> None:
+    fleet = context.quarantine
+    crash_id = next(fleet.crash_numbers)
+    fleet.daemons[number - 1].record_crash(crash_id, split(parts), fleet.now_ms)
+
+
+@then('the next report of daemon {number:d} has the part "{part}"')
+def next_report_has(context: Any, number: int, part: str) -> None:
+    fleet = context.quarantine
+    reports = fleet.daemons[number - 1].next_reports(fleet.now_ms)
+    assert part in [report.part for report in reports], reports
+
+
 @then(
     "no daemon keeps more than {records:d} records, and a heartbeat reports"
     " at most {reports:d}"
--- a/packages/core/src/cowsliphitch/core/fleet/heartbeat_schedule.py
+++ b/packages/core/src/cowsliphitch/core/fleet/heartbeat_schedule.py
@@ -3,7 +3,7 @@
 Load pattern: each daemon sends to all others, so the number of datagrams grows with the
 square of the fleet and keeps the loops busy.  Beyond a number of peers, a daemon sends
 to a part of them at a time, in turn.  A daemon that holds a duty always sends to all,
-since its failure has to be noticed at once.
+since its failure has to be noticed at once, and so does one with urgent news.
 """
 
 import itertools
@@ -38,16 +38,16 @@
         self._round = itertools.count()
         self._sent_to_all = False
 
-    def next_recipients(self, addresses: Sequence[str], holds_duty: bool) -> Recipients:
+    def next_recipients(self, addresses: Sequence[str], to_all: bool) -> Recipients:
         """Return the peers that get the next heartbeat.
 
         :param addresses: addresses of all peers
-        :param holds_duty: this daemon holds a duty
+        :param to_all: this daemon holds a duty or has urgent news
         """
         number = next(self._round)
         ordered = sorted(addresses)
         groups = max(1, math.ceil(len(ordered) / MAX_RECIPIENTS))
-        if holds_duty:
+        if to_all:
             self._sent_to_all = True
             return Recipients(tuple(ordered), HEARTBEAT_INTERVAL_MS)
         interval_ms = groups * HEARTBEAT_INTERVAL_MS
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -19,6 +19,7 @@
 for each copy that was sent, so each crash under it counts.
 """
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator
 from typing import Final
@@ -53,8 +54,14 @@
 MAX_CRASHES_PER_RECORD: Final = 16
 MAX_ANSWERED_PARTS: Final = 8_192
 
-# Records in one heartbeat: those with the most crashes, and others in turn.
+# Records in one heartbeat: those with the most crashes, those with news, and others in
+# turn.  A crash makes more requests suspect than prompt parts.
 MAX_REPORTS_PER_HEARTBEAT: Final = 6
+MAX_REQUEST_REPORTS_PER_HEARTBEAT: Final = 16
+
+# Time for which a crash or an answer that this daemon saw is news.  A peer reads only
+# the last of several heartbeats that wait for it, so news are sent more than once.
+NEWS_MS: Final = 1_000
 
 
 @attrs.frozen
@@ -246,12 +253,21 @@
     Times are monotonic time, in ms.
     """
 
-    def __init__(self, counting: CrashCounting | None = None) -> None:
+    def __init__(
+        self,
+        counting: CrashCounting | None = None,
+        max_reports: int = MAX_REPORTS_PER_HEARTBEAT,
+    ) -> None:
         """Initialize the registry without records.
 
         :param counting: which crashes count, ``OncePerOutage`` by default
+        :param max_reports: number of records in one heartbeat
         """
         self._counting = counting or OncePerOutage()
+        self._max_reports = max_reports
+        # Parts with news, and the monotonic time until which they have.  The one that
+        # was reported last is the last one.
+        self._news: OrderedDict[str, int] = OrderedDict()
         self._records: dict[str, _PartRecord] = {}
         # The part that was answered last is the last one.
         self._answered: OrderedDict[str, None] = OrderedDict()
@@ -274,16 +290,19 @@
             record = self._record_of(part, frozenset(parts))
             record.company &= frozenset(parts)
             record.add((crash,), now_ms)
+            self._set_news(part, now_ms)
             crashed.append(record.counted_crashes(part))
         return attrs.evolve(self._update(now_ms), crashed=tuple(crashed))
 
     def record_answer(self, parts: Collection[str], now_ms: int) -> QuarantineChange:
         """Record that a request was answered, so none of its parts crashes engines."""
-        records = [self._records[part] for part in parts if part in self._records]
+        records = {part: self._records[part] for part in parts if part in self._records}
         for part in parts:
             self._answered[part] = None
             self._answered.move_to_end(part)
-        for record in records:
+        for part, record in records.items():
+            if record.open_crashes:
+                self._set_news(part, now_ms)
             record.clear(record.crashes)
         while len(self._answered) > MAX_ANSWERED_PARTS:
             self._answered.popitem(last=False)
@@ -370,20 +389,43 @@
         )
 
     def next_reports(self, now_ms: int) -> tuple[PartReport, ...]:
-        """Return what the next heartbeat reports, the worst parts in each."""
+        """Return what the next heartbeat reports: the worst parts, news, and others."""
         ordered = sorted(
             self._records, key=lambda p: self._records[p].crash_count, reverse=True
         )
-        half = MAX_REPORTS_PER_HEARTBEAT // 2
-        first, others = ordered[:half], ordered[half:]
+        half = self._max_reports // 2
+        worst, others = ordered[:half], ordered[half:]
+        news = self._next_news(
+            frozenset(others), self._max_reports - len(worst), now_ms
+        )
+        others = [part for part in others if part not in news]
         if self._report_offset >= len(others):
             self._report_offset = 0
         start = self._report_offset
-        self._report_offset += MAX_REPORTS_PER_HEARTBEAT - half
+        self._report_offset += self._max_reports - len(worst) - len(news)
         return tuple(
             self._records[part].report(part, now_ms)
-            for part in [*first, *others[start : self._report_offset]]
+            for part in [*worst, *news, *others[start : self._report_offset]]
+        )
+
+    def _next_news(
+        self, among: frozenset[str], limit: int, now_ms: int
+    ) -> tuple[str, ...]:
+        """Return parts with news, those that were not reported for longest first."""
+        for part, until_ms in list(self._news.items()):
+            if until_ms <= now_ms:
+                del self._news[part]
+        news = tuple(
+            itertools.islice((part for part in self._news if part in among), limit)
         )
+        for part in news:
+            self._news.move_to_end(part)
+        return news
+
+    def _set_news(self, part: str, now_ms: int) -> None:
+        """Have a part reported first for a while."""
+        self._news[part] = now_ms + NEWS_MS
+        self._news.move_to_end(part, last=False)
 
     @property
     def quarantined(self) -> frozenset[str]:
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -50,6 +50,7 @@
         """
         self._state = state
         self._quarantine = quarantine
+        quarantine.add_crash_listener(self._announce_crash)
         self._connections = connections
         self._group = group
         self._sequence_number = 0
@@ -76,13 +77,16 @@
             self._update_live_members(now)
             await anyio.sleep(seconds(HEARTBEAT_INTERVAL_MS))
 
-    async def send_heartbeat(self) -> None:
-        """Send one heartbeat, to all peers if this daemon holds a duty or stops."""
+    async def send_heartbeat(self, is_urgent: bool = False) -> None:
+        """Send one heartbeat, to all peers if this daemon holds a duty or stops.
+
+        :param is_urgent: send it to all peers
+        """
         self._sequence_number += 1
         members = self._state.members
         recipients = self._schedule.next_recipients(
             [member.address for member in members.peers()],
-            holds_duty=bool(members.claims) or self._state.stopping,
+            to_all=is_urgent or bool(members.claims) or self._state.stopping,
         )
         heartbeat = self._make_heartbeat(recipients.interval_ms)
         await self.socket.send(heartbeat, recipients.addresses)
@@ -91,6 +95,10 @@
         """Send a heartbeat at once, outside the interval, after a change of state."""
         self._group.start_soon(self.send_heartbeat)
 
+    def _announce_crash(self) -> None:
+        """Tell all peers of new suspects before a caller can return to one of them."""
+        self._group.start_soon(self.send_heartbeat, True)
+
     def _make_heartbeat(self, interval_ms: int) -> Heartbeat:
         state = self._state
         return Heartbeat(
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -12,7 +12,11 @@
 from cowsliphitch.core.fleet.members import MemberTable
 from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.overload.loop_delay import LoopDelayMonitor
-from cowsliphitch.core.quarantine.prompt_parts import EachCrash, PromptPartRegistry
+from cowsliphitch.core.quarantine.prompt_parts import (
+    MAX_REQUEST_REPORTS_PER_HEARTBEAT,
+    EachCrash,
+    PromptPartRegistry,
+)
 from cowsliphitch.core.servers.placement import ServerPlacement
 from cowsliphitch.core.servers.registry import ServerRegistry
 from cowsliphitch.core.streams.registry import StreamRegistry
@@ -49,7 +53,7 @@
     streams: StreamRegistry = attrs.Factory(StreamRegistry)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     suspect_requests: PromptPartRegistry = attrs.Factory(
-        lambda: PromptPartRegistry(EachCrash())
+        lambda: PromptPartRegistry(EachCrash(), MAX_REQUEST_REPORTS_PER_HEARTBEAT)
     )
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
