Test that a daemon that stood still joins no stream from two versions (failing)

A daemon stands still for longer than three heartbeats and a watch of the store, an engine of another version joins meanwhile and breaks a stream off, and the stream is taken up through that daemon as it goes on.

--- a/features/daemon/versions.feature
+++ b/features/daemon/versions.feature
@@ -64,3 +64,9 @@
     When a stream that nobody knows is taken up again 2 times through both daemons
     Then no stream has events of two versions
     And every stream is whole
+
+  Scenario: A daemon that stood still takes no stream for one of the version that it knows
+    Given a site whose engines have the versions "v1, v1"
+    When a daemon stands still while "engine-2" becomes "v2" and breaks a stream off
+    And the stream is taken up 6 times at the moment at which the daemon goes on
+    Then no stream has events of two versions
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -3,6 +3,7 @@
 import itertools
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import attrs
@@ -18,6 +19,9 @@
 # Longer than it takes to tell the peers and the store which version began a stream.
 SPREAD_S = 0.6
 
+# After it no watch of a daemon that stands still waits in the store.
+WATCH_S = 2.2
+
 
 @attrs.frozen
 class StreamPart:
@@ -180,6 +184,35 @@
     ]
 
 
+@when(
+    'a daemon stands still while "{name}" becomes "{version}" and breaks a stream off'
+)
+def stand_still(context: Any, name: str, version: str) -> None:
+    site, server = context.site, context.site.servers[name]
+    site.daemons[1]["process"].send_signal(signal.SIGSTOP)
+    time.sleep(WATCH_S)
+    server.version, server.crashes = version, server.crashes + 1
+    put(site.store, f"servers/{name}", server.entry())
+    time.sleep(SPREAD_S)
+    others = [s for s in site.servers.values() if s.service == server.service]
+    for other in others:
+        other.mode = "good" if other is server else "full"
+    broken_stream(context, name)
+    for other in others:
+        other.mode = "good"
+
+
+@when(
+    "the stream is taken up {count:d} times at the moment at which the daemon goes on"
+)
+def take_up_after_pause(context: Any, count: int) -> None:
+    with ThreadPoolExecutor(count) as pool:
+        parts = [pool.submit(take_up, context, context.first, 1) for _ in range(count)]
+        time.sleep(SPREAD_S)
+        context.site.daemons[1]["process"].send_signal(signal.SIGCONT)
+    context.streams = [[context.first, part.result()] for part in parts]
+
+
 @when(
     "a stream that nobody knows is taken up again {count:d} times through both daemons"
 )
