Tell other daemons only of versions that this one has listed

Suspected: after a release, streams without a record would be refused and all streams written to the store for as long as the daemons run. A daemon passed on the versions that it had only heard of, with each write of its streams, and whoever read them took them for seen at that moment; so a version that had left stayed in service among the daemons without end.

The new scenario of streams.feature fails without the change (70 s after the release both versions are still known).

--- a/features/core/streams.feature
+++ b/features/core/streams.feature
@@ -39,6 +39,12 @@
     When 2000 ms pass, and all daemons see the versions "v2"
     Then daemon "a" does not export streams
 
+  Scenario: Daemons do not keep a version that has left by telling each other of it
+    Given daemons "a, b" that see the versions "v1, v2"
+    When all daemons see the versions "v2", and tell each other each 10000 ms for 70000 ms
+    Then daemon "a" takes stream "s" for one of "v2" by "only version"
+    And daemon "b" takes stream "s" for one of "v2" by "only version"
+
   Scenario Outline: A daemon that starts learns versions and streams from the store
     Given daemons "a, b" that see the versions "v1, v2"
     When stream "s" begins with "v1" at daemon "a"
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -1,5 +1,6 @@
 """Steps on the records of streams, without I/O."""
 
+import itertools
 from typing import Any
 
 from behave import given, then, when
@@ -54,6 +55,17 @@
         registry.observe_servers(servers_of(versions), context.now_ms)
 
 
+@when(
+    'all daemons see the versions "{versions}", and tell each other'
+    " each {step:d} ms for {ms:d} ms"
+)
+def tell_each_other(context: Any, versions: str, step: int, ms: int) -> None:
+    for _ in range(0, ms, step):
+        see_versions(context, step, versions)
+        for sender, receiver in itertools.permutations(context.daemons.values(), 2):
+            receiver.learn_versions(sender.recent_origins(), context.now_ms)
+
+
 @when(
     'all daemons are replaced by "{name}", which sees the versions "{versions}" and'
     ' reads what "{writer}" wrote'
--- a/packages/core/src/cowsliphitch/core/streams/registry.py
+++ b/packages/core/src/cowsliphitch/core/streams/registry.py
@@ -67,14 +67,17 @@
         # The latest record is the last one.
         self._records: OrderedDict[int, _Record] = OrderedDict()
         self._seen_ms: dict[StreamOrigin, int] = {}
+        # The same, of those that this daemon read in the store itself.
+        self._listed_ms: dict[StreamOrigin, int] = {}
         self._mixed_ms: dict[str, int] = {}
         # Own streams to announce, with the monotonic time at which that began.
         self._announced: OrderedDict[int, int] = OrderedDict()
 
     def observe_servers(self, servers: Iterable[Server], now_ms: int) -> None:
         """Record the versions of the listed servers as in service now."""
-        for origin in {StreamOrigin(s.service, s.version) for s in servers}:
-            self._seen_ms[origin] = now_ms
+        origins = {StreamOrigin(s.service, s.version) for s in servers}
+        self._listed_ms |= dict.fromkeys(origins, now_ms)
+        self._seen_ms |= dict.fromkeys(origins, now_ms)
         self._update(now_ms)
 
     def learn_versions(self, origins: Iterable[StreamOrigin], now_ms: int) -> None:
@@ -87,11 +90,8 @@
 
         Own streams that began before there was another version are announced, too.
         """
-        self._seen_ms = {
-            origin: seen_ms
-            for origin, seen_ms in self._seen_ms.items()
-            if now_ms - seen_ms < STREAM_RETENTION_MS
-        }
+        self._seen_ms = _recent(self._seen_ms, now_ms)
+        self._listed_ms = _recent(self._listed_ms, now_ms)
         for service in {origin.service for origin in self._seen_ms}:
             if len(self.versions(service)) < 2:
                 continue
@@ -108,9 +108,15 @@
         return tuple(sorted(o.version for o in self._seen_ms if o.service == service))
 
     def recent_origins(self) -> tuple[StreamOrigin, ...]:
-        """Return the versions of all services that have several versions."""
+        """Return the listed versions of all services that have several versions.
+
+        Versions that this daemon only heard of are left out, since the daemons would
+        tell each other of them without end.
+        """
         return tuple(
-            origin for origin in self._seen_ms if len(self.versions(origin.service)) > 1
+            origin
+            for origin in self._listed_ms
+            if len(self.versions(origin.service)) > 1
         )
 
     def is_exporting(self, service: str, now_ms: int) -> bool:
@@ -215,3 +221,12 @@
         return tuple(
             StreamRecords(origin, tuple(members)) for origin, members in groups.items()
         )
+
+
+def _recent(times_ms: dict[StreamOrigin, int], now_ms: int) -> dict[StreamOrigin, int]:
+    """Return the origins that were seen within the retention of streams."""
+    return {
+        origin: time_ms
+        for origin, time_ms in times_ms.items()
+        if now_ms - time_ms < STREAM_RETENTION_MS
+    }
