Take no stream for one of the only known version on old knowledge

Another operator's report: streams that had begun on servers of a new version went on at one of another version through a machine that had been cut off or had stood still. A daemon that knows one version takes a stream without a record for one of that version, however long ago it last heard of the fleet, and the announcements of the stream are over after three heartbeats.

It does so only while a peer that it hears has a view of the store of at most 1 s, or while it hears all daemons; a peer counts as heard 300 ms after a silence, as its first messages may have waited in the socket. Heartbeats carry the age of the view, and the versions that the sender listed if a service has several. Ages are of boot time, which counts a suspended VM. Otherwise the take-up is refused as not run after 300 ms.

The cut from the store and from some daemons is shown without I/O in streams.feature.

--- a/features/core/streams.feature
+++ b/features/core/streams.feature
@@ -78,3 +78,32 @@
       | {"versions":[],"streams":[["s","v",["x"]]]} |
       | []                                    |
       | {                                     |
+
+  Scenario: A daemon that stood still does not trust what waited for it
+    Given a daemon that hears "a, b" with fresh views of the store
+    Then its knowledge is current
+    When it stands still for 2000 ms
+    Then its knowledge is not current
+    When it hears "a, b" once
+    Then its knowledge is not current
+    When it hears "a, b" for 400 ms with fresh views
+    Then its knowledge is current
+
+  Scenario: A daemon that is cut off from the store and from some daemons knows that it misses news
+    Given a daemon that hears "a, b" with fresh views of the store
+    When it hears "a" for 2000 ms with views that grow old
+    Then its knowledge is not current
+
+  Scenario: In an outage of the store a daemon that hears all others misses nothing
+    Given a daemon that hears "a, b" with fresh views of the store
+    When it hears "a, b" for 20000 ms with views that grow old
+    Then its knowledge is current
+
+  Scenario: A daemon that the store refuses hears of news from its peers
+    Given a daemon that hears "a, b" with fresh views of the store
+    When it hears "a" for 2000 ms with fresh views
+    Then its knowledge is current
+
+  Scenario: A daemon takes no stream for one of the only version that it knows while its knowledge is old
+    Given daemons "a" that see the versions "v1"
+    Then daemon "a" does not know stream "s" while its knowledge is old
--- a/features/peers/heartbeats.feature
+++ b/features/peers/heartbeats.feature
@@ -23,3 +23,7 @@
       | any version |
       | no version  |
       | version v1  |
+
+  Scenario: Messages about the trial of a suspect keep their fields
+    When a copy of a suspect is tried
+    Then the deciding daemon and the sender receive the same messages
--- a/features/steps/heartbeat_steps.py
+++ b/features/steps/heartbeat_steps.py
@@ -15,7 +15,13 @@
 from cowsliphitch.core.streams.models import StreamOrigin, StreamRecords
 from cowsliphitch.peers.fleet import convert
 from cowsliphitch.peers.fleet.heartbeats import HeartbeatSocket
-from cowsliphitch.peers.fleet.models import Heartbeat, RunStagesRequest
+from cowsliphitch.peers.fleet.models import (
+    BeginTrial,
+    EndTrial,
+    Heartbeat,
+    RunStagesRequest,
+    TrialReply,
+)
 from cowsliphitch.standins.processes import free_port
 
 
@@ -97,6 +103,8 @@
         streams=(StreamRecords(StreamOrigin("engine", "v1"), (1, 2**64 - 1)),),
         suspect_parts=suspects,
         suspect_requests=suspects,
+        versions=(StreamOrigin("engine", "v1"), StreamOrigin("engine", "v2")),
+        view_age_ms=0,
     )
 
 
@@ -106,6 +114,26 @@
     assert convert.heartbeat_from_wire(content, "127.0.0.1:1") == context.sent
 
 
+@when("a copy of a suspect is tried")
+def try_suspect(context: Any) -> None:
+    crashes, digests = frozenset({1, 2}), frozenset({"d"})
+    suspect = PartReport("d", crashes, frozenset({2}), 2, digests, 5)
+    context.messages = (
+        BeginTrial("stages/engine", "127.0.0.1:1", "s1", 500, suspect),
+        TrialReply(True, suspect),
+        EndTrial("127.0.0.1:1", suspect),
+    )
+
+
+@then("the deciding daemon and the sender receive the same messages")
+def receive_same_messages(context: Any) -> None:
+    request, reply, end = context.messages
+    message = convert.begin_trial_to_wire(request)
+    assert convert.begin_trial_from_wire(message) == request
+    assert convert.trial_reply_from_wire(convert.trial_reply_to_wire(reply)) == reply
+    assert convert.end_trial_from_wire(convert.end_trial_to_wire(end)) == end
+
+
 @when("an engine of {version} is requested, and two engines are paused")
 def request_engine(context: Any, version: str) -> None:
     versions = {"any version": None, "no version": "", "version v1": "v1"}
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from cowsliphitch.core.fleet.freshness import FleetFreshness
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.streams.models import KnownOrigin, StreamOrigin, UnknownOrigin
 from cowsliphitch.core.streams.registry import StreamRegistry
@@ -144,3 +145,55 @@
 @then("the key is not valid")
 def key_is_invalid(context: Any) -> None:
     assert stream_records.decode(context.content).is_err()
+
+
+@given('a daemon that hears "{peers}" with fresh views of the store')
+def hears_peers(context: Any, peers: str) -> None:
+    context.now_ms, context.freshness = 1_000, FleetFreshness()
+    context.peers = peers.split(", ")
+    hear(context, peers, 1_000, grow_old=False)
+
+
+def hear(context: Any, peers: str, ms: int, grow_old: bool) -> None:
+    end_ms, begin_ms = context.now_ms + ms, context.now_ms
+    while context.now_ms < end_ms:
+        context.now_ms += INTERVAL_MS
+        age_ms = context.now_ms - begin_ms if grow_old else 100
+        for peer in peers.split(", "):
+            context.freshness.hear(peer, age_ms, INTERVAL_MS, context.now_ms)
+
+
+@when('it hears "{peers}" for {ms:d} ms with fresh views')
+def hears_fresh(context: Any, peers: str, ms: int) -> None:
+    hear(context, peers, ms, grow_old=False)
+
+
+@when('it hears "{peers}" for {ms:d} ms with views that grow old')
+def hears_old(context: Any, peers: str, ms: int) -> None:
+    hear(context, peers, ms, grow_old=True)
+
+
+@when('it hears "{peers}" once')
+def hears_once(context: Any, peers: str) -> None:
+    hear(context, peers, 1, grow_old=False)
+
+
+@when("it stands still for {ms:d} ms")
+def stands_still(context: Any, ms: int) -> None:
+    context.now_ms += ms
+
+
+@then("its knowledge is current")
+def is_current(context: Any) -> None:
+    assert context.freshness.is_current(context.peers, context.now_ms)
+
+
+@then("its knowledge is not current")
+def is_not_current(context: Any) -> None:
+    assert not context.freshness.is_current(context.peers, context.now_ms)
+
+
+@then('daemon "{name}" does not know stream "{stream}" while its knowledge is old')
+def does_not_know_while_old(context: Any, name: str, stream: str) -> None:
+    lookup = context.daemons[name].find(stream, SERVICE, context.now_ms, False)
+    assert lookup == UnknownOrigin(("v1",), is_current=False), lookup
--- a/packages/core/src/cowsliphitch/core/clock.py
+++ b/packages/core/src/cowsliphitch/core/clock.py
@@ -13,21 +13,29 @@
 
     :param monotonic_ns: source of monotonic time, in nanoseconds
     :param wall_ns: source of time since the Unix epoch, in nanoseconds
+    :param boot_ns: source of monotonic time that includes suspensions of the VM, in
+        nanoseconds
     """
 
     def __init__(
         self,
         monotonic_ns: Callable[[], int] = time.monotonic_ns,
         wall_ns: Callable[[], int] = time.time_ns,
+        boot_ns: Callable[[], int] = lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME),
     ) -> None:
         """Initialize the clock, by default with the system's time."""
         self._monotonic_ns = monotonic_ns
         self._wall_ns = wall_ns
+        self._boot_ns = boot_ns
 
     def now_ms(self) -> int:
         """Return the monotonic time in ms, for durations and deadlines."""
         return self._monotonic_ns() // NS_PER_MS
 
+    def boot_ms(self) -> int:
+        """Return the time since boot in ms, which counts while the VM is suspended."""
+        return self._boot_ns() // NS_PER_MS
+
     def wall_ms(self) -> int:
         """Return the Unix time in ms, for times that leave the process."""
         return self._wall_ns() // NS_PER_MS
@@ -37,12 +45,16 @@
     """A clock for tests, which moves only when it is advanced."""
 
     def __init__(self, start_ms: int = 0) -> None:
-        """Initialize both times to ``start_ms``."""
+        """Initialize all times to ``start_ms``."""
         self._ms = start_ms
-        super().__init__(lambda: self._ms * NS_PER_MS, lambda: self._ms * NS_PER_MS)
+        source = self._now_ns
+        super().__init__(source, source, source)
+
+    def _now_ns(self) -> int:
+        return self._ms * NS_PER_MS
 
     def advance(self, ms: int) -> None:
-        """Advance both times by ``ms``."""
+        """Advance all times by ``ms``."""
         self._ms += ms
 
 
--- a/packages/core/src/cowsliphitch/core/streams/models.py
+++ b/packages/core/src/cowsliphitch/core/streams/models.py
@@ -42,9 +42,11 @@
     """No record of a stream, although several versions may have begun it.
 
     :param versions: versions that were in service lately
+    :param is_current: this daemon would know of another version
     """
 
     versions: tuple[str, ...]
+    is_current: bool = True
 
 
 OriginLookup = KnownOrigin | UnknownOrigin
--- a/packages/core/src/cowsliphitch/core/streams/registry.py
+++ b/packages/core/src/cowsliphitch/core/streams/registry.py
@@ -6,7 +6,8 @@
 its first event.
 
 Records are needed only while several versions of a service are in service, or lately
-were.  Otherwise the only version began every stream, and nothing is exchanged.
+were.  Otherwise the only version began every stream, and nothing is exchanged; a daemon
+that was cut off or stood still does not know that there is another one.
 """
 
 import itertools
@@ -163,12 +164,15 @@
             del self._records[oldest]
             self._announced.pop(oldest, None)
 
-    def find(self, request_id: str | None, service: str, now_ms: int) -> OriginLookup:
+    def find(
+        self, request_id: str | None, service: str, now_ms: int, is_current: bool = True
+    ) -> OriginLookup:
         """Return what is known of the origin of a stream.
 
         :param request_id: attempt that received the first event, ``None`` if the caller
             does not name it
         :param service: service that the stream is taken to be of without a record
+        :param is_current: this daemon would know of another version in service
         """
         record = (
             None
@@ -179,11 +183,11 @@
             age_ms = now_ms - record.recorded_ms
             return KnownOrigin(record.origin, record.source, age_ms)
         versions = self.versions(service)
-        if len(versions) == 1:
+        if is_current and len(versions) == 1:
             return KnownOrigin(
                 StreamOrigin(service, versions[0]), ONLY_VERSION_SOURCE, 0
             )
-        return UnknownOrigin(versions)
+        return UnknownOrigin(versions, is_current)
 
     def next_announcement(
         self, interval_ms: int, now_ms: int
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -121,6 +121,8 @@
             suspect_requests=state.suspect_requests.next_reports(state.clock.now_ms()),
             store_era=self.store.era if self.store is not None else 0,
             streams=state.streams.next_announcement(interval_ms, state.clock.now_ms()),
+            versions=state.streams.recent_origins(),
+            view_age_ms=state.servers.view_age_ms(state.clock.now_ms()),
             limits={
                 server_checksum(server_id): report
                 for server_id, report in state.server_limits.next_reports(
@@ -182,7 +184,14 @@
             log_limit_change(change)
         if self.store is not None:
             self.store.learn_era(heartbeat.store_era, heartbeat.name)
+        state.streams.learn_versions(heartbeat.versions, now)
         state.streams.learn(heartbeat.streams, heartbeat.name, now)
+        state.freshness.hear(
+            heartbeat.address,
+            heartbeat.view_age_ms,
+            heartbeat.interval_ms,
+            state.clock.boot_ms(),
+        )
         if heartbeat.suspect_parts or heartbeat.suspect_requests:
             self._quarantine.merge(
                 heartbeat.suspect_parts, heartbeat.suspect_requests, heartbeat.name
@@ -231,6 +240,7 @@
         answers the calls in flight.
         """
         members = self._state.members
+        self._state.freshness.retain({member.address for member in members.peers()})
         live = {member.address for member in members.live(now_ms)}
         live.discard(members.own.address)
         for address in live - self._live_addresses:
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -9,6 +9,7 @@
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.deployment.models import CallerLimits, Deployment
 from cowsliphitch.core.deployment.versions import VersionGuard
+from cowsliphitch.core.fleet.freshness import FleetFreshness
 from cowsliphitch.core.fleet.members import MemberTable
 from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.overload.loop_delay import LoopDelayMonitor
@@ -34,6 +35,7 @@
     :param placement: load and failures of the servers, to choose the least loaded one
     :param server_limits: limits on requests that servers name
     :param streams: software versions that began streams
+    :param freshness: how old the peers' views of the store are
     :param prompt_parts: prompt parts that are suspected of crashing engines
     :param suspect_requests: requests that are suspected of crashing servers, by digest
     :param loop_delay: how late this daemon's event loop is
@@ -51,6 +53,7 @@
     placement: ServerPlacement = attrs.Factory(ServerPlacement)
     server_limits: LimitTable = attrs.Factory(LimitTable)
     streams: StreamRegistry = attrs.Factory(StreamRegistry)
+    freshness: FleetFreshness = attrs.Factory(FleetFreshness)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     suspect_requests: PromptPartRegistry = attrs.Factory(
         lambda: PromptPartRegistry(EachCrash(), MAX_REQUEST_REPORTS_PER_HEARTBEAT)
@@ -84,6 +87,15 @@
         left_ms = min(ends_ms, default=0) - self.clock.now_ms()
         return max(default_ms, left_ms)
 
+    def is_current(self) -> bool:
+        """Return whether this daemon knows what the store told any daemon of late."""
+        peers = [
+            member.address
+            for member in self.members.peers()
+            if not self.members.is_leaving(member.address)
+        ]
+        return self.freshness.is_current(peers, self.clock.boot_ms())
+
     def can_serve(self) -> bool:
         """Return whether settings are active and the servers were listed."""
         return self.deployment is not None and self.servers.has_listing
--- a/packages/gateway/src/cowsliphitch/gateway/stream_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stream_coordinator.py
@@ -75,11 +75,13 @@
         """
         request = ctx.request
         match await self._find(request, ctx.service):
-            case UnknownOrigin(versions):
+            case UnknownOrigin(versions, is_current):
                 detail = (
                     f"no record of the stream {request.resumed_id}, and"
                     f" {len(versions)} versions of {ctx.service} were in service"
                 )
+                if not is_current:
+                    detail += " when this daemon last heard of the fleet"
                 return self._refuse(ctx, Reason.UNKNOWN_STREAM, detail)
             case KnownOrigin(origin, source, age_ms):
                 pass
@@ -126,7 +128,9 @@
         end_ms = clock.now_ms() + const.STREAM_RECORD_WAIT_MS
         while True:
             now = clock.now_ms()
-            lookup = self._state.streams.find(request.resumed_id, service, now)
+            lookup = self._state.streams.find(
+                request.resumed_id, service, now, self._state.is_current()
+            )
             if isinstance(lookup, KnownOrigin) or now >= end_ms:
                 return lookup
             if request.resumed_id is None:
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -102,6 +102,11 @@
             )
             for group in heartbeat.streams
         ],
+        versions=[
+            pb.ServiceVersion(service=origin.service, version=origin.version)
+            for origin in heartbeat.versions
+        ],
+        view_age_ms=heartbeat.view_age_ms,
     )
     return bytes(message.SerializeToString())
 
@@ -153,6 +158,10 @@
             StreamRecords(StreamOrigin(row.service, row.version), tuple(row.streams))
             for row in message.streams
         ),
+        versions=tuple(
+            StreamOrigin(row.service, row.version) for row in message.versions
+        ),
+        view_age_ms=message.view_age_ms if message.HasField("view_age_ms") else None,
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -13,7 +13,7 @@
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.load import ServerLoad
 from cowsliphitch.core.servers.registry import LeavingReport
-from cowsliphitch.core.streams.models import StreamRecords
+from cowsliphitch.core.streams.models import StreamOrigin, StreamRecords
 from cowsliphitch.core.verdict import Refusal
 
 
@@ -41,6 +41,8 @@
         identifier
     :param store_era: era of the store as the daemon knows it
     :param streams: streams that began at the daemon, by their origin
+    :param versions: versions that it listed, of services that have several
+    :param view_age_ms: time since the store's last answer to it, ``None`` before that
     """
 
     name: str
@@ -60,6 +62,8 @@
     store_era: int = 0
     streams: tuple[StreamRecords, ...] = ()
     suspect_requests: tuple[PartReport, ...] = ()
+    versions: tuple[StreamOrigin, ...] = ()
+    view_age_ms: int | None = None
 
 
 @attrs.frozen
