Break a stream off when the server that goes on with it fails

Another operator's report: clients found an error's text or head in the middle of their stream. A resumed attempt that was answered with a failure was relayed like a first one, with a second head. h11 refuses to send it, so that the caller's connection was cut with an unexpected error in the log; nothing but that kept the text out of the stream. The failure now counts as a failed attempt, so the stream goes on at the next server if it may, and is broken off otherwise.

sending.feature, a 500 with and without a length to a begun stream: both raised a second head before.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -41,6 +41,25 @@
       | closes a bare stream before the first one | 0      | was refused    |
       | resets a bare stream after two events     | 2      | was broken off |
 
+  Scenario Outline: A stream that goes on at a failing server is broken off after its events
+    When a stream breaks off after its first event and goes on at a server that <does>
+    Then the caller has received the first event only, of a stream that was broken off
+
+    Examples:
+      | does                                      |
+      | fails with a text                         |
+      | fails without a length                    |
+      | is busy and may have run it               |
+      | answers with no byte                      |
+      | ends its chunks before the first event    |
+      | closes a bare stream before the first one |
+      | closes inside its head                    |
+
+  Scenario: A bare answer that closes before its first byte is not passed on as whole
+    Given an upstream that closes a bare answer before its first byte
+    When a request is forwarded to it
+    Then the request may have run, and its caller has received nothing
+
   Scenario Outline: An answer without end is cut off at its limit
     Given an upstream that <does>
     When a <kind> is forwarded to it
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -73,6 +73,20 @@
         b"HTTP/1.1 421 Misdirected\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
     ),
 }
+FAILURE = (
+    b"HTTP/1.1 500 Failed\r\nCowsliphitch-Request-Id: r1\r\n"
+    b"Cowsliphitch-Response-Seal: seal\r\n"
+)
+SCRIPTS |= {
+    "fails with a text": FAILURE + b"Content-Length: 9\r\n\r\nan error\n",
+    "fails without a length": FAILURE + b"\r\nan error\n\n",
+    "is busy and may have run it": FAILURE.replace(b"500", b"503")
+    + b"Content-Length: 6\r\n\r\nbusy\n\n",
+    "answers with no byte": SEALED + b"Content-Length: 0\r\n\r\n",
+    "ends its chunks before the first event": CHUNKED + b"0\r\n\r\n",
+    "closes inside its head": SEALED[:-4],
+    "closes a bare answer before its first byte": SEALED + b"\r\n",
+}
 FILLER = b"x" * 65_536
 ENDLESS: dict[str, bytes] = {
     "sends a head without end": b"X-Filler: filler\r\n" * 1_000,
@@ -85,6 +99,9 @@
 }
 MEGABYTE = 1_048_576
 
+# Shared by the largest number of daemons that may be there.
+ALLOWED_RETRIES = 64
+
 
 class RecordedReply:
     """Reply that keeps what the caller would receive."""
@@ -99,6 +116,7 @@
         return self.status is not None
 
     async def start(self, status: int, _headers: Any, length: int | None) -> None:
+        assert not self.started, f"a second head, with {status}"
         self.status = status
 
     async def send(self, content: bytes) -> None:
@@ -111,8 +129,12 @@
 class Sender:
     """The gateway's client, and servers that answer with their own name."""
 
-    def __init__(self, names: list[str], script: str = "answers") -> None:
+    def __init__(
+        self, names: list[str], script: str = "answers", **scripts: str
+    ) -> None:
         self.script = script
+        # Scripts of servers that do something else.
+        self.scripts = scripts
         self.sent_bytes = 0
         self.ports = {name: free_port() for name in names}
         self.received: dict[str, bytes] = dict.fromkeys(names, b"")
@@ -133,17 +155,18 @@
         self.state.servers.mark_leaving(report, self.state.clock.now_ms(), "peer")
 
     async def serve(self, name: str, stream: SocketStream) -> None:
+        script = self.scripts.get(name, self.script)
         try:
             while True:
                 self.received[name] += await stream.receive()
-                await stream.send(SCRIPTS.get(self.script, ANSWER + name.encode()))
-                if self.script in ENDLESS:
-                    await self.send_on_and_on(stream, ENDLESS[self.script])
-                elif self.script in SCRIPTS:
+                await stream.send(SCRIPTS.get(script, ANSWER + name.encode()))
+                if script in ENDLESS:
+                    await self.send_on_and_on(stream, ENDLESS[script])
+                elif script in SCRIPTS:
                     break
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             pass
-        if self.script.startswith("resets"):
+        if script.startswith("resets"):
             await anyio.sleep(0.05)
             sock = stream.extra(SocketAttribute.raw_socket)
             linger = struct.pack("ii", 1, 0)
@@ -228,9 +251,12 @@
 
 
 def forward(
-    context: Any, choices: list[str] | None, kind: RouteKind = RouteKind.ONCE
+    context: Any,
+    choices: list[str] | None,
+    kind: RouteKind = RouteKind.ONCE,
+    max_attempts: int = 1,
 ) -> None:
-    """Forward an order or a stream.
+    """Forward an order or a stream, which may be resumed in further attempts.
 
     Its servers are chosen in the given order, or by the forwarder if there is none.
     """
@@ -242,7 +268,9 @@
         return sender.server(name) if name else None
 
     async def action(client: ServerClient, group: TaskGroup) -> None:
-        context.allowance = RetryAllowance(0.0, 0, 10_000)
+        context.allowance = RetryAllowance(
+            0.0, ALLOWED_RETRIES * (max_attempts - 1), 10_000
+        )
         quarantine = EngineQuarantine(sender.state, group)
         trials = TrialBroker(sender.state, PeerConnections(), quarantine, group)
         forwarder = Forwarder(
@@ -258,7 +286,8 @@
             targets=(),
             timeout_ms=6_000,
             objective_ms=500,
-            max_attempts=1,
+            max_attempts=max_attempts,
+            resumable=max_attempts > 1,
             priority=1,
             public=True,
         )
@@ -317,6 +346,27 @@
     context.sender = Sender(["s1"], does)
 
 
+@when("a stream breaks off after its first event and goes on at a server that {does}")
+def forward_broken_stream(context: Any, does: str) -> None:
+    context.sender = Sender(["s1", "s2"], s1="closes a bare stream inside an event")
+    context.sender.scripts["s2"] = does
+    forward(context, ["s1", "s2"], RouteKind.STREAM, max_attempts=2)
+
+
+@then("the caller has received the first event only, of a stream that was broken off")
+def received_first_event(context: Any) -> None:
+    assert all(context.sender.received.values()), "a server was not asked"
+    reply = context.reply
+    assert reply.status == 200 and not reply.has_ended, reply.__dict__
+    assert reply.body == EVENTS.partition(b"\n\n")[0] + b"\n\n", reply.body
+
+
+@then("the request may have run, and its caller has received nothing")
+def may_have_run_unanswered(context: Any) -> None:
+    assert context.refusal.verdict is Verdict.MAY_HAVE_RUN, context.refusal
+    assert not context.reply.started, context.reply.__dict__
+
+
 @given("a server whose refusals have Retry-After {value}")
 def server_that_refuses(context: Any, value: str) -> None:
     script = f"refuses with Retry-After {value}"
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -382,10 +382,14 @@
         metadata: AnswerMetadata,
         reply: Reply,
     ) -> None:
-        ctx.status = metadata.status
         if ctx.route.kind is RouteKind.STREAM and metadata.is_success:
+            ctx.status = metadata.status
             await self._relay_stream(ctx, server, answer, reply)
             return
+        if reply.started:
+            detail = f"{server.id} answered {metadata.status} to a begun stream"
+            raise UpstreamError(may_have_run(Reason.UPSTREAM_FAILED, detail))
+        ctx.status = metadata.status
         content = await answer.read(const.MAX_ANSWER_BYTES)
         await relay_buffered_answer(answer, content, reply)
 
