--- a/packages/core/src/cowsliphitch/core/fleet/freshness.py
+++ b/packages/core/src/cowsliphitch/core/fleet/freshness.py
@@ -60,15 +60,20 @@
     ) -> None:
         """Record that a peer was heard.
 
+        One that was never heard before has no message that waited.
+
         :param view_age_ms: time since its last answer from the store, ``None`` if it
             has none
         :param interval_ms: time until its next message
         """
         view_ms = None if view_age_ms is None else now_ms - view_age_ms
         known = self._sources.get(address)
-        since_ms = (
-            now_ms if known is None or known.is_silent(now_ms) else known.since_ms
-        )
+        if known is None:
+            since_ms = now_ms - SETTLING_MS
+        elif known.is_silent(now_ms):
+            since_ms = now_ms
+        else:
+            since_ms = known.since_ms
         self._sources[address] = _Source(since_ms, now_ms, view_ms, interval_ms)
 
     def retain(self, addresses: Collection[str]) -> None:
