Do not end a stream as complete when its continuation has no event

A continuation that had no event (a bare answer that closed after its head, a length of zero, chunks that ended at once) reached the end of the relay, which ended the caller's stream. Nothing in such an answer shows that the events before it were all. It is a failed attempt now: the stream goes on at the next server if it may, and is broken off otherwise, so that its caller can take it up again. An answer without events to a caller that has none yet is passed on as before.

--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -398,14 +398,16 @@
     ) -> None:
         """Pass complete events on as they arrive.
 
-        :raises UpstreamError: the stream ended within an event, or with the connection
-            before its first event
+        :raises UpstreamError: the stream ended within an event, without an event after
+            those of an earlier attempt, or with the connection before its first event
         """
         splitter, progress = EventSplitter(), ctx.stream_progress
+        is_continuation, has_events = reply.started, False
         async for chunk in answer.chunks():
             events = splitter.feed(chunk)
             if not events:
                 continue
+            has_events = True
             self._record_version(ctx, server)
             if not reply.started:
                 progress.first_event_ms = self._state.clock.now_ms()
@@ -420,6 +422,9 @@
         if splitter.incomplete_event:
             detail = "the stream ended in the middle of an event"
             raise UpstreamError(may_have_run(Reason.STREAM_CUT, detail))
+        if is_continuation and not has_events:
+            detail = f"{server.id} had no event after {progress.last_event_id}"
+            raise UpstreamError(may_have_run(Reason.STREAM_CUT, detail))
         if not reply.started:
             if not answer.head.is_delimited:
                 detail = "the connection closed before the stream's first event"
