Take a bare answer that closes before its first byte for a lost one

Another operator's report: a server stopped in its answer's head, and clients got a 200 with an empty body, framed as whole. Inside the head h11 finds that out; a head without a length that is complete, then closed, is a whole empty body to it, and was passed on with a length of 0. It is a lost connection now, as it was for streams already: the request may have run, and goes on only if it may be repeated. Answers that have no body by their status or method are whole. A body without a length that is cut short after its first byte with an orderly close can't be told from a whole one.

--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -31,7 +31,12 @@
 from cowsliphitch.platform import servers as wire
 from cowsliphitch.platform.callers import end_to_end_headers
 from cowsliphitch.telemetry.logs import event
-from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
+from cowsliphitch.upstreams.http1.models import (
+    BODILESS_STATUSES,
+    AnswerHead,
+    OutgoingRequest,
+    UpstreamError,
+)
 from cowsliphitch.upstreams.http1.pool import Answer
 
 from . import const
@@ -391,6 +396,9 @@
             raise UpstreamError(may_have_run(Reason.UPSTREAM_FAILED, detail))
         ctx.status = metadata.status
         content = await answer.read(const.MAX_ANSWER_BYTES)
+        if not content and not _may_be_empty(ctx.request, answer.head):
+            detail = "the connection closed before the answer's first byte"
+            raise UpstreamError(may_have_run(Reason.CONNECTION_LOST, detail))
         await relay_buffered_answer(answer, content, reply)
 
     async def _relay_stream(
@@ -485,3 +493,16 @@
     if metadata.wrong_server:
         return Reason.CONNECT_FAILED
     return Reason.RESULT_LOST if metadata.results_lost else Reason.QUEUE_FULL
+
+
+def _may_be_empty(request: CallerRequest, head: AnswerHead) -> bool:
+    """Return whether an answer without a body is whole.
+
+    Without a length, a server that stopped after its head can't be told from one that
+    had nothing more to send.
+    """
+    return (
+        head.is_delimited
+        or request.method == b"HEAD"
+        or head.status in BODILESS_STATUSES
+    )
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/models.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/models.py
@@ -1,5 +1,7 @@
 """Requests to servers, the heads of their answers, and the error of an exchange."""
 
+from typing import Final
+
 import attrs
 
 from cowsliphitch.core.verdict import Refusal
@@ -46,6 +48,10 @@
         )
 
 
+# Answers that have no body, so that they are whole without a length.
+BODILESS_STATUSES: Final = frozenset({204, 304})
+
+
 class UpstreamError(Exception):
     """A request got no complete answer from a server.
 
