--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -55,6 +55,18 @@
       | closes a bare stream before the first one |
       | closes inside its head                    |
 
+  Scenario Outline: An answer whose head breaks off at any byte is lost
+    Given heads that are cut one byte later each time, as the server <ends>, <connection>
+    When requests, streams and stage calls are sent until a head is whole
+    Then none of them was answered, and each may have run
+
+    Examples:
+      | ends   | connection             |
+      | closes | on a new connection    |
+      | resets | on a new connection    |
+      | closes | on a kept connection   |
+      | resets | on a kept connection   |
+
   Scenario: A bare answer that closes before its first byte is not passed on as whole
     Given an upstream that closes a bare answer before its first byte
     When a request is forwarded to it
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -1,5 +1,6 @@
 """Steps on what is sent to servers, with the gateway's client and scripted servers."""
 
+import itertools
 import socket
 import struct
 import time
@@ -20,6 +21,7 @@
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.core.verdict import Reason, Verdict
+from cowsliphitch.gateway import engine_quarantine
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.forwarding import Forwarder, RequestContext
 from cowsliphitch.gateway.permits import PermitBroker
@@ -103,6 +105,12 @@
 ALLOWED_RETRIES = 64
 
 
+def reset_on_close(stream: SocketStream) -> None:
+    sock = stream.extra(SocketAttribute.raw_socket)
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 class RecordedReply:
     """Reply that keeps what the caller would receive."""
 
@@ -168,9 +176,7 @@
             pass
         if script.startswith("resets"):
             await anyio.sleep(0.05)
-            sock = stream.extra(SocketAttribute.raw_socket)
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_on_close(stream)
         await stream.aclose()
 
     async def send_on_and_on(self, stream: SocketStream, content: bytes) -> None:
@@ -217,6 +223,83 @@
         return mock.patch.object(pool_module, "connect", connect_then_change)
 
 
+class HeadCuttingSender(Sender):
+    """A server that ends each answer after a part of its head.
+
+    :param answers_before: whole answers on a connection before that
+    """
+
+    def __init__(self, resets: bool, answers_before: int) -> None:
+        super().__init__(["s1"])
+        self.resets, self.answers_before = resets, answers_before
+        self.head = ANSWER
+        self.cut_at = 0
+
+    async def serve(self, name: str, stream: SocketStream) -> None:
+        try:
+            for _ in range(self.answers_before):
+                await stream.receive()
+                await stream.send(ANSWER + b"ok")
+            await stream.receive()
+            await stream.send(self.head[: self.cut_at])
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            # A probe, or a connection that was kept.
+            pass
+        if self.resets:
+            reset_on_close(stream)
+        await stream.aclose()
+
+
+@given(
+    "heads that are cut one byte later each time, as the server {ends}, {connection}"
+)
+def cuts_heads(context: Any, ends: str, connection: str) -> None:
+    answers_before = 1 if connection == "on a kept connection" else 0
+    context.sender = HeadCuttingSender(ends == "resets", answers_before)
+
+
+@when("requests, streams and stage calls are sent until a head is whole")
+def send_until_whole(context: Any) -> None:
+    sender = context.sender
+    context.verdicts = []
+
+    async def action(client: ServerClient, group: TaskGroup) -> None:
+        quarantine = EngineQuarantine(sender.state, group)
+        trials = TrialBroker(sender.state, PeerConnections(), quarantine, group)
+        allowance = RetryAllowance(0.0, 0, 10_000)
+        forwarder = Forwarder(sender.state, client, allowance, quarantine, trials)
+        for head, sender.cut_at in itertools.chain(
+            ((ANSWER, n) for n in range(len(ANSWER))),
+            ((BARE_STREAM, n) for n in range(len(BARE_STREAM))),
+        ):
+            sender.head = head
+            kind = RouteKind.ONCE if head == ANSWER else RouteKind.STREAM
+            for _ in range(sender.answers_before):
+                await sender.send(client, "s1", Purpose.STAGE_CALL)
+            reply = RecordedReply()
+            ctx = request_context(sender, kind)
+            refusal = await forwarder.run(ctx, reply)
+            context.verdicts.append((reply.status, refusal.verdict))
+            for _ in range(sender.answers_before):
+                await sender.send(client, "s1", Purpose.STAGE_CALL)
+            try:
+                await sender.send(client, "s1", Purpose.STAGE_CALL)
+            except UpstreamError as exc:
+                context.verdicts.append((None, exc.refusal.verdict))
+
+    async def listens(_address: str, _timeout_ms: int) -> bool:
+        return False
+
+    with mock.patch.object(engine_quarantine, "refuses_connections", listens):
+        anyio.run(sender.run, action)
+
+
+@then("none of them was answered, and each may have run")
+def none_answered(context: Any) -> None:
+    assert len(context.verdicts) == 2 * (len(ANSWER) + len(BARE_STREAM))
+    assert set(context.verdicts) == {(None, Verdict.MAY_HAVE_RUN)}
+
+
 @given('servers "{names}" that listen')
 def given_servers(context: Any, names: str) -> None:
     context.sender = Sender(names.split(", "))
@@ -250,6 +333,27 @@
     )
 
 
+def request_context(
+    sender: Sender, kind: RouteKind, max_attempts: int = 1
+) -> RequestContext:
+    now = sender.state.clock.now_ms()
+    route = Route(
+        name="order",
+        host="a.example",
+        prefix="/",
+        kind=kind,
+        targets=(),
+        timeout_ms=6_000,
+        objective_ms=500,
+        max_attempts=max_attempts,
+        resumable=max_attempts > 1,
+        priority=1,
+        public=True,
+    )
+    request = caller_request(now)
+    return RequestContext(request, route, "service", None, 1, now + 6_000)
+
+
 def forward(
     context: Any,
     choices: list[str] | None,
@@ -276,22 +380,7 @@
         forwarder = Forwarder(
             sender.state, client, context.allowance, quarantine, trials
         )
-        now = sender.state.clock.now_ms()
-        request = caller_request(now)
-        route = Route(
-            name="order",
-            host="a.example",
-            prefix="/",
-            kind=kind,
-            targets=(),
-            timeout_ms=6_000,
-            objective_ms=500,
-            max_attempts=max_attempts,
-            resumable=max_attempts > 1,
-            priority=1,
-            public=True,
-        )
-        ctx = RequestContext(request, route, "service", None, 1, now + 6_000)
+        ctx = request_context(sender, kind, max_attempts)
         ctx.choose_server = None if choices is None else choose
         context.reply = RecordedReply()
         context.refusal = await forwarder.run(ctx, context.reply)
