Count an outage once against a request that was answered before

Each daemon remembers 1,024 answered digests.

The new scenario of quarantine.feature fails without the change. The one of crashing_requests.feature, equal lookups at all desks, passes without it as well.

--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -27,6 +27,16 @@
     When engines crash at daemons 1, 2, 3 on requests with the parts "bad", 50 ms apart
     Then each daemon refuses the parts "bad"
 
+  Scenario: An outage does not quarantine a request that many callers send
+    Given 3 daemons that exchange reports on requests
+    And daemon 1 has seen the parts "same" answered
+    And daemon 2 has seen the parts "same" answered
+    And daemon 3 has seen the parts "same" answered
+    When engines crash at daemons 1, 2, 3 on requests with the parts "same", 50 ms apart
+    Then each daemon accepts the parts "same"
+    When engines crash at daemons 1, 2, 3 on requests with the parts "same", 1000 ms apart
+    Then each daemon refuses the parts "same"
+
   Scenario: Two requests that crash servers do not clear each other
     Given 3 daemons that exchange reports on requests
     When engines that also prefill "worse" crash at daemons 1 on requests with the parts "bad", 50 ms apart
--- a/features/daemon/crashing_requests.feature
+++ b/features/daemon/crashing_requests.feature
@@ -51,3 +51,8 @@
     Given a site with 3 daemons and 4 order desks
     When all order desks crash 3 times while 8 lookups are at them
     Then each sound lookup was answered within 5 tries
+
+  Scenario: Equal lookups that are lost when all servers crash at once are answered when they come again
+    Given a site with 3 daemons and 4 order desks
+    When all daemons have answered a lookup, and all order desks crash while 9 like it are at them
+    Then each sound lookup was answered within 5 tries
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -141,6 +141,25 @@
             wait_for_restarts(context)
 
 
+@when(
+    "all daemons have answered a lookup, and all order desks crash while"
+    " {count:d} like it are at them"
+)
+def all_crash_under_equal(context: Any, count: int) -> None:
+    for daemon in range(context.site.daemon_count):
+        assert context.site.call("/lookup/7", {}, daemon, "same").status_code == 200
+    desks = [s for s in context.site.servers.values() if s.service == "desk"]
+    for server in desks:
+        server.answer_delay_ms = 4 * LOOKUP_MS
+    with ThreadPoolExecutor(count) as pool:
+        for number in range(count):
+            pool.submit(send_until_answered, context, "same", number, 20)
+        time.sleep(LOOKUP_MS * 3 / 1_000)
+        for server in desks:
+            context.site.portal.call(server.crash)
+        wait_for_restarts(context)
+
+
 @then("each sound lookup was answered within {count:d} tries")
 def sound_were_answered(context: Any, count: int) -> None:
     assert context.sound_tries
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -16,7 +16,8 @@
 prefill the same part.
 
 The same records hold requests that crash servers, by digest.  A digest is at one server
-for each copy that was sent, so each crash under it counts.
+for each copy that was sent, so each crash under it counts, unless it was answered
+before: many callers may send the same sound request, and an outage ends all servers.
 """
 
 import itertools
@@ -53,6 +54,7 @@
 MAX_RECORDS: Final = 256
 MAX_CRASHES_PER_RECORD: Final = 16
 MAX_ANSWERED_PARTS: Final = 8_192
+MAX_ANSWERED_REQUESTS: Final = 1_024
 
 # Records in one heartbeat: those with the most crashes, those with news, and others in
 # turn.  A crash makes more requests suspect than prompt parts.
@@ -76,7 +78,13 @@
 
 @attrs.frozen
 class EachCrash:
-    """Count every crash, as each one had a copy of the request of its own."""
+    """Count every crash, as each one had a copy of the request of its own.
+
+    :param answered_window_ms: time as for ``OncePerOutage``, for requests that were
+        answered before
+    """
+
+    answered_window_ms: int = SIMULTANEOUS_CRASHES_MS
 
 
 CrashCounting = OncePerOutage | EachCrash
@@ -148,16 +156,19 @@
         """Return the crashes that the part may have caused."""
         return self.crashes.keys() - self.cleared
 
-    def add(self, crashes: Collection[int], now_ms: int) -> None:
-        """Add crashes, count them, and begin the quarantine after enough of them."""
+    def add(self, crashes: Collection[int], now_ms: int, was_answered: bool) -> None:
+        """Add crashes, count them, and begin the quarantine after enough of them.
+
+        :param was_answered: a request with the part was answered before
+        """
         new = set(crashes) - self.crashes.keys()
         self.crashes |= dict.fromkeys(new, now_ms)
         if not new - self.cleared:
             return
         match self.counting:
-            case EachCrash():
+            case EachCrash() if not was_answered:
                 self.crash_count = len(self.open_crashes)
-            case OncePerOutage(window_ms):
+            case EachCrash(window_ms) | OncePerOutage(window_ms):
                 last_ms = self.last_counted_ms
                 if last_ms is not None and now_ms - last_ms < window_ms:
                     return
@@ -174,11 +185,14 @@
         if not self.is_quarantined(now_ms):
             self.quarantined_until_ms = now_ms + min(left_ms, QUARANTINE_MS)
 
-    def merge(self, report: PartReport, now_ms: int, is_past: bool) -> bool:
+    def merge(
+        self, report: PartReport, now_ms: int, is_past: bool, was_answered: bool
+    ) -> bool:
         """Add a peer's report; return whether it has news.
 
         :param is_past: the report was stored some time ago, so that later crashes are
             not simultaneous with its own
+        :param was_answered: a request with the part was answered before
         """
         is_known = (
             report.crashes <= self.crashes.keys()
@@ -190,7 +204,7 @@
             return False
         self.company &= report.company
         self.clear(report.cleared)
-        self.add(report.crashes | report.cleared, now_ms)
+        self.add(report.crashes | report.cleared, now_ms, was_answered)
         if is_past:
             self.last_counted_ms = None
         open_at_peer = report.crashes - self.cleared
@@ -257,14 +271,17 @@
         self,
         counting: CrashCounting | None = None,
         max_reports: int = MAX_REPORTS_PER_HEARTBEAT,
+        max_answered: int = MAX_ANSWERED_PARTS,
     ) -> None:
         """Initialize the registry without records.
 
         :param counting: which crashes count, ``OncePerOutage`` by default
         :param max_reports: number of records in one heartbeat
+        :param max_answered: number of parts that are known to be answered
         """
         self._counting = counting or OncePerOutage()
         self._max_reports = max_reports
+        self._max_answered = max_answered
         # Parts with news, and the monotonic time until which they have.  The one that
         # was reported last is the last one.
         self._news: OrderedDict[str, int] = OrderedDict()
@@ -289,7 +306,7 @@
         for part in suspects:
             record = self._record_of(part, frozenset(parts))
             record.company &= frozenset(parts)
-            record.add((crash,), now_ms)
+            record.add((crash,), now_ms, part in self._answered)
             self._set_news(part, now_ms)
             crashed.append(record.counted_crashes(part))
         return attrs.evolve(self._update(now_ms), crashed=tuple(crashed))
@@ -304,7 +321,7 @@
             if record.open_crashes:
                 self._set_news(part, now_ms)
             record.clear(record.crashes)
-        while len(self._answered) > MAX_ANSWERED_PARTS:
+        while len(self._answered) > self._max_answered:
             self._answered.popitem(last=False)
         return self._update(now_ms) if records else QuarantineChange()
 
@@ -322,7 +339,9 @@
                 continue
             record = self._record_of(report.part, report.company)
             is_new_crash = not report.crashes <= record.crashes.keys()
-            has_news |= record.merge(report, now_ms, is_past)
+            has_news |= record.merge(
+                report, now_ms, is_past, report.part in self._answered
+            )
             if is_new_crash:
                 crashed[report.part] = record.counted_crashes(report.part)
         if not has_news:
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -152,8 +152,7 @@
                 request.shared_part_ids, now
             )
             self._apply(change, "answer")
-        if requests.has_records:
-            self._apply(requests.record_answer((request.digest,), now), "answer")
+        self._apply(requests.record_answer((request.digest,), now), "answer")
 
     def record_lost_request(
         self, request: CallerRequest, server: Server, reason: Reason, has_begun: bool
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -14,6 +14,7 @@
 from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.overload.loop_delay import LoopDelayMonitor
 from cowsliphitch.core.quarantine.prompt_parts import (
+    MAX_ANSWERED_REQUESTS,
     MAX_REQUEST_REPORTS_PER_HEARTBEAT,
     EachCrash,
     PromptPartRegistry,
@@ -56,7 +57,9 @@
     freshness: FleetFreshness = attrs.Factory(FleetFreshness)
     prompt_parts: PromptPartRegistry = attrs.Factory(PromptPartRegistry)
     suspect_requests: PromptPartRegistry = attrs.Factory(
-        lambda: PromptPartRegistry(EachCrash(), MAX_REQUEST_REPORTS_PER_HEARTBEAT)
+        lambda: PromptPartRegistry(
+            EachCrash(), MAX_REQUEST_REPORTS_PER_HEARTBEAT, MAX_ANSWERED_REQUESTS
+        )
     )
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
