Accept the settings of any deployment, and refuse others with value and range

Every daemon of a deployment that is played at a share ended at its start: the count of retries, budget_min_retries, is a fraction there, and the settings expected a whole number. The class is settings that are stricter than what the platform's pages allow.

What can't be served is refused with line, value and range: a window of 0 would have denied no retry, and ports, infinite and negative numbers were accepted.

--- a/packages/core/src/cowsliphitch/core/deployment/models.py
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -20,6 +20,9 @@
 STREAM_TIMEOUT_OBJECTIVES: Final = 4
 STREAM_TIMEOUT_GAPS: Final = 8
 
+# Number of values of the digest that distributes requests over a route's targets.
+_DIGEST_VALUES: Final = 2**32
+
 
 class RouteKind(enum.Enum):
     """Kind of the calls on a route, which decides whether they may be repeated."""
@@ -51,7 +54,7 @@
     """
 
     service: str
-    weight: int
+    weight: float
 
 
 @attrs.frozen
@@ -102,10 +105,12 @@
         if len(self.targets) == 1 or total <= 0:
             return self.targets[0].service
         digest = hashlib.blake2b(request.encode(), digest_size=4).digest()
-        point = int.from_bytes(digest) % total
+        point = int.from_bytes(digest) / _DIGEST_VALUES * total
         bounds = itertools.accumulate(target.weight for target in self.targets)
-        index = next(n for n, bound in enumerate(bounds) if point < bound)
-        return self.targets[index].service
+        chosen = (
+            t for t, bound in zip(self.targets, bounds, strict=True) if point < bound
+        )
+        return next(chosen, self.targets[-1]).service
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/settings/schema.py
+++ b/packages/core/src/cowsliphitch/core/settings/schema.py
@@ -65,6 +65,8 @@
         (units.Duration, units.parse_duration),
         (units.Size, units.parse_size),
         (units.Ratio, units.parse_ratio),
+        (units.Amount, units.parse_amount),
+        (units.PositiveAmount, units.parse_positive_amount),
         (units.Name, units.parse_name),
         (int, units.parse_int),
         (bool, units.parse_bool),
@@ -76,6 +78,8 @@
     converter.register_unstructure_hook(units.Duration, lambda value: f"{int(value)}ms")
     converter.register_unstructure_hook(units.Size, lambda value: f"{int(value)}B")
     converter.register_unstructure_hook(units.Ratio, float)
+    converter.register_unstructure_hook(units.Amount, float)
+    converter.register_unstructure_hook(units.PositiveAmount, float)
     converter.register_unstructure_hook(units.Name, str)
     return converter
 
@@ -94,11 +98,14 @@
 _CONVERTER = make_converter()
 
 
-def load_document(text: str, target_type: type[T]) -> Result[T, tuple[Problem, ...]]:
+def load_document(
+    text: str, target_type: type[T], null_is_absent: bool = False
+) -> Result[T, tuple[Problem, ...]]:
     """Parse and validate a YAML document.
 
     :param text: the document
     :param target_type: the attrs class to build
+    :param null_is_absent: a key without a value gets its default
     :returns: an instance of the class, or the problems
     """
     if len(text.encode()) > const.MAX_DOCUMENT_BYTES:
@@ -114,7 +121,10 @@
     if structure_problems:
         return Err(structure_problems)
     try:
-        return Ok(_CONVERTER.structure(yaml.load(text, _Loader), target_type))
+        content = yaml.load(text, _Loader)
+        if null_is_absent:
+            content = _without_nulls(content)
+        return Ok(_CONVERTER.structure(content, target_type))
     except Exception as exc:
         problems = [
             Problem(".".join(path), _line_of_path(node, path), expected)
@@ -123,6 +133,13 @@
         return Err(tuple(problems))
 
 
+def _without_nulls(value: Any) -> Any:
+    """Return a value without the keys of mappings that have no value."""
+    if not isinstance(value, dict):
+        return value
+    return {k: _without_nulls(v) for k, v in value.items() if v is not None}
+
+
 def load_branch(
     path: str, text: str, target_type: Any
 ) -> Result[Any, tuple[Problem, ...]]:
@@ -203,6 +220,11 @@
             yield from _structure_problems(value, (*path, str(index)))
 
 
+def line_of(text: str, path: KeyPath) -> int:
+    """Return the line of a path in a valid document, counted from 1."""
+    return _line_of_path(_compose(text), path)
+
+
 def _line_of_path(node: yaml.Node | None, path: KeyPath) -> int:
     """Return the line of the deepest existing node on a path, counted from 1."""
     line = 1
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -182,7 +182,10 @@
 
     def _max_caller_connections(self) -> int:
         descriptors = self._cfg.vm.max_descriptors - const.RESERVED_DESCRIPTORS
-        return max(64, round(descriptors * const.CALLER_DESCRIPTOR_SHARE))
+        return max(
+            const.MIN_CALLER_CONNECTIONS,
+            round(descriptors * const.CALLER_DESCRIPTOR_SHARE),
+        )
 
     async def _run_maintenance(self) -> None:
         """Expire, update and clean up the components' state until cancelled."""
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -81,6 +81,7 @@
 # get a share of the others.
 RESERVED_DESCRIPTORS: Final = 1_000
 CALLER_DESCRIPTOR_SHARE: Final = 0.7
+MIN_CALLER_CONNECTIONS: Final = 64
 
 # Retry delay sent to a caller whose request arrives before the settings are known.
 NO_SETTINGS_RETRY_AFTER_MS: Final = 300
--- a/packages/gateway/src/cowsliphitch/gateway/settings.py
+++ b/packages/gateway/src/cowsliphitch/gateway/settings.py
@@ -1,11 +1,23 @@
 """Settings of a daemon on the platform, loaded from a YAML file."""
 
+import functools
+from typing import Final
+
 import attrs
 from result import Err, Ok, Result
 
 from cowsliphitch.core.engines import const as engines
-from cowsliphitch.core.settings.schema import Problem, load_document
-from cowsliphitch.core.settings.units import Duration, Ratio
+from cowsliphitch.core.json_values import MAX_PORT
+from cowsliphitch.core.settings.schema import Problem, line_of, load_document
+from cowsliphitch.core.settings.units import (
+    Amount,
+    Duration,
+    PositiveAmount,
+    Ratio,
+)
+
+# A shorter window would forget each retry at once, so that none was denied.
+MIN_RETRY_WINDOW_MS: Final = 1
 
 
 @attrs.frozen
@@ -43,9 +55,9 @@
     :param cpu_share: share of a core
     """
 
-    max_descriptors: int = 4_096
-    cores: float = 1.0
-    cpu_share: float = 1.0
+    max_descriptors: PositiveAmount = PositiveAmount(4_096)
+    cores: PositiveAmount = PositiveAmount(1.0)
+    cpu_share: PositiveAmount = PositiveAmount(1.0)
 
     @property
     def capacity(self) -> float:
@@ -58,12 +70,13 @@
     """Retries that all daemons together may send to one service within a window.
 
     :param ratio: retries for each request in the window
-    :param fixed: additional retries in the window, over all daemons
-    :param window: length of the sliding window
+    :param fixed: additional retries in the window, over all daemons; a fraction is
+        what a share of a larger deployment has
+    :param window: length of the sliding window, 1 ms or longer
     """
 
-    ratio: Ratio = Ratio(0.2)
-    fixed: int = 10
+    ratio: Amount = Amount(0.2)
+    fixed: Amount = Amount(10)
     window: Duration = Duration(10_000)
 
 
@@ -112,6 +125,8 @@
 def load_gateway_settings(path: str) -> Result[GatewaySettings, tuple[Problem, ...]]:
     """Load and validate a daemon's settings file.
 
+    A key without a value gets its default.
+
     :returns: the settings, or all problems that were found
     """
     try:
@@ -119,18 +134,42 @@
             text = file.read()
     except (OSError, UnicodeDecodeError) as exc:
         return Err((Problem(path, 1, f"expected a readable file: {exc}"),))
-    return load_document(text, GatewaySettings).and_then(_check_addresses)
+    return load_document(text, GatewaySettings, null_is_absent=True).and_then(
+        functools.partial(_check_values, text)
+    )
 
 
-def _check_addresses(
-    cfg: GatewaySettings,
+def _check_values(
+    text: str, cfg: GatewaySettings
 ) -> Result[GatewaySettings, tuple[Problem, ...]]:
+    """Check what the types of the settings do not express.
+
+    :param text: the document, to name the lines of problems
+    """
     addresses = {
-        f"listen.{name}": address for name, address in attrs.asdict(cfg.listen).items()
-    } | {"store.address": cfg.store.address}
-    problems = tuple(
-        Problem(path, 1, "expected host:port")
+        ("listen", name): address for name, address in attrs.asdict(cfg.listen).items()
+    } | {("store", "address"): cfg.store.address}
+    faults = [
+        (path, f"expected host:port with a port up to {MAX_PORT}, not {address!r}")
         for path, address in addresses.items()
-        if not address.rpartition(":")[0] or not address.rpartition(":")[2].isdecimal()
+        if not _is_address(address)
+    ]
+    if cfg.retries.window < MIN_RETRY_WINDOW_MS:
+        detail = f"expected a duration from {MIN_RETRY_WINDOW_MS}ms"
+        faults.append((("retries", "window"), f"{detail}, not {cfg.retries.window}ms"))
+    problems = tuple(
+        Problem(".".join(path), line_of(text, path), expected)
+        for path, expected in faults
     )
     return Err(problems) if problems else Ok(cfg)
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(":")
+    return (
+        bool(host)
+        and port.isascii()
+        and port.isdecimal()
+        and len(port) <= len(str(MAX_PORT))
+        and 0 < int(port) <= MAX_PORT
+    )
