--- a/packages/standins/src/cowsliphitch/standins/fleet.py
+++ b/packages/standins/src/cowsliphitch/standins/fleet.py
@@ -33,6 +33,13 @@
 DRAIN_DELAY_MS = 300
 OPERATOR_NAMES = ("alice", "bruno")
 
+# End of a process's output that the error of a failed start quotes.
+MAX_QUOTED_LINES = 15
+
+
+class FleetStartError(RuntimeError):
+    """A fleet did not start; the message tells how each of its processes fares."""
+
 
 class Fleet:
     """Daemons and stand-ins, each in a process of its own.
@@ -250,15 +257,45 @@
     def wait_until_up(self) -> None:
         """Wait until every process responds.
 
-        :raises TimeoutError: if a process does not respond in time
+        :raises FleetStartError: a process ended or does not respond in time
         """
-        for process in self.processes.values():
-            wait_for(
-                f"{process.name} answers", lambda p=process: self._is_responding(p.url)
-            )
-        for daemon in self.daemons.values():
-            url = f"{daemon.url}/healthz"
-            wait_for(f"{daemon.name} answers", lambda u=url: self.http_status(u) == 200)
+        try:
+            for process in self.processes.values():
+                self._wait_for_answer(
+                    process, lambda p=process: self._is_responding(p.url)
+                )
+            for daemon in self.daemons.values():
+                url = f"{daemon.url}/healthz"
+                self._wait_for_answer(daemon, lambda u=url: self.http_status(u) == 200)
+        except (TimeoutError, ChildProcessError) as exc:
+            raise FleetStartError(f"{exc}\n{self.describe_processes()}") from exc
+
+    def _wait_for_answer(self, process: Process, is_answering: Any) -> None:
+        """Wait until a process responds.
+
+        :raises ChildProcessError: it ended
+        :raises TimeoutError: it does not respond in time
+        """
+
+        def condition() -> bool:
+            if not process.is_alive:
+                status = process.popen.returncode
+                raise ChildProcessError(f"{process.name} ended with status {status}")
+            return bool(is_answering())
+
+        wait_for(f"{process.name} answers", condition)
+
+    def describe_processes(self) -> str:
+        """Return the state of each process and the end of its output."""
+        lines: list[str] = []
+        for process in (*self.processes.values(), *self.daemons.values()):
+            status = process.popen.poll()
+            state = "runs" if status is None else f"ended with status {status}"
+            lines.append(f"{process.name} (pid {process.popen.pid}) {state}")
+            output = (self.folder / f"{process.name}.log").read_text(errors="replace")
+            tail = output.splitlines()[-MAX_QUOTED_LINES:]
+            lines.extend(f"    {line}" for line in tail)
+        return "\n".join(lines)
 
     def wait_until_ready(self) -> None:
         """Wait until every running daemon is ready and lists all upstreams.
--- a/packages/standins/src/cowsliphitch/standins/scenario.py
+++ b/packages/standins/src/cowsliphitch/standins/scenario.py
@@ -6,11 +6,12 @@
 import json
 from typing import Any
 
+import httpx
 import yaml
 
 from cowsliphitch.core import tokens
 
-from .fleet import Fleet
+from .fleet import Fleet, FleetStartError
 from .processes import UpstreamSpec
 
 FAILURE_DOMAINS = ("sk-central-1", "sk-central-2")
@@ -101,7 +102,7 @@
     :param daemons: number of daemons, spread over the failure domains
     :param upstreams: upstreams to start instead of :func:`upstream_specs`
     :param document: settings tree instead of :func:`settings_document`
-    :raises TimeoutError: if a process does not respond or become ready
+    :raises FleetStartError: the fleet is not ready in time
     """
     fleet.start_platform()
     for spec in upstreams if upstreams is not None else upstream_specs():
@@ -111,8 +112,12 @@
             f"entry-{index + 1}", FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
         )
     fleet.wait_until_up()
-    fleet.publish_vms()
-    store_settings(
-        fleet, "entry-1", document or settings_document(fleet), "first settings"
-    )
-    fleet.wait_until_ready()
+    try:
+        fleet.publish_vms()
+        store_settings(
+            fleet, "entry-1", document or settings_document(fleet), "first settings"
+        )
+        fleet.wait_until_ready()
+    except (RuntimeError, TimeoutError, httpx.HTTPError) as exc:
+        cause = f"{type(exc).__name__}: {exc}"
+        raise FleetStartError(f"{cause}\n{fleet.describe_processes()}") from exc
