Do not suspect a domain in calm because its daemons send in step

The daemons that start together send to the same group of peers in the same 125 ms, so that a whole domain is not heard for up to 1,625 ms in calm; the detector expected the heartbeats of a domain's daemons to be spread evenly over the interval.

A domain is silent once each of its daemons is past its own next heartbeat, so the spread no longer matters. The scenario of three daemons with an interval of 750 ms held the assumption itself (suspect after 600 ms): a domain whose daemons send together is heard every 750 ms. It is replaced by the bound of the stated interval and margin, 1,050 ms, and 1,000 ms in which it must not be suspect. A cut is noticed later by this at size (1.9 s at 195 daemons); the probes between daemons that follow make that short again.

--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -170,4 +170,20 @@
 
   Scenario: A domain of daemons with long intervals is not suspect between their heartbeats
     Given a domain with 3 daemons that state an interval of 750 ms with their heartbeats
-    Then the domain is not suspect 500 ms after them, and suspect 600 ms after them
+    Then the domain is not suspect 1000 ms after them, and suspect 1050 ms after them
+
+  Scenario Outline: No domain is suspect in calm, however the daemons' rounds are spread
+    Given <daemons> daemons in <domains> domains that start <start>
+    When they exchange heartbeats for 8 s in calm
+    Then no domain was suspect at any of 4 daemons
+
+    Examples:
+      | daemons | domains | start                    |
+      | 9       | 3       | in step                  |
+      | 19      | 5       | in step                  |
+      | 63      | 4       | in step                  |
+      | 87      | 3       | in step                  |
+      | 195     | 5       | in step                  |
+      | 195     | 5       | at random                |
+      | 195     | 5       | in step domain by domain |
+      | 400     | 15      | in step                  |
--- a/features/steps/deployment_template_steps.py
+++ b/features/steps/deployment_template_steps.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import os
 import socket
 import tempfile
 from collections.abc import Callable
@@ -19,7 +20,7 @@
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.yaml"
 # All of 127.0.0.0/8 is loopback; the template names ports by the VM's address.
-VM_ADDRESS = "127.0.3.7"
+VM_ADDRESS = f"127.0.{3 + os.getpid() % 250}.7"
 
 FIELDS: dict[str, Any] = {
     "node": "vm-1",
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,6 +1,7 @@
 """Steps on the member table and on reachability, without a network."""
 
 import itertools
+import random
 from typing import Any
 
 import attrs
@@ -560,3 +561,56 @@
 def acquires_at_once(context: Any) -> None:
     assert context.members.acquire_duty(DUTY, context.now_ms)
     assert DUTY_HASH in context.members.claims
+
+
+@given("{count:d} daemons in {domains:d} domains that start {start}")
+def daemons_in_domains(context: Any, count: int, domains: int, start: str) -> None:
+    context.now_ms = 10_000
+    context.fleet_members = [
+        member(f"m{number:03}", f"domain-{number % domains}") for number in range(count)
+    ]
+    rng = random.Random(count)
+    first_rounds = {
+        "in step": lambda _number: 0,
+        "at random": lambda _number: rng.randrange(1_000),
+        "in step domain by domain": lambda number: number % domains,
+    }
+    context.first_rounds = [first_rounds[start](n) for n in range(count)]
+
+
+@when("they exchange heartbeats for {s:d} s in calm")
+def exchange_in_calm(context: Any, s: int) -> None:
+    addresses = [m.address for m in context.fleet_members]
+    schedules = [HeartbeatSchedule() for _ in addresses]
+    for schedule, skipped in zip(schedules, context.first_rounds, strict=True):
+        for _ in range(skipped):
+            schedule.next_recipients(addresses, to_all=False)
+    observed = context.fleet_members[:: max(1, len(addresses) // 4)][:4]
+    tables = {m.address: MemberTable(m, context.now_ms) for m in observed}
+    reachability = {m.address: Reachability(m.failure_domain) for m in observed}
+    context.suspected = dict.fromkeys(tables, 0)
+    for number in range(1, s * 1_000 // HEARTBEAT_INTERVAL_MS + 1):
+        context.now_ms += HEARTBEAT_INTERVAL_MS
+        for sender, schedule in zip(context.fleet_members, schedules, strict=True):
+            peers = [a for a in addresses if a != sender.address]
+            recipients = schedule.next_recipients(peers, to_all=False)
+            for address in recipients.addresses:
+                if address in tables:
+                    tables[address].record_heartbeat(
+                        sender,
+                        number,
+                        False,
+                        context.now_ms,
+                        interval_ms=recipients.interval_ms,
+                    )
+        for address, table in tables.items():
+            table.tick(context.now_ms)
+            context.suspected[address] += bool(
+                reachability[address].suspect_domains(table, context.now_ms)
+            )
+
+
+@then("no domain was suspect at any of {count:d} daemons")
+def none_suspected(context: Any, count: int) -> None:
+    assert len(context.suspected) == count
+    assert not any(context.suspected.values()), context.suspected
--- a/packages/core/src/cowsliphitch/core/fleet/reachability.py
+++ b/packages/core/src/cowsliphitch/core/fleet/reachability.py
@@ -19,7 +19,7 @@
 DOMAIN_SUSPECT_AFTER_MS: Final = 400
 
 # A domain whose daemons send heartbeats at longer intervals is suspect when the next
-# one from any of them is late by this.
+# one from each of them is late by this.
 DOMAIN_SUSPECT_MARGIN_MS: Final = 275
 
 # Consecutive connection timeouts after which a domain is unreachable although its
@@ -138,10 +138,15 @@
 
 
 def _is_silent(heartbeats: Sequence[tuple[int, int]]) -> bool:
-    """Return whether the daemons of a domain have been silent for too long.
+    """Return whether all daemons of a domain have been silent for too long.
+
+    Each one has until its own next heartbeat.  How the heartbeats of several daemons
+    are spread over an interval is left out of account: daemons that start or resume
+    together send in step.
 
     :param heartbeats: age in ms of each daemon's last heartbeat, and its interval in ms
     """
-    due_ms = max(interval_ms for _, interval_ms in heartbeats) / len(heartbeats)
-    timeout_ms = max(DOMAIN_SUSPECT_AFTER_MS, due_ms + DOMAIN_SUSPECT_MARGIN_MS)
-    return min(age_ms for age_ms, _ in heartbeats) >= timeout_ms
+    return all(
+        age_ms >= max(DOMAIN_SUSPECT_AFTER_MS, interval_ms + DOMAIN_SUSPECT_MARGIN_MS)
+        for age_ms, interval_ms in heartbeats
+    )
