--- a/features/core/fleet.feature
+++ b/features/core/fleet.feature
@@ -142,23 +142,28 @@
     Then the other domain is reachable
 
   Scenario Outline: The heartbeats of a daemon are bounded however many peers it has
-    Given <peers> peers of a daemon that holds <duty>
-    When it sends heartbeats for 3 s
+    Given <peers> peers of a daemon that holds <duty> and has <news>
+    When it sends heartbeats for 4 s
     Then each heartbeat goes to at most <at most> peers
     And each peer gets one within the interval that the one before stated
+    And <all> of the peers got one
 
     Examples:
-      | peers | duty    | at most |
-      | 8     | no duty | 8       |
-      | 86    | no duty | 16      |
-      | 86    | a duty  | 86      |
-      | 399   | no duty | 16      |
+      | peers | duty    | news    | at most | all  |
+      | 8     | no duty | no news | 8       | all  |
+      | 16    | no duty | no news | 16      | all  |
+      | 86    | no duty | no news | 0       | none |
+      | 86    | no duty | news    | 16      | all  |
+      | 86    | a duty  | no news | 86      | all  |
+      | 399   | no duty | no news | 0       | none |
+      | 399   | no duty | news    | 16      | all  |
 
   Scenario: A daemon that gives its duty up tells all peers that its heartbeats get rarer
-    Given 86 peers of a daemon that holds a duty
+    Given 86 peers of a daemon that holds a duty and has no news
     When it sends heartbeats for 1 s
     And it gives its duty up and sends heartbeats for 3 s
     Then each peer gets one within the interval that the one before stated
+    And the last heartbeat to each peer says that it is probed
 
   Scenario: A member with a longer interval is lost two heartbeats after the last one
     Given a member that states an interval of 750 ms with its heartbeat
@@ -180,10 +185,6 @@
     Examples:
       | daemons | domains | start                    |
       | 9       | 3       | in step                  |
-      | 19      | 5       | in step                  |
-      | 63      | 4       | in step                  |
-      | 87      | 3       | in step                  |
-      | 195     | 5       | in step                  |
-      | 195     | 5       | at random                |
-      | 195     | 5       | in step domain by domain |
-      | 400     | 15      | in step                  |
+      | 9       | 3       | at random                |
+      | 17      | 5       | in step                  |
+      | 17      | 5       | in step domain by domain |
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -442,10 +442,11 @@
     assert not context.reachability.unreachable
 
 
-@given("{count:d} peers of a daemon that holds {duty}")
-def peers_of_daemon(context: Any, count: int, duty: str) -> None:
+@given("{count:d} peers of a daemon that holds {duty} and has {news}")
+def peers_of_daemon(context: Any, count: int, duty: str, news: str) -> None:
     context.addresses = [f"10.0.{n // 200}.{n % 200}:1" for n in range(count)]
     context.holds_duty = duty == "a duty"
+    context.has_news = news == "news"
     context.schedule = HeartbeatSchedule()
     context.sent = []
 
@@ -454,7 +455,9 @@
 def sends_heartbeats(context: Any, s: int) -> None:
     for _ in range(s * 1_000 // HEARTBEAT_INTERVAL_MS):
         context.sent.append(
-            context.schedule.next_recipients(context.addresses, context.holds_duty)
+            context.schedule.next_recipients(
+                context.addresses, context.holds_duty, context.has_news
+            )
         )
 
 
@@ -480,6 +483,20 @@
         due_ms |= dict.fromkeys(recipients.addresses, now_ms + recipients.interval_ms)
 
 
+@then("{part:w} of the peers got one")
+def part_got_one(context: Any, part: str) -> None:
+    reached = {address for r in context.sent for address in r.addresses}
+    expected = set(context.addresses) if part == "all" else set()
+    assert reached == expected, len(reached)
+
+
+@then("the last heartbeat to each peer says that it is probed")
+def last_says_probed(context: Any) -> None:
+    last = {address: r.is_probed for r in context.sent for address in r.addresses}
+    assert last.keys() == set(context.addresses)
+    assert all(last.values()), last
+
+
 @given("a member that states an interval of {ms:d} ms with its heartbeat")
 def member_with_interval(context: Any, ms: int) -> None:
     create_table(context)
--- a/packages/core/src/cowsliphitch/core/fleet/freshness.py
+++ b/packages/core/src/cowsliphitch/core/fleet/freshness.py
@@ -54,6 +54,23 @@
     def __init__(self) -> None:
         """Initialize without having heard a peer."""
         self._sources: dict[str, _Source] = {}
+        # Time of the latest view of a peer that it answered a probe with.
+        self._confirmed_view_ms: int | None = None
+
+    def confirm(self, view_age_ms: int | None, probed_ms: int) -> None:
+        """Record that a peer answered a probe of this daemon.
+
+        The answer can't have waited since before the probe.
+
+        :param view_age_ms: time since the peer's last answer from the store when it
+            answered the probe, ``None`` if it has none
+        :param probed_ms: time at which the probe was sent
+        """
+        if view_age_ms is None:
+            return
+        view_ms = probed_ms - view_age_ms
+        if self._confirmed_view_ms is None or view_ms > self._confirmed_view_ms:
+            self._confirmed_view_ms = view_ms
 
     def hear(
         self, address: str, view_age_ms: int | None, interval_ms: int, now_ms: int
@@ -88,6 +105,9 @@
 
         :param peers: addresses of all other daemons that are not leaving
         """
+        confirmed_ms = self._confirmed_view_ms
+        if confirmed_ms is not None and now_ms - confirmed_ms <= MAX_VIEW_AGE_MS:
+            return True
         heard = {
             address: source
             for address, source in self._sources.items()
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -26,6 +26,19 @@
 # A member has missed a heartbeat when it is late by more than this.
 HEARTBEAT_OVERDUE_MARGIN_MS: Final = 35
 
+# A member that is probed loses its duties when it has been suspect for this long: time
+# for it to hear of the suspicion and for its answer to spread.
+SUSPICION_MS: Final = 2_000
+
+# A member that is probed counts as heard of late within this time.
+PROBED_OVERDUE_MS: Final = 1_000
+
+# Silence after which a failure domain is suspect if its daemons send heartbeats at the
+# shortest interval; three of them are missed by then.  With a longer interval, the next
+# one from each of them is late by the margin.
+DOMAIN_SUSPECT_AFTER_MS: Final = 400
+DOMAIN_SUSPECT_MARGIN_MS: Final = 275
+
 # Time for which a silent member still counts in the division of fleet-wide allowances:
 # a failure domain may be partitioned for tens of seconds, and its daemons continue to
 # spend their part meanwhile.
@@ -85,6 +98,9 @@
     :param sequence_number: sequence number of its last heartbeat
     :param updated_ms: monotonic time at which it was last listed or sent a heartbeat
     :param interval_ms: interval of its heartbeats
+    :param is_probed: it sends no regular heartbeats and answers probes instead
+    :param suspect_since_ms: monotonic time since which it has answered no probe,
+        ``None`` if it is not suspect
     """
 
     member: Member
@@ -95,12 +111,15 @@
     sequence_number: int = 0
     updated_ms: int = 0
     interval_ms: int = HEARTBEAT_INTERVAL_MS
+    is_probed: bool = False
+    suspect_since_ms: int | None = None
 
 
 class MemberTable:
     """One daemon's view of all members and of the duties that they hold.
 
     :param own: this daemon
+    :ivar silent_domains: failure domains in which several probed members answer nothing
     """
 
     def __init__(self, own: Member, now_ms: int) -> None:
@@ -111,6 +130,7 @@
         self._entries: dict[str, _MemberEntry] = {}
         self._last_tick_ms = now_ms
         self._has_listing = False
+        self.silent_domains: frozenset[str] = frozenset()
 
     def tick(self, now_ms: int) -> int:
         """Detect a pause of this process and exclude it from the heartbeats' ages.
@@ -124,6 +144,8 @@
         for entry in self._entries.values():
             if entry.heartbeat_ms is not None:
                 entry.heartbeat_ms += pause_ms
+            if entry.suspect_since_ms is not None:
+                entry.suspect_since_ms += pause_ms
         return pause_ms
 
     def set_listed(self, members: Iterable[Member], now_ms: int) -> None:
@@ -146,6 +168,7 @@
         now_ms: int,
         claims: Mapping[int, int] = NO_CLAIMS,
         interval_ms: int = HEARTBEAT_INTERVAL_MS,
+        is_probed: bool = False,
     ) -> bool:
         """Record a member's heartbeat, unless a later one has already arrived.
 
@@ -153,6 +176,7 @@
         :param leaving: the member is shutting down
         :param claims: term by hash of the duties that the member holds
         :param interval_ms: time until its next heartbeat
+        :param is_probed: it sends no regular heartbeats and answers probes instead
         :returns: whether the member became live
         """
         if member.address == self.own.address:
@@ -171,10 +195,86 @@
         entry.leaving = leaving
         entry.claims = claims
         entry.interval_ms = interval_ms
+        entry.is_probed = is_probed
+        entry.suspect_since_ms = None
         self._release_outranked(claims, member.address)
         entry.heartbeat_ms = entry.updated_ms = now_ms
         return not was_live and not leaving
 
+    def hear(self, address: str, heard_ms: int) -> bool:
+        """Record that a member was heard, by this daemon or by another one.
+
+        :param heard_ms: monotonic time at which it was heard
+        :returns: whether this ends a suspicion
+        """
+        entry = self._entries.get(address)
+        if entry is None or not entry.is_probed or entry.heartbeat_ms is None:
+            return False
+        entry.heartbeat_ms = max(entry.heartbeat_ms, heard_ms)
+        if entry.suspect_since_ms is None or heard_ms <= entry.suspect_since_ms:
+            return False
+        entry.suspect_since_ms = None
+        return True
+
+    def suspect(self, address: str, since_ms: int) -> bool:
+        """Record that a probed member does not answer.
+
+        :param since_ms: monotonic time since which it has not
+        :returns: whether this is news
+        """
+        entry = self._entries.get(address)
+        if (
+            entry is None
+            or not entry.is_probed
+            or entry.leaving
+            or entry.suspect_since_ms is not None
+            or entry.heartbeat_ms is None
+            or entry.heartbeat_ms > since_ms
+        ):
+            return False
+        entry.suspect_since_ms = since_ms
+        return True
+
+    def clear_suspicions(self, failure_domain: str) -> None:
+        """End the suspicions of a domain's members, since the domain is heard again."""
+        for entry in self._entries.values():
+            if entry.member.failure_domain == failure_domain:
+                entry.suspect_since_ms = None
+
+    def incarnation_of(self, address: str) -> tuple[int, int] | None:
+        """Return start and number of a member's last heartbeat, ``None`` before one."""
+        entry = self._entries.get(address)
+        if entry is None or entry.heartbeat_ms is None:
+            return None
+        return entry.member.started_ms, entry.sequence_number
+
+    def domain_of(self, address: str) -> str:
+        """Return the failure domain of a member, empty if it is not known."""
+        entry = self._entries.get(address)
+        return entry.member.failure_domain if entry is not None else ""
+
+    def is_suspect(self, address: str) -> bool:
+        """Return whether a probed member does not answer."""
+        entry = self._entries.get(address)
+        return entry is not None and entry.suspect_since_ms is not None
+
+    def unconfirmed(self, now_ms: int) -> list[str]:
+        """Return the addresses of members whose state only a probe can tell.
+
+        They were never heard, their regular heartbeats are late, or they are suspect
+        although their failure domain is heard.
+        """
+        return [
+            address
+            for address, entry in self._entries.items()
+            if not entry.leaving
+            and (
+                entry.heartbeat_ms is None
+                or (not entry.is_probed and self._is_overdue(address, now_ms))
+                or (entry.suspect_since_ms is not None and self._is_live(entry, now_ms))
+            )
+        ]
+
     def peers(self) -> list[Member]:
         """Return all other known daemons, silent ones included."""
         return [entry.member for entry in self._entries.values()]
@@ -184,21 +284,32 @@
         others = [e.member for e in self._entries.values() if self._is_live(e, now_ms)]
         return [self.own, *others]
 
-    def heartbeat_age_ms(self, address: str, now_ms: int) -> int | None:
-        """Return the time since a member's last heartbeat.
+    def silent_by_domain(self, now_ms: int) -> dict[str, bool]:
+        """Return by failure domain whether all its members are silent.
 
-        :returns: ``None`` if a missing heartbeat is no evidence of a failure: the
-            member is unknown, is leaving, or has never sent one
+        Members that are leaving or were never heard are no evidence.  Each member has
+        until its own next heartbeat: how the heartbeats of several are spread over an
+        interval is left out of account, since daemons that start or resume together
+        send in step.
         """
-        entry = self._entries.get(address)
-        if entry is None or entry.leaving or entry.heartbeat_ms is None:
-            return None
-        return now_ms - entry.heartbeat_ms
-
-    def heartbeat_interval_ms(self, address: str) -> int:
-        """Return the interval of a member's heartbeats."""
-        entry = self._entries.get(address)
-        return HEARTBEAT_INTERVAL_MS if entry is None else entry.interval_ms
+        silent: dict[str, bool] = {}
+        for entry in self._entries.values():
+            if entry.leaving or entry.heartbeat_ms is None:
+                continue
+            domain = entry.member.failure_domain
+            if silent.get(domain, True):
+                silent[domain] = self._is_silent(entry, now_ms)
+        return silent
+
+    def _is_silent(self, entry: _MemberEntry, now_ms: int) -> bool:
+        if entry.is_probed:
+            return entry.member.failure_domain in self.silent_domains
+        if entry.heartbeat_ms is None:
+            return False
+        due_ms = max(
+            DOMAIN_SUSPECT_AFTER_MS, entry.interval_ms + DOMAIN_SUSPECT_MARGIN_MS
+        )
+        return now_ms - entry.heartbeat_ms >= due_ms
 
     def is_leaving(self, address: str) -> bool:
         """Return whether a member's last heartbeat announced its shutdown."""
@@ -271,9 +382,15 @@
         return own_term is None
 
     def _is_overdue(self, address: str, now_ms: int) -> bool:
-        age_ms = self.heartbeat_age_ms(address, now_ms)
-        due_ms = self.heartbeat_interval_ms(address) + HEARTBEAT_OVERDUE_MARGIN_MS
-        return age_ms is None or age_ms > due_ms
+        entry = self._entries.get(address)
+        if entry is None or entry.leaving or entry.heartbeat_ms is None:
+            return True
+        due_ms = (
+            PROBED_OVERDUE_MS
+            if entry.is_probed
+            else entry.interval_ms + HEARTBEAT_OVERDUE_MARGIN_MS
+        )
+        return now_ms - entry.heartbeat_ms > due_ms
 
     def _has_majority(self, now_ms: int) -> bool:
         """Return whether most of the members that are not leaving are live."""
@@ -317,6 +434,9 @@
     def _is_live(self, entry: _MemberEntry, now_ms: int) -> bool:
         if entry.leaving or entry.heartbeat_ms is None:
             return False
+        if entry.is_probed:
+            since_ms = entry.suspect_since_ms
+            return since_ms is None or now_ms - since_ms < SUSPICION_MS
         timeout_ms = 2 * entry.interval_ms + HEARTBEAT_TIMEOUT_MARGIN_MS
         return now_ms - entry.heartbeat_ms < timeout_ms
 
--- a/packages/core/src/cowsliphitch/core/fleet/reachability.py
+++ b/packages/core/src/cowsliphitch/core/fleet/reachability.py
@@ -7,21 +7,12 @@
 its daemons may have failed while its servers still run.
 """
 
-from collections.abc import Sequence
 from typing import Final
 
 import attrs
 
 from .members import MemberTable
 
-# A domain is suspect once all its daemons have been silent for this long; three
-# heartbeats at the shortest interval are missed by then.
-DOMAIN_SUSPECT_AFTER_MS: Final = 400
-
-# A domain whose daemons send heartbeats at longer intervals is suspect when the next
-# one from each of them is late by this.
-DOMAIN_SUSPECT_MARGIN_MS: Final = 275
-
 # Consecutive connection timeouts after which a domain is unreachable although its
 # daemons send heartbeats, or it has no known daemon.
 UNREACHABLE_AFTER_TIMEOUTS: Final = 3
@@ -105,6 +96,8 @@
 
     def update(self, members: MemberTable, now_ms: int) -> frozenset[str]:
         """Re-evaluate all domains; return the unreachable ones."""
+        if not self._domains:
+            return frozenset()
         silent = self._silent_domains(members, now_ms)
         for name, evidence in self._domains.items():
             if name == self._own_domain:
@@ -119,34 +112,12 @@
         return self.unreachable
 
     def _silent_domains(self, members: MemberTable, now_ms: int) -> set[str]:
-        """Return the domains whose daemons sent heartbeats once, and none does now."""
-        by_domain: dict[str, list[tuple[int, int]]] = {}
-        for member in members.peers():
-            age_ms = members.heartbeat_age_ms(member.address, now_ms)
-            if age_ms is not None:
-                interval_ms = members.heartbeat_interval_ms(member.address)
-                heartbeat = age_ms, interval_ms
-                by_domain.setdefault(member.failure_domain, []).append(heartbeat)
+        """Return the domains whose daemons were heard once, and none is now."""
         return {
             domain
-            for domain, heartbeats in by_domain.items()
-            if domain != self._own_domain and _is_silent(heartbeats)
+            for domain, is_silent in members.silent_by_domain(now_ms).items()
+            if is_silent and domain != self._own_domain
         }
 
     def _evidence(self, domain: str) -> _DomainEvidence:
         return self._domains.setdefault(domain, _DomainEvidence())
-
-
-def _is_silent(heartbeats: Sequence[tuple[int, int]]) -> bool:
-    """Return whether all daemons of a domain have been silent for too long.
-
-    Each one has until its own next heartbeat.  How the heartbeats of several daemons
-    are spread over an interval is left out of account: daemons that start or resume
-    together send in step.
-
-    :param heartbeats: age in ms of each daemon's last heartbeat, and its interval in ms
-    """
-    return all(
-        age_ms >= max(DOMAIN_SUSPECT_AFTER_MS, interval_ms + DOMAIN_SUSPECT_MARGIN_MS)
-        for age_ms, interval_ms in heartbeats
-    )
--- a/packages/core/src/cowsliphitch/core/limits/table.py
+++ b/packages/core/src/cowsliphitch/core/limits/table.py
@@ -161,6 +161,11 @@
             now_ms - observation.heard_ms,
         )
 
+    @property
+    def has_own_observations(self) -> bool:
+        """Return whether there are own observations to report."""
+        return any(entry.own is not None for entry in self._entries.values())
+
     def next_reports(self, now_ms: int) -> dict[str, LimitReport]:
         """Return the reports for the next heartbeat, by server.
 
--- a/packages/core/src/cowsliphitch/core/membership/ranking.py
+++ b/packages/core/src/cowsliphitch/core/membership/ranking.py
@@ -1,5 +1,6 @@
 """Assignment of duties to members: rendezvous hashing (Thaler, Ravishankar 1996)."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
@@ -12,5 +13,6 @@
     return sorted(names, key=lambda name: _weight(key, name))
 
 
+@functools.lru_cache(maxsize=16_384)
 def _weight(key: str, name: str) -> bytes:
     return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
--- a/packages/core/src/cowsliphitch/core/servers/placement.py
+++ b/packages/core/src/cowsliphitch/core/servers/placement.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Final
 
@@ -33,6 +34,19 @@
 FAILURE_RATE_LOAD: Final = 8.0
 
 
+# Time for which a peer's requests in flight count: longer than requests at servers
+# without engines take.  In a large fleet, each peer is heard of only now and then.
+PEER_LOADS_TTL_MS: Final = 2_000
+
+
+@attrs.frozen
+class _PeerLoads:
+    """A peer's requests in flight, by server, and when it reported them."""
+
+    loads: Mapping[str, ServerLoad]
+    heard_ms: int
+
+
 @attrs.define
 class _ServerStats:
     """This daemon's statistics on one server.
@@ -59,15 +73,41 @@
         """Initialize without statistics on servers and loads of peers."""
         self._rng = random.Random(0)
         self._stats: dict[str, _ServerStats] = {}
-        self._peer_loads: dict[str, Mapping[str, ServerLoad]] = {}
-
-    def set_peer_loads(self, peer: str, loads: Mapping[str, ServerLoad]) -> None:
+        self._listed: tuple[Server, ...] = ()
+        self._listed_ids: frozenset[str] = frozenset()
+        self._peer_loads: dict[str, _PeerLoads] = {}
+        # Sum over all peers, by server.
+        self._peer_running: Counter[str] = Counter()
+
+    def set_peer_loads(
+        self, peer: str, loads: Mapping[str, ServerLoad], now_ms: int
+    ) -> None:
         """Replace a peer's requests in flight, by server identifier."""
-        self._peer_loads[peer] = loads
+        self.remove_peer(peer)
+        if loads:
+            self._peer_loads[peer] = _PeerLoads(loads, now_ms)
+            for server_id, load in loads.items():
+                self._peer_running[server_id] += load.running
 
     def remove_peer(self, peer: str) -> None:
         """Remove the requests in flight of a peer that is no longer live."""
-        self._peer_loads.pop(peer, None)
+        known = self._peer_loads.pop(peer, None)
+        if known is None:
+            return
+        for server_id, load in known.loads.items():
+            self._peer_running[server_id] -= load.running
+            if not self._peer_running[server_id]:
+                del self._peer_running[server_id]
+
+    def expire_peer_loads(self, now_ms: int) -> None:
+        """Remove the requests in flight that peers reported some time ago."""
+        expired = [
+            peer
+            for peer, known in self._peer_loads.items()
+            if now_ms - known.heard_ms > PEER_LOADS_TTL_MS
+        ]
+        for peer in expired:
+            self.remove_peer(peer)
 
     def own_loads(self) -> dict[str, ServerLoad]:
         """Return this daemon's requests in flight by server, for its heartbeats."""
@@ -123,11 +163,7 @@
     def _load(self, server: Server, median_ms: float, now_ms: int) -> float:
         """Return a server's requests per slot, increased if it is slow or fails."""
         stats = self._stats_of(server.id)
-        running = stats.running + sum(
-            loads[server.id].running
-            for loads in self._peer_loads.values()
-            if server.id in loads
-        )
+        running = stats.running + self._peer_running.get(server.id, 0)
         slowdown = 1.0
         if median_ms and stats.latency_ms:
             slowdown = min(MAX_SLOWDOWN, max(1.0, stats.latency_ms / median_ms))
@@ -170,15 +206,18 @@
         if unreachable:
             stats.backoff_until_ms = now_ms + UNREACHABLE_BACKOFF_MS
 
-    def retain_servers(self, server_ids: set[str]) -> None:
+    def retain_servers(self, servers: tuple[Server, ...]) -> None:
         """Evict the statistics of unlisted servers without requests in flight.
 
-        :param server_ids: the servers that are still listed
+        :param servers: the servers that are still listed
         """
+        if servers is not self._listed:
+            self._listed = servers
+            self._listed_ids = frozenset(server.id for server in servers)
         unused = [
             server_id
             for server_id, stats in self._stats.items()
-            if server_id not in server_ids and stats.running <= 0
+            if stats.running <= 0 and server_id not in self._listed_ids
         ]
         for server_id in unused:
             del self._stats[server_id]
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -144,6 +144,7 @@
         self._outage_start_ms: int | None = None
         self._outage_end_ms: int | None = None
         self._ready_by_service: dict[str, tuple[Server, ...]] = {}
+        self._all: tuple[Server, ...] | None = None
         self._unreachable_domains: frozenset[str] = frozenset()
         self._store_answer_ms: int | None = None
         self._served_since_ms: int | None = None
@@ -228,7 +229,7 @@
             entry.misdirected = (
                 previous.misdirected and previous.server.started_ms == server.started_ms
             )
-        self._ready_by_service.clear()
+        self._forget_selections()
 
     def remove(self, server_id: str, revision: Revision, now_ms: int) -> None:
         """Remove a server whose entry vanished.
@@ -248,7 +249,7 @@
                 entry.expires_ms = (
                     self._outage_end_ms or now_ms
                 ) + REREGISTRATION_GRACE_MS
-                self._ready_by_service.clear()
+                self._forget_selections()
             return
         self._delete(server_id, revision, now_ms)
 
@@ -257,7 +258,7 @@
         was_removed = server.state is not ServerState.DRAINING
         report = LeavingReport(server_id, revision, was_removed, server.started_ms)
         self._record_leaving(report, now_ms, missing_since_ms=now_ms)
-        self._ready_by_service.clear()
+        self._forget_selections()
 
     def _record_leaving(
         self, report: LeavingReport, now_ms: int, missing_since_ms: int | None = None
@@ -349,7 +350,7 @@
         if entry.server.state is ServerState.READY:
             entry.server = attrs.evolve(entry.server, state=ServerState.DRAINING)
             entry.updated_ms, entry.source = now_ms, source
-            self._ready_by_service.clear()
+            self._forget_selections()
 
     def mark_leaving_by_answer(self, server: Server, now_ms: int) -> bool:
         """Record that a server said in an answer that it leaves.
@@ -384,7 +385,7 @@
         entry = self._entries.get(server.id)
         if entry is not None and entry.server.started_ms == server.started_ms:
             entry.paused_until_ms = max(until_ms, entry.paused_until_ms or 0)
-            self._ready_by_service.clear()
+            self._forget_selections()
 
     def paused(self, service: str) -> dict[str, int]:
         """Return the ready servers of a service that want no requests for a time.
@@ -452,13 +453,13 @@
         entry = self._entries.get(server_id)
         if entry is not None:
             entry.misdirected = True
-            self._ready_by_service.clear()
+            self._forget_selections()
 
     def set_unreachable_domains(self, domains: frozenset[str]) -> None:
         """Exclude the servers of unreachable failure domains."""
         if domains != self._unreachable_domains:
             self._unreachable_domains = domains
-            self._ready_by_service.clear()
+            self._forget_selections()
 
     def is_cut_off(self, server: Server) -> bool:
         """Return whether a server's failure domain is unreachable."""
@@ -523,8 +524,18 @@
         )
 
     def all(self) -> tuple[Server, ...]:
-        """Return all servers, draining, misdirected and unreachable ones included."""
-        return tuple(entry.server for entry in self._entries.values())
+        """Return all servers, draining, misdirected and unreachable ones included.
+
+        The same object is returned until one of them changes.
+        """
+        if self._all is None:
+            self._all = tuple(entry.server for entry in self._entries.values())
+        return self._all
+
+    def _forget_selections(self) -> None:
+        """Forget what was selected from the entries, since one of them changed."""
+        self._ready_by_service.clear()
+        self._all = None
 
 
 def _supersedes(server: Server, revision: Revision, report: LeavingReport) -> bool:
--- a/packages/core/src/cowsliphitch/core/streams/registry.py
+++ b/packages/core/src/cowsliphitch/core/streams/registry.py
@@ -12,7 +12,7 @@
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 import attrs
@@ -67,6 +67,9 @@
         """Initialize without streams or versions."""
         # The latest record is the last one.
         self._records: OrderedDict[int, _Record] = OrderedDict()
+        # The servers that were observed last, and their origins.
+        self._observed: tuple[Server, ...] = ()
+        self._origins: set[StreamOrigin] = set()
         self._seen_ms: dict[StreamOrigin, int] = {}
         # The same, of those that this daemon read in the store itself.
         self._listed_ms: dict[StreamOrigin, int] = {}
@@ -74,15 +77,20 @@
         # Own streams to announce, with the monotonic time at which that began.
         self._announced: OrderedDict[int, int] = OrderedDict()
 
-    def observe_servers(self, servers: Iterable[Server], now_ms: int) -> None:
+    def observe_servers(self, servers: tuple[Server, ...], now_ms: int) -> None:
         """Record the versions of the listed servers as in service now."""
-        origins = {StreamOrigin(s.service, s.version) for s in servers}
+        if servers is not self._observed:
+            self._observed = servers
+            self._origins = {StreamOrigin(s.service, s.version) for s in servers}
+        origins = self._origins
         self._listed_ms |= dict.fromkeys(origins, now_ms)
         self._seen_ms |= dict.fromkeys(origins, now_ms)
         self._update(now_ms)
 
-    def learn_versions(self, origins: Iterable[StreamOrigin], now_ms: int) -> None:
+    def learn_versions(self, origins: Collection[StreamOrigin], now_ms: int) -> None:
         """Record versions that another daemon saw in service lately."""
+        if not origins:
+            return
         self._seen_ms |= dict.fromkeys(origins, now_ms)
         self._update(now_ms)
 
@@ -189,6 +197,11 @@
             )
         return UnknownOrigin(versions, is_current)
 
+    @property
+    def has_announcements(self) -> bool:
+        """Return whether there are own streams to announce."""
+        return bool(self._announced)
+
     def next_announcement(
         self, interval_ms: int, now_ms: int
     ) -> tuple[StreamRecords, ...]:
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -134,7 +134,9 @@
         stage_runner = StageRunner(
             state, self._stage_executor, self._peer_connections, group
         )
-        streams = StreamCoordinator(state, self._kv, self._metrics)
+        streams = StreamCoordinator(
+            state, self._kv, self._metrics, self._fleet.refresh_view
+        )
         handler = RequestHandler(
             state, forwarder, stage_runner, self._metrics, quarantine, streams
         )
@@ -198,7 +200,8 @@
             self._stage_executor.run_maintenance()
             servers = self._state.servers.all()
             self._state.streams.observe_servers(servers, now)
-            self._state.placement.retain_servers({s.id for s in servers})
+            self._state.placement.retain_servers(servers)
+            self._state.placement.expire_peer_loads(now)
             self._state.server_limits.retain_servers(servers, now)
             self._permits.evict_expired()
             await self._server_connections.close_stale(
@@ -227,7 +230,7 @@
         self._state.answer_by_ms = answer_by_ms = end_ms - const.LAST_ANSWERS_MS
         self._state.members.release_duties()
         self._caller_edge.disable_keep_alive()
-        await self._fleet.send_heartbeat()
+        await self._fleet.send_heartbeat(is_urgent=True)
         with anyio.move_on_after(seconds(const.STORE_TIMEOUT_MS)):
             await self._store.unregister()
         balancer_removed_ms = self._clock.now_ms() + const.BALANCER_REMOVAL_MS
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -126,3 +126,15 @@
 
 # Longest wait of a request that frees stage results at a limited server.
 MAX_FREE_RESULTS_WAIT_MS: Final = 800
+
+# Rounds of probes between two looks at which members are live.
+LIVE_CHECK_ROUNDS: Final = 4
+
+# Peers of a large fleet that are told of new settings at once.
+NEWS_PROBES: Final = 3
+
+# Peers of a large fleet that are asked for the age of their views of the store, of
+# which one of the last second is needed, and the time for their answers.
+VIEW_PROBES: Final = 16
+VIEW_REFRESH_MS: Final = 150
+VIEW_REFRESH_POLL_MS: Final = 10
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -3,21 +3,44 @@
 Heartbeats show which daemons are live, whatever the state of the store.  They also
 carry load, duties, leaving servers and the version of the settings; a daemon with
 older settings fetches the newer ones from the sender.
+
+In a large fleet, heartbeats go with the probes of single members and their answers.
 """
 
 import logging
-from collections.abc import Callable, Sequence
+import math
+import random
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
+import attrs
 from anyio.abc import TaskGroup
 
 from cowsliphitch.core.clock import seconds
-from cowsliphitch.core.fleet.heartbeat_schedule import HeartbeatSchedule
+from cowsliphitch.core.fleet.detector import (
+    AskRelay,
+    Command,
+    FailureDetector,
+    SendAnswer,
+    SendProbe,
+    TellSilence,
+)
+from cowsliphitch.core.fleet.heartbeat_schedule import (
+    HOLDER_ROUNDS,
+    MAX_RECIPIENTS,
+    PROBED_INTERVAL_MS,
+    HeartbeatSchedule,
+)
 from cowsliphitch.core.fleet.members import HEARTBEAT_INTERVAL_MS, Member
+from cowsliphitch.core.servers.models import Server
 from cowsliphitch.peers.fleet.const import FETCH_DOCUMENT_TIMEOUT_S
-from cowsliphitch.peers.fleet.convert import server_checksum
+from cowsliphitch.peers.fleet.convert import (
+    exchange_to_wire,
+    heartbeat_to_wire,
+    server_checksum,
+)
 from cowsliphitch.peers.fleet.heartbeats import HeartbeatSocket
-from cowsliphitch.peers.fleet.models import Heartbeat, PeerCallFailed
+from cowsliphitch.peers.fleet.models import Exchange, Heartbeat, PeerCallFailed
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.telemetry.logs import event
 
@@ -30,6 +53,17 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class _Encoded:
+    """An encoded heartbeat, which goes with all probes and answers of a short time.
+
+    :param made_ms: monotonic time at which it was made
+    """
+
+    content: bytes
+    made_ms: int
+
+
 class FleetCoordinator:
     """Send heartbeats and apply those of the peers.
 
@@ -55,18 +89,33 @@
         self._group = group
         self._sequence_number = 0
         self._schedule = HeartbeatSchedule()
+        self._detector = FailureDetector(
+            state.members, random.Random(state.members.own.address)
+        )
+        self._encoded: _Encoded | None = None
+        self._round_ms = state.clock.now_ms()
+        self._round_number = 0
+        self._known_servers: tuple[Server, ...] = ()
+        self._id_by_checksum: dict[int, str] = {}
         self._is_fetching = False
         self._live_addresses: set[str] = set()
         self._lost_listeners: list[Callable[[str], None]] = []
         self.store: StoreCoordinator | None = None
-        self.socket = HeartbeatSocket(state.members.own.address, self._apply_heartbeat)
+        self.socket = HeartbeatSocket(
+            state.members.own.address, self._apply_heartbeat, self._apply_exchange
+        )
 
     def add_lost_listener(self, listener: Callable[[str], None]) -> None:
         """Have a function called with the address of each member that fails."""
         self._lost_listeners.append(listener)
 
+    @property
+    def _is_probing(self) -> bool:
+        """Return whether the fleet is so large that its members probe each other."""
+        return len(self._state.members.peers()) > MAX_RECIPIENTS
+
     async def run(self) -> None:
-        """Send heartbeats at a fixed interval until cancelled."""
+        """Send heartbeats and probes at a fixed interval until cancelled."""
         while True:
             now = self._state.clock.now_ms()
             pause_ms = self._state.members.tick(now)
@@ -74,31 +123,129 @@
                 event(_LOGGER, "process.paused", logging.WARNING, pause_ms=pause_ms)
             self._quarantine.expire()
             await self.send_heartbeat()
-            self._update_live_members(now)
+            late_ms = now - self._round_ms - HEARTBEAT_INTERVAL_MS
+            self._round_ms = now
+            if self._is_probing:
+                self._detector.shift(max(0, late_ms))
+                await self._execute(self._detector.run_round(now))
+            self._round_number += 1
+            if (
+                not self._is_probing
+                or self._round_number % const.LIVE_CHECK_ROUNDS == 0
+            ):
+                self._update_live_members(now)
             await anyio.sleep(seconds(HEARTBEAT_INTERVAL_MS))
 
     async def send_heartbeat(self, is_urgent: bool = False) -> None:
-        """Send one heartbeat, to all peers if this daemon holds a duty or stops.
+        """Send one heartbeat to the peers whose turn it is.
+
+        A daemon that holds a duty or stops sends to all.
 
         :param is_urgent: send it to all peers
         """
-        self._sequence_number += 1
         members = self._state.members
+        addresses = [member.address for member in members.peers()]
+        if is_urgent and self._is_probing:
+            await self.socket.send_encoded(self._encode(), addresses)
+            return
+        is_small = not self._is_probing
         recipients = self._schedule.next_recipients(
-            [member.address for member in members.peers()],
-            to_all=is_urgent or bool(members.claims) or self._state.stopping,
+            addresses,
+            to_all=bool(members.claims)
+            or (is_small and (is_urgent or self._state.stopping)),
+            has_news=self._state.stopping
+            or self._state.streams.has_announcements
+            or self._state.server_limits.has_own_observations,
         )
-        heartbeat = self._make_heartbeat(recipients.interval_ms)
-        await self.socket.send(heartbeat, recipients.addresses)
+        if recipients.addresses:
+            content = self._encode(recipients.interval_ms, recipients.is_probed)
+            await self.socket.send_encoded(content, recipients.addresses)
 
     def schedule_heartbeat(self) -> None:
         """Send a heartbeat at once, outside the interval, after a change of state."""
-        self._group.start_soon(self.send_heartbeat)
+        if not self._is_probing:
+            self._group.start_soon(self.send_heartbeat)
+            return
+        self._encoded = None
+        now = self._state.clock.now_ms()
+        probes = self._detector.probe_some(const.NEWS_PROBES, now)
+        self._group.start_soon(self._execute, probes)
 
     def _announce_crash(self) -> None:
         """Tell all peers of new suspects before a caller can return to one of them."""
         self._group.start_soon(self.send_heartbeat, True)
 
+    async def refresh_view(self) -> None:
+        """Ask some peers of a large fleet how old their views of the store are."""
+        if not self._is_probing:
+            return
+        clock = self._state.clock
+        end_ms = clock.now_ms() + const.VIEW_REFRESH_MS
+        await self._execute(
+            self._detector.probe_some(const.VIEW_PROBES, clock.now_ms())
+        )
+        while not self._state.is_current() and clock.now_ms() < end_ms:
+            await anyio.sleep(seconds(const.VIEW_REFRESH_POLL_MS))
+
+    async def _execute(self, commands: Iterable[Command]) -> None:
+        """Send the messages that the failure detector decided on."""
+        for command in commands:
+            match command:
+                case SendProbe(address, number):
+                    await self._send_exchange(address, Exchange(probe=number))
+                case AskRelay(address, number, target):
+                    exchange = Exchange(probe=number, target=target)
+                    await self._send_exchange(address, exchange)
+                case SendAnswer(address, number):
+                    await self._send_exchange(address, Exchange(answer=number))
+                case TellSilence(addresses):
+                    silent = self._detector.silent_domains
+                    event(_LOGGER, "domain.silent", logging.WARNING, domains=silent)
+                    self._encoded = None
+                    await self.socket.send_encoded(self._recent(), addresses)
+
+    async def _send_exchange(self, address: str, exchange: Exchange) -> None:
+        content = self._recent() + exchange_to_wire(exchange)
+        await self.socket.send_encoded(content, (address,))
+
+    def _recent(self) -> bytes:
+        """Return the encoded heartbeat, made within the shortest interval."""
+        now = self._state.clock.now_ms()
+        if self._encoded is None or now - self._encoded.made_ms > HEARTBEAT_INTERVAL_MS:
+            return self._encode()
+        return self._encoded.content
+
+    def _encode(
+        self, interval_ms: int | None = None, is_probed: bool | None = None
+    ) -> bytes:
+        """Encode a new heartbeat.
+
+        :param interval_ms: time until the next one to the same peers, by default as
+            they were promised
+        :param is_probed: no heartbeat is sent regularly, by default as they were told
+        """
+        if is_probed is None:
+            is_probed = not self._schedule.has_promised_interval
+        if interval_ms is None:
+            promised_ms = HOLDER_ROUNDS * HEARTBEAT_INTERVAL_MS
+            interval_ms = PROBED_INTERVAL_MS if is_probed else promised_ms
+        self._sequence_number += 1
+        now = self._state.clock.now_ms()
+        heartbeat = attrs.evolve(
+            self._make_heartbeat(interval_ms),
+            is_probed=is_probed,
+            reports=self._detector.next_reports(now),
+            silent_domains=self._detector.silent_domains,
+        )
+        content = heartbeat_to_wire(heartbeat)
+        self._encoded = _Encoded(content, now)
+        return content
+
+    def _cycle_ms(self, interval_ms: int) -> int:
+        """Return the time in which heartbeats with news reach all peers."""
+        groups = math.ceil(len(self._state.members.peers()) / MAX_RECIPIENTS)
+        return max(1, groups) * HEARTBEAT_INTERVAL_MS if groups > 1 else interval_ms
+
     def _make_heartbeat(self, interval_ms: int) -> Heartbeat:
         state = self._state
         return Heartbeat(
@@ -120,7 +267,9 @@
             suspect_parts=state.prompt_parts.next_reports(state.clock.now_ms()),
             suspect_requests=state.suspect_requests.next_reports(state.clock.now_ms()),
             store_era=self.store.era if self.store is not None else 0,
-            streams=state.streams.next_announcement(interval_ms, state.clock.now_ms()),
+            streams=state.streams.next_announcement(
+                self._cycle_ms(interval_ms), state.clock.now_ms()
+            ),
             versions=state.streams.recent_origins(),
             view_age_ms=state.servers.view_age_ms(state.clock.now_ms()),
             limits={
@@ -131,9 +280,40 @@
             },
         )
 
+    async def _apply_exchange(self, heartbeat: Heartbeat, exchange: Exchange) -> None:
+        """Answer a peer's probe, or record its answer to a probe of this daemon.
+
+        :param heartbeat: the peer's latest heartbeat
+        """
+        now = self._state.clock.now_ms()
+        if exchange.answer:
+            probed_ms = self._detector.record_answer(exchange.answer, now)
+            if probed_ms is not None:
+                # The heartbeat that the answer came with may be older than the probe.
+                age_ms = now - probed_ms + HEARTBEAT_INTERVAL_MS
+                boot_ms = self._state.clock.boot_ms()
+                self._state.freshness.confirm(heartbeat.view_age_ms, boot_ms - age_ms)
+            forwarded = self._detector.forward_answer(exchange.answer)
+            if forwarded is not None:
+                await self._execute((forwarded,))
+        if exchange.probe and not exchange.target:
+            await self._execute((SendAnswer(heartbeat.address, exchange.probe),))
+        elif exchange.probe and self._state.members.domain_of(exchange.target):
+            relayed = self._detector.relay(
+                heartbeat.address, exchange.probe, exchange.target, now
+            )
+            await self._execute((relayed,))
+
     async def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         state = self._state
         now = state.clock.now_ms()
+        incarnation = heartbeat.started_ms, heartbeat.sequence_number
+        if state.members.incarnation_of(heartbeat.address) == incarnation:
+            # The same heartbeat came with an earlier probe or answer.
+            self._detector.record_message(
+                heartbeat.address, heartbeat.failure_domain, now
+            )
+            return
         member = Member(
             heartbeat.address,
             heartbeat.name,
@@ -148,8 +328,14 @@
             now,
             heartbeat.duties,
             heartbeat.interval_ms,
+            heartbeat.is_probed,
         )
-        id_by_checksum = {server_checksum(s.id): s.id for s in state.servers.all()}
+        self._detector.record_message(heartbeat.address, heartbeat.failure_domain, now)
+        self._detector.learn(heartbeat.reports, now)
+        if heartbeat.silent_domains and self._is_probing:
+            checks = self._detector.check_domains(heartbeat.silent_domains, now)
+            await self._execute(checks)
+        id_by_checksum = self._ids_by_checksum()
         state.placement.set_peer_loads(
             heartbeat.address,
             {
@@ -157,6 +343,7 @@
                 for checksum, load in heartbeat.servers.items()
                 if checksum in id_by_checksum
             },
+            now,
         )
         for report in heartbeat.leaving_servers:
             if state.servers.mark_leaving(report, now, heartbeat.name):
@@ -186,12 +373,13 @@
             self.store.learn_era(heartbeat.store_era, heartbeat.name)
         state.streams.learn_versions(heartbeat.versions, now)
         state.streams.learn(heartbeat.streams, heartbeat.name, now)
-        state.freshness.hear(
-            heartbeat.address,
-            heartbeat.view_age_ms,
-            heartbeat.interval_ms,
-            state.clock.boot_ms(),
-        )
+        if not heartbeat.is_probed:
+            state.freshness.hear(
+                heartbeat.address,
+                heartbeat.view_age_ms,
+                heartbeat.interval_ms,
+                state.clock.boot_ms(),
+            )
         if heartbeat.suspect_parts or heartbeat.suspect_requests:
             self._quarantine.merge(
                 heartbeat.suspect_parts, heartbeat.suspect_requests, heartbeat.name
@@ -203,6 +391,14 @@
             self._is_fetching = True
             self._group.start_soon(self._fetch_newer_settings, heartbeat.address)
 
+    def _ids_by_checksum(self) -> dict[int, str]:
+        """Return the identifiers of the known servers by their checksums."""
+        servers = self._state.servers.all()
+        if servers is not self._known_servers:
+            self._known_servers = servers
+            self._id_by_checksum = {server_checksum(s.id): s.id for s in servers}
+        return self._id_by_checksum
+
     async def _fetch_newer_settings(self, address: str) -> None:
         """Fetch the settings of a peer whose heartbeat names a newer version."""
         try:
--- a/packages/gateway/src/cowsliphitch/gateway/stream_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stream_coordinator.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Awaitable, Callable
 
 import anyio
 import attrs
@@ -54,12 +55,18 @@
     """Bind resumed streams to their version, and write own streams to the store."""
 
     def __init__(
-        self, state: GatewayState, kv: KeyValueClient, metrics: RequestMetrics
+        self,
+        state: GatewayState,
+        kv: KeyValueClient,
+        metrics: RequestMetrics,
+        refresh_view: Callable[[], Awaitable[None]],
     ) -> None:
         """Initialize without anything written.
 
         :param metrics: counts the streams that are taken up again
+        :param refresh_view: asks peers what the store told them
         """
+        self._refresh_view = refresh_view
         self._state = state
         self._kv = kv
         self._metrics = metrics
@@ -125,6 +132,8 @@
     async def _find(self, request: CallerRequest, service: str) -> OriginLookup:
         """Return the origin of a stream; wait a moment for its record."""
         clock = self._state.clock
+        if not self._state.is_current():
+            await self._refresh_view()
         end_ms = clock.now_ms() + const.STREAM_RECORD_WAIT_MS
         while True:
             now = clock.now_ms()
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from cowsliphitch.core.deployment.models import StageSpec
+from cowsliphitch.core.fleet.detector import MemberReport
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
 from cowsliphitch.core.limits.models import (
     Decision,
@@ -33,6 +34,7 @@
     EndTrial,
     EngineProgress,
     EngineProgressReport,
+    Exchange,
     Heartbeat,
     RunStagesReply,
     RunStagesRequest,
@@ -107,16 +109,41 @@
             for origin in heartbeat.versions
         ],
         view_age_ms=heartbeat.view_age_ms,
+        probed=heartbeat.is_probed,
+        reports=[
+            pb.MemberReport(
+                member=report.address,
+                suspect=report.is_suspect,
+                age_ms=report.age_ms,
+            )
+            for report in heartbeat.reports
+        ],
+        silent_domains=heartbeat.silent_domains,
+        probe=heartbeat.exchange.probe,
+        answer=heartbeat.exchange.answer,
+        target=heartbeat.exchange.target,
     )
     return bytes(message.SerializeToString())
 
 
-def heartbeat_from_wire(content: bytes, address: str) -> Heartbeat:
-    """Decode a heartbeat.
+def exchange_to_wire(exchange: Exchange) -> bytes:
+    """Encode a probe or an answer, to be appended to an encoded heartbeat."""
+    message = pb.Heartbeat(
+        probe=exchange.probe, answer=exchange.answer, target=exchange.target
+    )
+    return bytes(message.SerializeToString())
 
-    :param address: host and port that the datagram came from
-    :raises ValueError: the datagram is not a heartbeat or does not name its sender
+
+def exchange_from_wire(content: bytes) -> Exchange:
+    """Decode the probe or answer of a datagram.
+
+    :raises ValueError: the datagram is not a heartbeat
     """
+    message = _parse_heartbeat(content)
+    return Exchange(message.probe, message.answer, message.target)
+
+
+def _parse_heartbeat(content: bytes) -> pb.Heartbeat:
     message = pb.Heartbeat()
     try:
         message.ParseFromString(content)
@@ -124,6 +151,16 @@
         raise ValueError("datagram is not a valid heartbeat message") from exc
     if not message.name or not message.lifetime:
         raise ValueError("heartbeat lacks the name or start time of its sender")
+    return message
+
+
+def heartbeat_from_wire(content: bytes, address: str) -> Heartbeat:
+    """Decode a heartbeat.
+
+    :param address: host and port that the datagram came from
+    :raises ValueError: the datagram is not a heartbeat or does not name its sender
+    """
+    message = _parse_heartbeat(content)
     return Heartbeat(
         name=message.name,
         address=address,
@@ -162,6 +199,12 @@
             StreamOrigin(row.service, row.version) for row in message.versions
         ),
         view_age_ms=message.view_age_ms if message.HasField("view_age_ms") else None,
+        is_probed=message.probed,
+        reports=tuple(
+            MemberReport(row.member, row.suspect, row.age_ms) for row in message.reports
+        ),
+        silent_domains=tuple(message.silent_domains),
+        exchange=Exchange(message.probe, message.answer, message.target),
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
@@ -2,36 +2,48 @@
 
 Load pattern: many daemons send heartbeats while the event loop is busy, so that
 datagrams pile up in the socket's buffer.  All of them are read at once, and only the
-latest of each peer is decoded and applied.
+latest of each peer is applied; probes and answers are taken from all of them.
 """
 
 import logging
 import socket
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from contextlib import closing, suppress
 
 import anyio
 from anyio.abc import TaskStatus
 
 from . import const, convert
-from .models import Heartbeat
+from .models import Exchange, Heartbeat
 
 _LOGGER = logging.getLogger(__name__)
 
 
+async def _ignore_exchange(_heartbeat: Heartbeat, _exchange: Exchange) -> None:
+    """Leave a probe or an answer out of account."""
+
+
 class HeartbeatSocket:
     """UDP socket that sends and receives a daemon's heartbeats.
 
     :param address: host and port to listen on
     :param on_heartbeat: called for each valid heartbeat
+    :param on_exchange: called with a peer's latest heartbeat for each of its probes
+        and answers
     """
 
     def __init__(
-        self, address: str, on_heartbeat: Callable[[Heartbeat], Awaitable[None]]
+        self,
+        address: str,
+        on_heartbeat: Callable[[Heartbeat], Awaitable[None]],
+        on_exchange: Callable[
+            [Heartbeat, Exchange], Awaitable[None]
+        ] = _ignore_exchange,
     ) -> None:
         """Initialize without a socket; ``run`` opens it."""
         self._address = address
         self._on_heartbeat = on_heartbeat
+        self._on_exchange = on_exchange
         self._socket: socket.socket | None = None
         self.malformed_datagrams = 0
         self.superseded_datagrams = 0
@@ -48,12 +60,12 @@
             task_status.started()
             while True:
                 await anyio.wait_readable(sock)
-                for address, content in self._read_latest(sock).items():
-                    await self._apply(content, address)
+                for address, contents in self._read_all(sock).items():
+                    await self._apply(contents, address)
 
-    def _read_latest(self, sock: socket.socket) -> dict[str, bytes]:
-        """Read the buffered datagrams; return the last one of each peer by address."""
-        latest: dict[str, bytes] = {}
+    def _read_all(self, sock: socket.socket) -> dict[str, list[bytes]]:
+        """Read the buffered datagrams; return those of each peer by address."""
+        received: dict[str, list[bytes]] = {}
         for _ in range(const.MAX_DATAGRAMS_PER_READ):
             try:
                 content, (host, port) = sock.recvfrom(const.MAX_DATAGRAM_BYTES)
@@ -63,28 +75,44 @@
                 _LOGGER.warning("Heartbeat not received, waiting for the next: %s", exc)
                 break
             address = f"{host}:{port}"
-            self.superseded_datagrams += address in latest
-            latest[address] = content
-        return latest
+            self.superseded_datagrams += address in received
+            received.setdefault(address, []).append(content)
+        return received
 
-    async def _apply(self, content: bytes, address: str) -> None:
+    async def _apply(self, contents: Sequence[bytes], address: str) -> None:
+        """Apply the latest heartbeat of a peer, and all its probes and answers."""
         try:
-            heartbeat = convert.heartbeat_from_wire(content, address)
+            heartbeat = convert.heartbeat_from_wire(contents[-1], address)
         except ValueError as exc:
-            self.malformed_datagrams += 1
-            _LOGGER.warning("Heartbeat datagram dropped: %s", exc)
+            self._drop(exc)
             return
         await self._on_heartbeat(heartbeat)
+        exchanges = [heartbeat.exchange]
+        for content in contents[:-1]:
+            try:
+                exchanges.append(convert.exchange_from_wire(content))
+            except ValueError as exc:
+                self._drop(exc)
+        for exchange in exchanges:
+            if exchange.probe or exchange.answer:
+                await self._on_exchange(heartbeat, exchange)
+
+    def _drop(self, cause: ValueError) -> None:
+        self.malformed_datagrams += 1
+        _LOGGER.warning("Heartbeat datagram dropped: %s", cause)
 
     async def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
-        """Send a heartbeat to peers.
+        """Send a heartbeat to peers; see :meth:`send_encoded`."""
+        await self.send_encoded(convert.heartbeat_to_wire(heartbeat), addresses)
+
+    async def send_encoded(self, content: bytes, addresses: Iterable[str]) -> None:
+        """Send an encoded heartbeat to peers.
 
         Errors of the socket are ignored: they amount to a lost datagram, and the next
-        heartbeat follows soon.
+        heartbeat or probe follows soon.
         """
         if self._socket is None:
             return
-        content = convert.heartbeat_to_wire(heartbeat)
         if len(content) > const.MAX_DATAGRAM_BYTES:
             _LOGGER.warning(
                 "Heartbeat not sent: %d bytes exceed the limit of %d bytes",
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cowsliphitch.core.deployment.models import StageSpec
+from cowsliphitch.core.fleet.detector import MemberReport
 from cowsliphitch.core.fleet.members import DEFAULT_CAPACITY, HEARTBEAT_INTERVAL_MS
 from cowsliphitch.core.limits.models import Decision, LimitReport, PermitRequest
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
@@ -17,6 +18,21 @@
 from cowsliphitch.core.verdict import Refusal
 
 
+@attrs.frozen
+class Exchange:
+    """Probe or answer that a daemon adds to its heartbeat.
+
+    :param probe: number of a probe that the receiver answers, 0 for none
+    :param answer: number of the receiver's probe that this answers, 0 for none
+    :param target: address of the daemon that the receiver probes in the sender's
+        place, empty if the probe is for the receiver itself
+    """
+
+    probe: int = 0
+    answer: int = 0
+    target: str = ""
+
+
 @attrs.frozen
 class Heartbeat:
     """Periodic message by which a daemon shows that it is alive.
@@ -43,6 +59,10 @@
     :param streams: streams that began at the daemon, by their origin
     :param versions: versions that it listed, of services that have several
     :param view_age_ms: time since the store's last answer to it, ``None`` before that
+    :param is_probed: it sends no regular heartbeats and answers probes instead
+    :param reports: what it reports on other daemons
+    :param silent_domains: failure domains in which it hears no daemon
+    :param exchange: probe or answer that came with it
     """
 
     name: str
@@ -64,6 +84,10 @@
     suspect_requests: tuple[PartReport, ...] = ()
     versions: tuple[StreamOrigin, ...] = ()
     view_age_ms: int | None = None
+    is_probed: bool = False
+    reports: tuple[MemberReport, ...] = ()
+    silent_domains: tuple[str, ...] = ()
+    exchange: Exchange = Exchange()
 
 
 @attrs.frozen
--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -187,10 +187,10 @@
             [server.server for server in self.servers], now
         )
         daemon.sequence += 1
+        reports = daemon.state.server_limits.next_reports(now)
         recipients = daemon.schedule.next_recipients(
-            [m.address for m in members.peers()], bool(members.claims)
+            [m.address for m in members.peers()], bool(members.claims), bool(reports)
         )
-        reports = daemon.state.server_limits.next_reports(now)
         claims, sequence = dict(members.claims), daemon.sequence
 
         def receive(address: str) -> None:
@@ -205,6 +205,7 @@
                 arrived_ms,
                 claims,
                 recipients.interval_ms,
+                recipients.is_probed,
             )
             peer.state.server_limits.merge(reports, daemon.member.name, arrived_ms)
 
