Probe members in the emulator of limits as daemons do

The emulated daemons of the scenarios with 90 daemons sent no heartbeats without news, and did not probe each other, so that each held all others for lost and three scenarios failed. They run the failure detector now; the three pass with their bounds as they were, and so do the restarts, freezes and cuts beside them.

--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -189,7 +189,7 @@
 
 @when('a peer reports {count:d} requests in flight at "{name}"')
 def peer_reports_in_flight(context: Any, count: int, name: str) -> None:
-    context.placement.set_peer_loads("peer", {name: ServerLoad(count)})
+    context.placement.set_peer_loads("peer", {name: ServerLoad(count)}, context.now_ms)
 
 
 @when('"{name}" fails {count:d} requests')
--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -8,21 +8,39 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
 from typing import Any, Final, cast
 
 import attrs
 
 from cowsliphitch.core.clock import MS_PER_SECOND, ManualClock
-from cowsliphitch.core.fleet.heartbeat_schedule import HeartbeatSchedule
+from cowsliphitch.core.fleet.detector import (
+    AskRelay,
+    Command,
+    FailureDetector,
+    MemberReport,
+    SendAnswer,
+    SendProbe,
+    TellSilence,
+)
+from cowsliphitch.core.fleet.heartbeat_schedule import (
+    MAX_RECIPIENTS,
+    HeartbeatSchedule,
+    Recipients,
+)
 from cowsliphitch.core.fleet.members import HEARTBEAT_INTERVAL_MS, Member, MemberTable
-from cowsliphitch.core.limits.models import Decision, NamedLimit, PermitRequest
+from cowsliphitch.core.limits.models import (
+    Decision,
+    LimitReport,
+    NamedLimit,
+    PermitRequest,
+)
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.gateway.permits import PermitBroker
 from cowsliphitch.gateway.server_client import ServerClient
 from cowsliphitch.gateway.state import GatewayState
-from cowsliphitch.peers.fleet.models import PeerCallFailed
+from cowsliphitch.peers.fleet.models import Exchange, PeerCallFailed
 from cowsliphitch.upstreams.http1.models import UpstreamError
 
 SERVICE: Final = "desk"
@@ -60,6 +78,8 @@
 class EmulatedDaemon:
     """A daemon with its real components.
 
+    :param recipients: how its latest heartbeat was sent
+    :param limit_reports: what that heartbeat says of limits
     :param told_ms: time of its first answer that named a limit, by server
     :param excused_ms: time until which it is not held to the limits
     :param frozen_ms: time until which it neither sends nor receives
@@ -70,8 +90,11 @@
     state: GatewayState
     office: PermitBroker
     client: ServerClient
+    detector: FailureDetector
     schedule: HeartbeatSchedule = attrs.Factory(HeartbeatSchedule)
-    sequence: int = 0
+    sequence: int = 1
+    recipients: Recipients = Recipients((), HEARTBEAT_INTERVAL_MS)
+    limit_reports: dict[str, LimitReport] = attrs.Factory(dict)
     told_ms: dict[str, int] = attrs.Factory(dict)
     excused_ms: int = 0
     frozen_ms: int = 0
@@ -148,7 +171,8 @@
         state.members.set_listed(self.members, now)
         office = PermitBroker(state, cast(Any, _Peers(self, number)))
         client = ServerClient(state, cast(Any, None), office)
-        return EmulatedDaemon(member, state, office, client)
+        detector = FailureDetector(state.members, random.Random(number))
+        return EmulatedDaemon(member, state, office, client, detector)
 
     def at(self, after_ms: float, action: Callable[[], None]) -> None:
         """Run an action after a time."""
@@ -187,13 +211,26 @@
             [server.server for server in self.servers], now
         )
         daemon.sequence += 1
-        reports = daemon.state.server_limits.next_reports(now)
-        recipients = daemon.schedule.next_recipients(
-            [m.address for m in members.peers()], bool(members.claims), bool(reports)
+        daemon.limit_reports = daemon.state.server_limits.next_reports(now)
+        peers = [m.address for m in members.peers()]
+        daemon.recipients = daemon.schedule.next_recipients(
+            peers, bool(members.claims), bool(daemon.limit_reports)
         )
-        claims, sequence = dict(members.claims), daemon.sequence
+        for address in daemon.recipients.addresses:
+            self._send_heartbeat(daemon, address, Exchange())
+        if len(peers) > MAX_RECIPIENTS:
+            self._execute(daemon, daemon.detector.run_round(now))
 
-        def receive(address: str) -> None:
+    def _send_heartbeat(
+        self, daemon: EmulatedDaemon, address: str, exchange: Exchange
+    ) -> None:
+        """Send the latest heartbeat of a daemon, with a probe or an answer."""
+        now, claims = self.clock.now_ms(), dict(daemon.state.members.claims)
+        sequence, recipients = daemon.sequence, daemon.recipients
+        limit_reports = daemon.limit_reports
+        reports = daemon.detector.next_reports(now)
+
+        def receive() -> None:
             peer = self.by_address(address)
             if not self.is_connected(daemon, peer):
                 return
@@ -207,11 +244,47 @@
                 recipients.interval_ms,
                 recipients.is_probed,
             )
-            peer.state.server_limits.merge(reports, daemon.member.name, arrived_ms)
+            peer.state.server_limits.merge(
+                limit_reports, daemon.member.name, arrived_ms
+            )
+            self._receive_exchange(peer, daemon.member, reports, exchange)
 
-        for address in recipients.addresses:
-            delay_ms = self.heartbeat_delay_ms + self.rng.randrange(3)
-            self.at(delay_ms, partial(receive, address))
+        delay_ms = self.heartbeat_delay_ms + self.rng.randrange(3)
+        self.at(delay_ms, receive)
+
+    def _receive_exchange(
+        self,
+        daemon: EmulatedDaemon,
+        sender: Member,
+        reports: tuple[MemberReport, ...],
+        exchange: Exchange,
+    ) -> None:
+        now, detector = self.clock.now_ms(), daemon.detector
+        detector.record_message(sender.address, sender.failure_domain, now)
+        detector.learn(reports, now)
+        detector.record_answer(exchange.answer, now)
+        forwarded = detector.forward_answer(exchange.answer)
+        commands: list[Command] = [forwarded] if forwarded is not None else []
+        if exchange.target:
+            number, target = exchange.probe, exchange.target
+            commands.append(detector.relay(sender.address, number, target, now))
+        elif exchange.probe:
+            commands.append(SendAnswer(sender.address, exchange.probe))
+        self._execute(daemon, commands)
+
+    def _execute(self, daemon: EmulatedDaemon, commands: Iterable[Command]) -> None:
+        for command in commands:
+            match command:
+                case SendProbe(address, number):
+                    exchange = Exchange(probe=number)
+                case SendAnswer(address, number):
+                    exchange = Exchange(answer=number)
+                case AskRelay(address, number, target):
+                    exchange = Exchange(probe=number, target=target)
+                case TellSilence():
+                    # Others notice a cut by themselves a little later.
+                    continue
+            self._send_heartbeat(daemon, address, exchange)
 
     def restart(self, number: int) -> None:
         """Kill a daemon; another process takes its place after ``RESTART_MS``."""
