Take an order in a planned stop only if it is answered before the exit

A daemon that was told to stop took requests for 5 s and streams for 2.5 s, whatever its grace period: with 2 s it passed orders on until the exit at 1.7 s, and with slow servers in 5 s, too, and cut them off at the end, without an answer or with one that can't tell whether they ran.

What is taken follows from the grace period and the request's own deadline now: an order only if its answer comes before the exit even at its deadline, requests that may be repeated also while the load balancer still sends new connections, streams for that time only. The rest is refused as not run, and another daemon gets it.

The splitter of events copied its whole buffer for each chunk and searched it from the start, quadratic in the size of an event without end; it copies each byte a bounded number of times.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -62,6 +62,7 @@
             for name in (*desks, "encode-1", "rerank-1")
         }
         self.daemon_count = daemon_count
+        self.grace = "5s"
         for number, version in enumerate(engine_versions, 1):
             name = f"engine-{number}"
             self.servers[name] = SiteServer(
@@ -117,7 +118,7 @@
         path.write_text(
             f'name: "vm-{number}"\nfailure_domain: "domain-a"\nlisten:\n{listen}\n'
             f'store:\n  address: "{self.store.removeprefix("http://")}"\n'
-            'shutdown:\n  grace: "5s"\n'
+            f'shutdown:\n  grace: "{self.grace}"\n'
         )
         process = self._start(["cowsliphitch.gateway"], COWSLIPHITCH_CONFIG=str(path))
         return ports | {"process": process, "path": path}
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -18,6 +18,7 @@
 from cowsliphitch.core.limits.const import WINDOW_MS
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.servers.registry import STORE_SOURCE
+from cowsliphitch.core.serving.shutdown import ShutdownPlan
 from cowsliphitch.peers.fleet.models import PeerRequestHandlers
 from cowsliphitch.peers.fleet.rpc import PeerConnections, make_server
 from cowsliphitch.platform import headers as header_names
@@ -235,17 +236,19 @@
         Those that have no answer shortly before its end are refused.
         An idle daemon still waits until the load balancer sends no new connections.
         """
-        end_ms = self._clock.now_ms() + self._cfg.shutdown.grace - const.EXIT_MARGIN_MS
+        now, plan = self._clock.now_ms(), ShutdownPlan(self._cfg.shutdown.grace)
+        end_ms = now + plan.exit_ms
         event(_LOGGER, "daemon.stop", active=self._caller_edge.diagnostics.active)
         self._state.stopping = True
-        self._state.stopping_since_ms = self._clock.now_ms()
-        self._state.answer_by_ms = answer_by_ms = end_ms - const.LAST_ANSWERS_MS
+        self._state.stopping_since_ms = now
+        self._state.shutdown_plan = plan
+        self._state.answer_by_ms = answer_by_ms = now + plan.last_answers_ms
         self._state.members.release_duties()
         self._caller_edge.disable_keep_alive()
         await self._fleet.send_heartbeat(is_urgent=True)
         with anyio.move_on_after(seconds(const.STORE_TIMEOUT_MS)):
             await self._store.unregister()
-        balancer_removed_ms = self._clock.now_ms() + const.BALANCER_REMOVAL_MS
+        balancer_removed_ms = now + plan.balancer_removal_ms
         while self._clock.now_ms() < end_ms:
             if self._clock.now_ms() >= answer_by_ms:
                 self._in_flight.end_unanswered()
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -65,23 +65,6 @@
 # the server.
 MAX_CONNECTION_SHARE: Final = 0.8
 
-# After SIGTERM, readiness checks fail.  The load balancer checks once a second, and
-# sends new connections until two checks have failed.
-BALANCER_REMOVAL_MS: Final = 2_500
-
-# A stopping daemon accepts streams and other requests for this long, since they still
-# arrive on open keep-alive connections.  Streams are refused earlier, as they could
-# outlast the rest of the grace period.
-ACCEPT_STREAMS_AFTER_STOP_MS: Final = 2_500
-ACCEPT_REQUESTS_AFTER_STOP_MS: Final = 5_000
-
-# The shutdown ends this long before the platform sends SIGKILL.
-EXIT_MARGIN_MS: Final = 300
-
-# Requests without an answer are refused this long before the exit, so that the refusals
-# are sent.
-LAST_ANSWERS_MS: Final = 200
-
 # File descriptors reserved for files, servers, peers and the store; callers' sockets
 # get a share of the others.
 RESERVED_DESCRIPTORS: Final = 1_000
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -196,7 +196,10 @@
             detail = f"no route of {request.host} begins {request.path}"
             return not_run(Reason.UNKNOWN_ROUTE, detail)
         log_fields.route = route.name
-        if self._is_past_shutdown_cutoff(route):
+        timeout_ms = route.timeout_ms - const.ROUTE_TIMEOUT_MARGIN_MS
+        if request.timeout_ms is not None:
+            timeout_ms = min(timeout_ms, request.timeout_ms)
+        if self._is_past_shutdown_cutoff(route, timeout_ms):
             detail = "this daemon is stopping and could not finish in time"
             return not_run(Reason.SHUTTING_DOWN, detail, STOPPING_RETRY_AFTER_MS)
         team = self._find_team(deployment, route, request)
@@ -207,9 +210,6 @@
         if quarantined is not None:
             return quarantined
         priority = team.priority if team and team.priority is not None else None
-        timeout_ms = route.timeout_ms - const.ROUTE_TIMEOUT_MARGIN_MS
-        if request.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, request.timeout_ms)
         return RequestContext(
             request=request,
             route=route,
@@ -219,18 +219,13 @@
             deadline_ms=request.received_ms + timeout_ms,
         )
 
-    def _is_past_shutdown_cutoff(self, route: Route) -> bool:
+    def _is_past_shutdown_cutoff(self, route: Route, timeout_ms: int) -> bool:
         """Return whether a new request might not finish before this daemon exits."""
-        if not self._state.stopping:
+        plan = self._state.shutdown_plan
+        if plan is None:
             return False
         stopping_ms = self._state.clock.now_ms() - self._state.stopping_since_ms
-        is_stream = route.kind is RouteKind.STREAM
-        cutoff_ms = (
-            const.ACCEPT_STREAMS_AFTER_STOP_MS
-            if is_stream
-            else const.ACCEPT_REQUESTS_AFTER_STOP_MS
-        )
-        return stopping_ms > cutoff_ms
+        return not plan.takes(stopping_ms, timeout_ms, route.kind)
 
     def _find_team(
         self, deployment: Deployment, route: Route, request: CallerRequest
--- a/packages/gateway/src/cowsliphitch/gateway/relay.py
+++ b/packages/gateway/src/cowsliphitch/gateway/relay.py
@@ -53,7 +53,7 @@
 
     def __init__(self) -> None:
         """Initialize an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk, and return the events that are complete with it.
@@ -62,22 +62,24 @@
 
         :raises UpstreamError: the incomplete event has more than ``MAX_EVENT_BYTES``
         """
-        content = self._buffer + chunk
-        end = content.rfind(EVENT_END)
+        # The buffer holds no end of an event, but may hold the first byte of one.
+        searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
+        self._buffer += chunk
+        end = self._buffer.rfind(EVENT_END, searched)
         if end < 0:
-            if len(content) > MAX_EVENT_BYTES:
+            if len(self._buffer) > MAX_EVENT_BYTES:
                 detail = f"an event has more than {MAX_EVENT_BYTES} bytes"
                 raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
-            self._buffer = content
             return b""
         split = end + len(EVENT_END)
-        self._buffer = content[split:]
-        return content[:split]
+        events = bytes(self._buffer[:split])
+        del self._buffer[:split]
+        return events
 
     @property
     def incomplete_event(self) -> bytes:
         """Return the buffered bytes of an incomplete event, empty if there is none."""
-        return self._buffer
+        return bytes(self._buffer)
 
 
 def last_event_id(events: bytes) -> str | None:
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -26,6 +26,7 @@
 )
 from cowsliphitch.core.servers.placement import ServerPlacement
 from cowsliphitch.core.servers.registry import ServerRegistry
+from cowsliphitch.core.serving.shutdown import ShutdownPlan
 from cowsliphitch.core.streams.registry import StreamRegistry
 
 # Time after which it is looked again which division of a pool group is in force.
@@ -61,6 +62,8 @@
     :param loop_delay: how late this daemon's event loop is
     :param stopping: SIGTERM was received
     :param stopping_since_ms: monotonic time at which ``stopping`` was set
+    :param shutdown_plan: which requests a stopping daemon takes, ``None`` before
+        SIGTERM
     :param answer_by_ms: monotonic time at which a stopping daemon refuses the requests
         that have no answer yet, ``None`` before SIGTERM
     """
@@ -85,6 +88,7 @@
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
     stopping_since_ms: int = 0
+    shutdown_plan: ShutdownPlan | None = None
     answer_by_ms: int | None = None
     _cells: _CellsOfGroups | None = None
 
