Bound the memory of all buffers of a daemon together

Each answer, event and body had a limit of its own, but nothing bounded all of them: some answers of 8 MB that a faulty server sends without end, or some bodies that callers send and do not finish, end the process on a small VM, with the requests of all other callers.

All buffers of a process share a budget that follows from its VM's memory (vm.memory_mb, 40% of what is left above 80 MB). At its end the largest buffers are given up at once, also if nothing more comes: answers as spoilt (may have run), bodies as refused. Gauges tell the bytes in use and the buffers given up.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -63,6 +63,7 @@
         }
         self.daemon_count = daemon_count
         self.grace = "5s"
+        self.memory_mb = 256
         for number, version in enumerate(engine_versions, 1):
             name = f"engine-{number}"
             self.servers[name] = SiteServer(
@@ -119,6 +120,7 @@
             f'name: "vm-{number}"\nfailure_domain: "domain-a"\nlisten:\n{listen}\n'
             f'store:\n  address: "{self.store.removeprefix("http://")}"\n'
             f'shutdown:\n  grace: "{self.grace}"\n'
+            f"vm:\n  memory_mb: {self.memory_mb}\n"
         )
         process = self._start(["cowsliphitch.gateway"], COWSLIPHITCH_CONFIG=str(path))
         return ports | {"process": process, "path": path}
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -14,6 +14,7 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
+from cowsliphitch.core.overload.buffers import Buffer, BufferBudget
 
 from . import const
 from .models import Diagnostics, EdgeRequest, Handler, Header, ReplyError
@@ -56,6 +57,7 @@
     :param is_closing: returns whether the connection is to be closed after its next
         answer
     :param diagnostics: counters of the server, shared by its connections
+    :param budget: memory for the bodies of requests
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         is_closing: Callable[[], bool],
         diagnostics: Diagnostics,
         clock: Clock,
+        budget: BufferBudget,
     ) -> None:
         """Initialize the protocol state of a newly accepted stream."""
         self._stream = stream
@@ -74,6 +77,7 @@
         self._is_closing = is_closing
         self._diagnostics = diagnostics
         self._clock = clock
+        self._budget = budget
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -137,12 +141,16 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection may carry another."""
-        req = await self._read_request()
-        if req is None:
-            return False
-        self._diagnostics.requests += 1
-        self._started = False
-        await self._handle(req)
+        buffer = self._budget.open()
+        try:
+            req = await self._read_request(buffer)
+            if req is None:
+                return False
+            self._diagnostics.requests += 1
+            self._started = False
+            await self._handle(req)
+        finally:
+            buffer.close()
         if self._protocol.our_state is not h11.DONE:
             return await self._close_gracefully()
         self._idle_since_ms = self._clock.now_ms()
@@ -201,9 +209,10 @@
             self._protocol.receive_data(data)
         return False
 
-    async def _read_request(self) -> EdgeRequest | None:
+    async def _read_request(self, buffer: Buffer) -> EdgeRequest | None:
         """Read a request; return ``None`` if the connection ended before one began.
 
+        :param buffer: counts the bytes of its body
         :raises _RequestRejected: the request is invalid, too large or too slow
         :raises _CallerDisconnected: the caller disconnected during the request
         """
@@ -222,7 +231,7 @@
         if not isinstance(event, h11.Request):
             return None
         host = _validate_head(event, limits)
-        body = await self._read_body(limits)
+        body = await self._read_body(limits, buffer)
         return EdgeRequest(
             method=event.method,
             target=event.target,
@@ -253,12 +262,19 @@
         self._receive(data)
         return self._clock.now_ms()
 
-    async def _read_body(self, limits: CallerLimits) -> bytes:
+    async def _read_body(self, limits: CallerLimits, buffer: Buffer) -> bytes:
         if self._protocol.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._protocol.send(informational))
+        with anyio.CancelScope() as scope:
+            buffer.on_give_up = scope.cancel
+            body = await self._read_chunks(limits, buffer)
+            if not buffer.is_given_up:
+                return body
+        raise _RequestRejected(503, f"no memory for a body of {buffer.size} bytes")
+
+    async def _read_chunks(self, limits: CallerLimits, buffer: Buffer) -> bytes:
         chunks: list[bytes] = []
-        size = 0
         while True:
             try:
                 with anyio.fail_after(seconds(const.BODY_READ_TIMEOUT_MS)):
@@ -269,8 +285,8 @@
                 ) from None
             match event:
                 case h11.Data(data=data):
-                    size += len(data)
-                    if size > limits.body_bytes:
+                    buffer.grow(len(data))
+                    if buffer.size > limits.body_bytes:
                         raise _RequestRejected(
                             413, f"the body exceeds {limits.body_bytes} bytes"
                         )
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -1,6 +1,7 @@
 """Listener that accepts callers' connections, with a limit on their number."""
 
 import logging
+import sys
 from collections.abc import Callable
 
 import anyio
@@ -8,6 +9,7 @@
 
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.deployment.models import CallerLimits
+from cowsliphitch.core.overload.buffers import BufferBudget
 
 from . import const
 from .connection import CallerConnection
@@ -23,6 +25,7 @@
     :param handler: answers each request
     :param limits: returns the limits in force
     :param max_connections: limit of open connections; further ones are closed at once
+    :param budget: memory for the bodies of requests, without a limit by default
     """
 
     def __init__(
@@ -32,8 +35,10 @@
         limits: Callable[[], CallerLimits],
         max_connections: int,
         clock: Clock,
+        budget: BufferBudget | None = None,
     ) -> None:
         """Initialize the server; :meth:`run` opens the listening socket."""
+        self._budget = budget or BufferBudget(sys.maxsize)
         self._address = address
         self._handler = handler
         self._limits = limits
@@ -80,6 +85,7 @@
             lambda: self._keep_alive_disabled,
             diagnostics,
             self._clock,
+            self._budget,
         )
         try:
             await connection.serve()
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -16,6 +16,7 @@
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.limits.const import WINDOW_MS
+from cowsliphitch.core.overload.buffers import BufferBudget, budget_bytes
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.serving.shutdown import ShutdownPlan
@@ -104,7 +105,10 @@
             f"http://{cfg.store.address}", clock, const.STORE_TIMEOUT_MS
         )
         self._peer_connections = PeerConnections()
-        self._server_connections = ConnectionPool(header_names.REQUEST_ID, group, clock)
+        self._buffers = BufferBudget(budget_bytes(cfg.vm.memory_mb))
+        self._server_connections = ConnectionPool(
+            header_names.REQUEST_ID, group, clock, self._buffers
+        )
         self._permits = PermitBroker(state, self._peer_connections)
         self._server_client = ServerClient(
             state, self._server_connections, self._permits
@@ -159,6 +163,7 @@
             state.limits,
             self._max_caller_connections(),
             clock,
+            self._buffers,
         )
         self._register_gauges()
         await self._listen(group)
@@ -314,6 +319,8 @@
             "cowsliphitch_store_watches",
             lambda: [(self._kv.diagnostics.watches, {})],
         )
+        observe("cowsliphitch_buffered_bytes", lambda: [(self._buffers.used, {})])
+        observe("cowsliphitch_buffers_given_up", lambda: [(self._buffers.given_up, {})])
         observe(
             "cowsliphitch_requests_active",
             lambda: [(self._caller_edge.diagnostics.active, {})],
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -413,6 +413,7 @@
         is_continuation, has_events = reply.started, False
         async for chunk in answer.chunks():
             events = splitter.feed(chunk)
+            answer.keep(len(splitter))
             if not events:
                 continue
             has_events = True
--- a/packages/gateway/src/cowsliphitch/gateway/relay.py
+++ b/packages/gateway/src/cowsliphitch/gateway/relay.py
@@ -76,6 +76,10 @@
         del self._buffer[:split]
         return events
 
+    def __len__(self) -> int:
+        """Return the number of buffered bytes."""
+        return len(self._buffer)
+
     @property
     def incomplete_event(self) -> bytes:
         """Return the buffered bytes of an incomplete event, empty if there is none."""
--- a/packages/gateway/src/cowsliphitch/gateway/settings.py
+++ b/packages/gateway/src/cowsliphitch/gateway/settings.py
@@ -53,11 +53,13 @@
     :param max_descriptors: limit on open files and sockets
     :param cores: speed of a processor core, relative to the platform's unit
     :param cpu_share: share of a core
+    :param memory_mb: memory of the process, in MB
     """
 
     max_descriptors: PositiveAmount = PositiveAmount(4_096)
     cores: PositiveAmount = PositiveAmount(1.0)
     cpu_share: PositiveAmount = PositiveAmount(1.0)
+    memory_mb: PositiveAmount = PositiveAmount(256)
 
     @property
     def capacity(self) -> float:
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -42,7 +42,8 @@
         ``FIRST_VERSION``
     :param mode: ``good``, ``full`` (refuses), ``reset`` (runs the request and closes
         the connection without an answer), ``unsealed`` (answers without the seal),
-        ``cut`` (interrupts its streams within an event)
+        ``cut`` (interrupts its streams within an event), ``endless`` (sends bytes until
+        the connection is closed)
     :param cut_after: event after which it interrupts its streams
     :param executed: identifiers of the requests that it ran
     :param received: the same requests, as it received them
@@ -183,6 +184,10 @@
         id_header = ((b"cowsliphitch-request-id", request.encode()),)
         if self.mode == "reset":
             return
+        if self.mode == "endless":
+            await reply.start(200, (*id_header, SEAL), None)
+            while True:
+                await reply.send(b"x" * 65_536)
         seal = () if self.mode == "unsealed" else (SEAL,)
         if self.service == "engine":
             await self._stream(req, reply, id_header + seal)
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -5,15 +5,18 @@
 whether the request ran.
 """
 
+import sys
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager, suppress
 from typing import Final
 
+import anyio
 import attrs
 from anyio.abc import TaskGroup
 
 from cowsliphitch.core.clock import Clock
+from cowsliphitch.core.overload.buffers import Buffer, BufferBudget
 from cowsliphitch.core.verdict import Reason, may_have_run, not_run
 
 from . import const
@@ -51,12 +54,16 @@
     """An answer whose body is read from its connection.
 
     :ivar is_complete: the body was read to its end
+    :ivar buffer: what is buffered of it until the exchange ends
     """
 
-    def __init__(self, head: AnswerHead, connection: Connection) -> None:
+    def __init__(
+        self, head: AnswerHead, connection: Connection, buffer: Buffer
+    ) -> None:
         """Initialize the answer with its body unread."""
         self.head = head
         self.is_complete = False
+        self.buffer = buffer
         self._connection = connection
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -71,19 +78,31 @@
     async def read(self, max_bytes: int) -> bytes:
         """Return the whole body.
 
-        :raises UpstreamError: the connection ended before the body did, or the body has
-            more than ``max_bytes`` bytes
+        :raises UpstreamError: the connection ended before the body did, the body has
+            more than ``max_bytes`` bytes, or its buffer was given up
         """
         parts: list[bytes] = []
-        size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > max_bytes:
-                detail = f"the answer has more than {max_bytes} bytes"
-                raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
-            parts.append(chunk)
+        with anyio.CancelScope() as scope:
+            self.buffer.on_give_up = scope.cancel
+            async for chunk in self.chunks():
+                self.keep(self.buffer.size + len(chunk))
+                if self.buffer.size > max_bytes:
+                    detail = f"the answer has more than {max_bytes} bytes"
+                    raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
+                parts.append(chunk)
+        self.keep(self.buffer.size)
         return b"".join(parts)
 
+    def keep(self, size: int) -> None:
+        """Set how many bytes of the answer are buffered.
+
+        :raises UpstreamError: the buffer was given up, since all buffers of the process
+            have reached their limit
+        """
+        if not self.buffer.resize(size):
+            detail = f"the process has no memory for {size} bytes of the answer"
+            raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
+
 
 class ConnectionPool:
     """Sends requests to servers by address, over pooled connections.
@@ -93,13 +112,19 @@
     """
 
     def __init__(
-        self, request_id_header: bytes, group: TaskGroup, clock: Clock
+        self,
+        request_id_header: bytes,
+        group: TaskGroup,
+        clock: Clock,
+        budget: BufferBudget | None = None,
     ) -> None:
         """Initialize the pool without connections.
 
         :param group: runs the tasks that send long requests
+        :param budget: memory for what is buffered, without a limit by default
         """
         self._group = group
+        self._budget = budget or BufferBudget(sys.maxsize)
         self._request_id_header = request_id_header
         self._clock = clock
         self._origins: dict[str, _Origin] = {}
@@ -127,10 +152,12 @@
         origin = self._origins.setdefault(address, _Origin())
         connection = await self._acquire(address, origin, max_open)
         reusable = False
+        buffer = self._budget.open()
         try:
             before_send()
             await self._send_request(connection, request)
-            answer = Answer(await connection.read_head(request), connection)
+            head = await connection.read_head(request)
+            answer = Answer(head, connection, buffer)
             yield answer
             reusable = (
                 answer.is_complete
@@ -138,6 +165,7 @@
                 and connection.finish_exchange(answer.head)
             )
         finally:
+            buffer.close()
             if reusable:
                 origin.idle.append(connection)
             else:
