Probe an unreachable failure domain less often in large fleets

Each daemon probes two servers of a domain that it can't reach ten times a second, to notice its return: 3,120 connection attempts a second over 156 daemons while one of five domains is cut off. Once the domain counts as unreachable, a daemon probes it in one round of 1 + daemons / 32 only, so that all together attempt about as many as 32 daemons did; the check before that, and fleets of up to 31 daemons, are unchanged. The evidence of failed connections holds for 3 s, four rounds at 195 daemons. Not measured beyond the arithmetic.

--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -88,6 +88,10 @@
 PROBE_INTERVAL_MS: Final = 100
 PROBE_TIMEOUT_MS: Final = 200
 
+# A domain that is known to be unreachable is probed less often by each daemon of a
+# larger fleet: one round for each of so many daemons.
+DAEMONS_PER_PROBE: Final = 32
+
 # Limit of the probe of an engine that lost a request.
 CRASH_PROBE_TIMEOUT_MS: Final = 300
 
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -320,10 +320,15 @@
         for round_number in itertools.count():
             await anyio.sleep(seconds(const.PROBE_INTERVAL_MS))
             now = self._state.clock.now_ms()
+            suspects = self._reachability.suspect_domains(self._state.members, now)
+            if not suspects:
+                continue
+            unreachable = self._reachability.unreachable
+            rounds = 1 + len(self._state.members.peers()) // const.DAEMONS_PER_PROBE
             async with anyio.create_task_group() as group:
-                for domain in self._reachability.suspect_domains(
-                    self._state.members, now
-                ):
+                for domain in suspects:
+                    if domain in unreachable and round_number % rounds:
+                        continue
                     servers = [
                         server
                         for server in self._state.servers.all()
