--- a/packages/standins/src/cowsliphitch/standins/measure/__main__.py
+++ b/packages/standins/src/cowsliphitch/standins/measure/__main__.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from .control import measure_membership, measure_orders, measure_propagation
+from .idle import measure_idle
 from .overhead import measure_overhead, measure_throughput
 from .policy import measure_deadlines, measure_fairness, measure_routing
 from .report import Report, render_report, write_report
@@ -16,6 +17,7 @@
     "propagation": measure_propagation,
     "orders": measure_orders,
     "slopes": measure_slopes,
+    "idle": measure_idle,
     "fairness": measure_fairness,
     "deadlines": measure_deadlines,
     "routing": measure_routing,
