Check that a server which wants nothing is probed before its pause

With the last change probes wait until a domain is suspect, and this scenario did not make it so: it passed without any probe. It updates the reachability as the daemon does, and checks first that the server is probed before its pause begins. Stricter than before.

--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -525,7 +525,6 @@
 
 @when('"{name}" wants nothing for {ms:d} ms and its domain is suspect')
 def suspect_domain(context: Any, name: str, ms: int) -> None:
-    pause(context, name, ms)
     context.probed = []
     sender = context.sender
 
@@ -539,6 +538,12 @@
                 client._reachability, "suspect_domains", lambda *_: ["domain"]
             ),
         ):
+            client.update_reachability()
+            with anyio.move_on_after(0.2):
+                await client.run_probes()
+            assert name in context.probed, context.probed
+            pause(context, name, ms)
+            context.probed.clear()
             with anyio.move_on_after(0.4):
                 await client.run_probes()
 
