Probe members that are held for lost although their domain is heard

In a large fleet, a daemon that held a live member for lost by mistake probed it only when its turn came among all members, after up to 97 s at 195 daemons, and left it out of its candidates for duties meanwhile. The list of members to probe ended with the loss, although its description says otherwise.

Members that are suspect or lost are probed every 250 ms and 1.5 s while their failure domain is heard.

--- a/features/core/detection.feature
+++ b/features/core/detection.feature
@@ -79,6 +79,11 @@
     And one of them starts again and 4000 ms pass
     Then it is held for live by all, and holds just the running ones for live
 
+  Scenario: A member that one daemon holds for lost although it lives is found live again
+    Given a fleet of 195 daemons in 5 failure domains that know each other
+    When one daemon holds 10 others for lost and 2500 ms more go by
+    Then every daemon holds every other one for live
+
   Scenario: A holder of a duty that is silent is checked at once
     Given a fleet of 87 daemons in 3 failure domains that know each other
     When a daemon that sends regular heartbeats ends and 1000 ms pass
--- a/features/steps/detection_steps.py
+++ b/features/steps/detection_steps.py
@@ -398,3 +398,15 @@
     context.ended = [holder.member.address]
     del network.nodes[holder.member.address]
     network.run(ms)
+
+
+@when("one daemon holds {count:d} others for lost and {ms:d} ms more go by")
+def lose_wrongly(context: Any, count: int, ms: int) -> None:
+    network = context.network
+    node = next(iter(network.nodes.values()))
+    others = [m.address for m in network.members if m is not node.member][:count]
+    for address in others:
+        node.table._entries[address].heartbeat_ms = network.now_ms - 5_000
+        assert node.table.suspect(address, network.now_ms - 4_000)
+    assert not network.live_of(node) & set(others)
+    network.run(ms)
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -271,7 +271,10 @@
             and (
                 entry.heartbeat_ms is None
                 or (not entry.is_probed and self._is_overdue(address, now_ms))
-                or (entry.suspect_since_ms is not None and self._is_live(entry, now_ms))
+                or (
+                    entry.suspect_since_ms is not None
+                    and entry.member.failure_domain not in self.silent_domains
+                )
             )
         ]
 
