--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -268,7 +268,7 @@
     def _cycle_ms(self, interval_ms: int) -> int:
         """Return the time in which heartbeats with news reach all peers."""
         groups = math.ceil(len(self._state.members.peers()) / MAX_RECIPIENTS)
-        return max(1, groups) * HEARTBEAT_INTERVAL_MS if groups > 1 else interval_ms
+        return groups * HEARTBEAT_INTERVAL_MS if groups > 1 else interval_ms
 
     def _make_heartbeat(self, interval_ms: int) -> Heartbeat:
         state = self._state
