--- a/packages/upstreams/src/cowsliphitch/upstreams/transport/bounded.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/transport/bounded.py
@@ -7,6 +7,11 @@
 # Some times the largest answer of the platform's store, a page of its entries.
 MAX_ANSWER_BYTES: Final = 16 * 1_048_576
 
+# Headers that describe how an answer was sent, not what was read of it.
+_FRAMING_HEADERS: Final = frozenset(
+    {b"content-encoding", b"transfer-encoding", b"content-length"}
+)
+
 
 class AnswerTooLarge(httpx.HTTPError):
     """An answer has more bytes than allowed; its connection was closed."""
@@ -40,10 +45,11 @@
             parts.append(chunk)
     finally:
         await resp.aclose()
+    # Raw values: a header may have bytes that no text can be made of.
     headers = [
         (name, value)
-        for name, value in resp.headers.multi_items()
-        if name not in ("content-encoding", "transfer-encoding", "content-length")
+        for name, value in resp.headers.raw
+        if name.lower() not in _FRAMING_HEADERS
     ]
     return httpx.Response(
         resp.status_code, headers=headers, content=b"".join(parts), request=req
