--- a/review/lab.py
+++ b/review/lab.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -164,8 +165,14 @@
         """Return the address as ``host:port``."""
         return f"{HOST}:{self.port}"
 
-    async def open(self) -> None:
-        """Listen."""
+    async def open(self, sock: socket.socket | None = None) -> None:
+        """Listen.
+
+        :param sock: bound socket to use, which is read in small pieces
+        """
+        if sock is not None:
+            self._server = await asyncio.start_server(self._serve, sock=sock)
+            return
         self._server = await asyncio.start_server(
             self._serve, HOST, self.port, limit=2**24
         )
@@ -178,7 +185,12 @@
         self._channels[writer] = task
         try:
             await self._handler(reader, writer)
-        except (ConnectionError, BadMessage, asyncio.CancelledError):
+        except (
+            ConnectionError,
+            BadMessage,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
             pass
         finally:
             self._channels.pop(writer, None)
@@ -545,6 +557,9 @@
             except (CaseError, TimeoutError, OSError) as exc:
                 record.write(f"the case could not run: {exc!r}")
                 return NOT_RUN
+            except Exception:
+                record.write(f"the case could not run: {traceback.format_exc()}")
+                return NOT_RUN
             finally:
                 await lab.close()
                 if keep := os.environ.get("KEEP_LOGS"):
