Review: stand-ins end with the case

A case whose channels stay silent on purpose did not end: the event loop waited for them after all daemons had been ended. The process exits itself once the result is recorded.

--- a/review/lab.py
+++ b/review/lab.py
@@ -11,7 +11,6 @@
 import os
 import signal
 import socket
-import sys
 import tempfile
 import time
 import traceback
@@ -570,4 +569,9 @@
         record.write("the rule held" if held else "the rule was broken")
         return HELD if held else BROKEN
 
-    sys.exit(asyncio.run(run()))
+    async def run_and_exit() -> None:
+        code = await run()
+        # Channels that are silent on purpose would keep the event loop from ending.
+        os._exit(code)
+
+    asyncio.run(run_and_exit())
