Contain the errors of background tasks, and refuse what can't be sent

Cause: a body of more than 16 KB is sent by a task in the task group of the whole daemon, where any exception but UpstreamError ends the process. h11 refuses some header values (a zero byte, no Host), and raised there. With a shorter body the same error ended the request with 502, although nothing had been sent. Each task of that group had the same exposure.

Change: the head is encoded before a connection is opened, so both paths give the verdict not-run with the reason unsendable, which no other server would change. A team's name beyond Latin-1 is refused in the same way. Tasks of the gateway, of the gossip and of order outcomes run in BackgroundTasks: an unexpected error ends the task, is logged with its traceback and counted in cowsliphitch_task_failures; loops begin again; only listeners and the writers of the order logs still end the process, and say so. What waited for the failed work is released: pieces of a stage call, those who wait for a crash probe, memory of freed results. A peer's datagram that can't be applied no longer ends the heartbeats, and a step of the maintenance that fails leaves out that step only.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -55,6 +55,18 @@
       | closes a bare stream before the first one |
       | closes inside its head                    |
 
+  Scenario Outline: A request whose team can't be named in a header is refused as not run
+    Given servers "s1, s2" that listen
+    When a request with a body of <size> bytes is forwarded, whose team's name has <oddity>
+    Then it was refused as not run, with unsendable, and nothing was sent
+
+    Examples:
+      | size  | oddity                     |
+      | 0     | a character beyond Latin-1 |
+      | 17000 | a character beyond Latin-1 |
+      | 0     | a line break               |
+      | 17000 | a line break               |
+
   Scenario Outline: An answer whose head breaks off at any byte is lost
     Given heads that are cut one byte later each time, as the server <ends>, <connection>
     When requests, streams and stage calls are sent until a head is whole
--- a/features/steps/http1_steps.py
+++ b/features/steps/http1_steps.py
@@ -118,8 +118,17 @@
         await stream.aclose()
 
 
-async def exchange(pool: ConnectionPool, port: int, max_open: int = 4) -> Any:
-    request = OutgoingRequest(b"GET", b"/", ((b"host", b"x"),), b"", b"one")
+HOST = (b"host", b"x")
+
+
+async def exchange(
+    pool: ConnectionPool,
+    port: int,
+    max_open: int = 4,
+    headers: tuple[tuple[bytes, bytes], ...] = (HOST,),
+    body: bytes = b"",
+) -> Any:
+    request = OutgoingRequest(b"GET", b"/", headers, body, b"one")
     try:
         async with pool.exchange(f"127.0.0.1:{port}", request, max_open) as response:
             return (await response.read(MAX_BODY_BYTES)).decode()
@@ -153,6 +162,27 @@
     anyio.run(run_with_server, context.server, action)
 
 
+ODD_HEADERS = {
+    "a zero byte in a value": (HOST, (b"last-event-id", b"5\0")),
+    "no host": (),
+}
+
+
+@when("a request with a body of {size:d} bytes and {oddity} is sent to it")
+def send_odd_request(context: Any, size: int, oddity: str) -> None:
+    async def action(pool: ConnectionPool) -> None:
+        context.result = await exchange(
+            pool, context.server.port, 4, ODD_HEADERS[oddity], b"x" * size
+        )
+
+    anyio.run(run_with_server, context.server, action)
+
+
+@then("the server has accepted no connection")
+def assert_no_connection(context: Any) -> None:
+    assert context.server.connections == 0, context.server.connections
+
+
 @when("a request is sent to it while no connection is allowed")
 def send_without_connections(context: Any) -> None:
     async def action(pool: ConnectionPool) -> None:
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -1,6 +1,7 @@
 """Steps on what is sent to servers, with the gateway's client and scripted servers."""
 
 import itertools
+import re
 import socket
 import struct
 import time
@@ -14,7 +15,7 @@
 
 from cowsliphitch.core.budgets.sliding_window import RetryAllowance
 from cowsliphitch.core.clock import Clock
-from cowsliphitch.core.deployment.models import Route, RouteKind
+from cowsliphitch.core.deployment.models import Route, RouteKind, Team
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.revisions import Revision
@@ -111,6 +112,17 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+async def receive_request(stream: SocketStream) -> bytes:
+    """Return the bytes of a whole request."""
+    content = b""
+    while True:
+        content += await stream.receive()
+        head, end, body = content.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)content-length: (\d+)", head)
+        if end and len(body) >= int(length[1] if length else 0):
+            return content
+
+
 class RecordedReply:
     """Reply that keeps what the caller would receive."""
 
@@ -166,7 +178,7 @@
         script = self.scripts.get(name, self.script)
         try:
             while True:
-                self.received[name] += await stream.receive()
+                self.received[name] += await receive_request(stream)
                 await stream.send(SCRIPTS.get(script, ANSWER + name.encode()))
                 if script in ENDLESS:
                     await self.send_on_and_on(stream, ENDLESS[script])
@@ -326,15 +338,15 @@
     assert context.refusal.verdict.value == "not-run", context.refusal
 
 
-def caller_request(received_ms: int) -> CallerRequest:
+def caller_request(received_ms: int, body: bytes = b"") -> CallerRequest:
     headers = ((b"host", b"x"),)
     return CallerRequest(
-        "r1", b"POST", b"/", "a.example", "/", headers, b"", received_ms
+        "r1", b"POST", b"/", "a.example", "/", headers, body, received_ms
     )
 
 
 def request_context(
-    sender: Sender, kind: RouteKind, max_attempts: int = 1
+    sender: Sender, kind: RouteKind, max_attempts: int = 1, body: bytes = b""
 ) -> RequestContext:
     now = sender.state.clock.now_ms()
     route = Route(
@@ -350,7 +362,7 @@
         priority=1,
         public=True,
     )
-    request = caller_request(now)
+    request = caller_request(now, body)
     return RequestContext(request, route, "service", None, 1, now + 6_000)
 
 
@@ -359,6 +371,8 @@
     choices: list[str] | None,
     kind: RouteKind = RouteKind.ONCE,
     max_attempts: int = 1,
+    body: bytes = b"",
+    team: Team | None = None,
 ) -> None:
     """Forward an order or a stream, which may be resumed in further attempts.
 
@@ -380,7 +394,8 @@
         forwarder = Forwarder(
             sender.state, client, context.allowance, quarantine, trials
         )
-        ctx = request_context(sender, kind, max_attempts)
+        ctx = request_context(sender, kind, max_attempts, body)
+        ctx.team = team
         ctx.choose_server = None if choices is None else choose
         context.reply = RecordedReply()
         context.refusal = await forwarder.run(ctx, context.reply)
@@ -450,6 +465,25 @@
     assert reply.body == EVENTS.partition(b"\n\n")[0] + b"\n\n", reply.body
 
 
+TEAM_NAMES = {"a character beyond Latin-1": "\u017dilina", "a line break": "a\nb"}
+
+
+@when(
+    "a request with a body of {size:d} bytes is forwarded, whose team's name has"
+    " {oddity}"
+)
+def forward_for_team(context: Any, size: int, oddity: str) -> None:
+    team = Team(TEAM_NAMES[oddity])
+    forward(context, ["s1", "s2"], RouteKind.IDEMPOTENT, 2, b"x" * size, team)
+
+
+@then("it was refused as not run, with {reason}, and nothing was sent")
+def refused_unsent(context: Any, reason: str) -> None:
+    assert context.refusal.reason.value == reason, context.refusal
+    assert context.refusal.verdict is Verdict.NOT_RUN, context.refusal
+    assert not any(context.sender.received.values()), context.sender.received
+
+
 @then("the request may have run, and its caller has received nothing")
 def may_have_run_unanswered(context: Any) -> None:
     assert context.refusal.verdict is Verdict.MAY_HAVE_RUN, context.refusal
--- a/features/upstreams/http1.feature
+++ b/features/upstreams/http1.feature
@@ -47,6 +47,19 @@
       | refuses, and once more with the identifier before it answers |
       | refuses, and once more at once                            |
 
+  Scenario Outline: A request with a header that can't be sent has not run
+    Given a server that answers with a length
+    When a request with a body of <size> bytes and <oddity> is sent to it
+    Then the request has the verdict not-run
+    And the server has accepted no connection
+
+    Examples:
+      | size  | oddity                 |
+      | 0     | a zero byte in a value |
+      | 17000 | a zero byte in a value |
+      | 0     | no host                |
+      | 17000 | no host                |
+
   Scenario: The limit of open connections is enforced
     Given a server that answers with a length
     When a request is sent to it while no connection is allowed
--- a/packages/core/src/cowsliphitch/core/verdict.py
+++ b/packages/core/src/cowsliphitch/core/verdict.py
@@ -53,6 +53,7 @@
     VERSION_GONE = "version-gone"
     SHUTTING_DOWN = "shutting-down"
     NOT_CONFIGURED = "not-configured"
+    UNSENDABLE = "unsendable"
 
 
 HTTP_STATUS: Final[dict[Reason, int]] = {
@@ -85,6 +86,7 @@
     Reason.SUSPECT: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.NOT_CONFIGURED: 503,
+    Reason.UNSENDABLE: 503,
 }
 
 
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -31,6 +31,7 @@
 from cowsliphitch.state.orders.coordinator import OrderCoordinator
 from cowsliphitch.state.orders.models import Answered, Forwarded, NoAnswer
 from cowsliphitch.state.vms.coordinator import VmCoordinator
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 from cowsliphitch.upstreams.pool.registry import PoolRegistry
 from cowsliphitch.upstreams.transport.client import UpstreamClient
 
@@ -210,8 +211,11 @@
         await server.start(host, int(port), ssl=_server_tls_context(self._cfg))
         shutdown = anyio.Event()
         async with anyio.create_task_group() as background:
-            for task in self._background_tasks():
-                background.start_soon(task)
+            tasks = BackgroundTasks(background, self._clock)
+            # Claims wait in the order logs' writers, so the process ends with them.
+            tasks.start_essential(self._order_coordinator.run)
+            for loop in self._background_loops():
+                tasks.start_loop(loop)
             async with anyio.create_task_group() as http_servers:
                 for app, bind in self._http_apps():
                     http_servers.start_soon(_serve_http, app, bind, self._cfg, shutdown)
@@ -225,12 +229,11 @@
         await self._close_clients()
         _LOGGER.info("Daemon %s stopped", self._cfg.name)
 
-    def _background_tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+    def _background_loops(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         return [
             self._config_coordinator.run,
             self._vm_coordinator.run,
             self._pool_registry.run,
-            self._order_coordinator.run,
             self._peer_coordinator.run,
             self._cap_updater.run,
             self._engine_order_duty.run,
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -26,6 +26,7 @@
 from cowsliphitch.platform.callers import READY_PATH
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.telemetry.logs import BoundedHandler, event
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 from cowsliphitch.upstreams.http1.pool import ConnectionPool
 
 from . import const
@@ -100,14 +101,15 @@
 
     async def _start(self, group: TaskGroup) -> None:
         cfg, state, clock = self._cfg, self._state, self._clock
-        group.start_soon(self._log_handler.run)
+        self._tasks = tasks = BackgroundTasks(group, clock)
+        tasks.start_loop(self._log_handler.run)
         self._kv = KeyValueClient(
             f"http://{cfg.store.address}", clock, const.STORE_TIMEOUT_MS
         )
         self._peer_connections = PeerConnections()
         self._buffers = BufferBudget(budget_bytes(cfg.vm.memory_mb))
         self._server_connections = ConnectionPool(
-            header_names.REQUEST_ID, group, clock, self._buffers
+            header_names.REQUEST_ID, tasks, clock, self._buffers
         )
         self._permits = PermitBroker(state, self._peer_connections)
         self._server_client = ServerClient(
@@ -120,12 +122,13 @@
                 self._server_client,
                 self._permits,
                 _cost_weights(cfg),
-                group,
+                tasks,
                 cell,
             ),
+            tasks,
         )
-        quarantine = EngineQuarantine(state, group)
-        self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, group)
+        quarantine = EngineQuarantine(state, tasks)
+        self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, tasks)
         self._store = StoreCoordinator(
             self._kv,
             state,
@@ -142,13 +145,13 @@
         allowance = RetryAllowance(
             cfg.retries.ratio, cfg.retries.fixed, cfg.retries.window
         )
-        self._trials = TrialBroker(state, self._peer_connections, quarantine, group)
+        self._trials = TrialBroker(state, self._peer_connections, quarantine, tasks)
         self._fleet.add_lost_listener(self._trials.end_of_holder)
         forwarder = Forwarder(
             state, self._server_client, allowance, quarantine, self._trials
         )
         stage_runner = StageRunner(
-            state, self._stage_owner, self._peer_connections, group
+            state, self._stage_owner, self._peer_connections, tasks
         )
         streams = StreamCoordinator(
             state, self._kv, self._metrics, self._fleet.refresh_view
@@ -167,16 +170,23 @@
         )
         self._register_gauges()
         await self._listen(group)
-        group.start_soon(self._store.run)
-        group.start_soon(self._store.register)
-        group.start_soon(self._store.run_beacon)
-        group.start_soon(self._fleet.run)
-        group.start_soon(streams.run)
-        group.start_soon(suspects.run)
-        group.start_soon(self._server_client.run_probes)
-        group.start_soon(self._run_maintenance)
+        for loop in (
+            self._store.run,
+            self._store.register,
+            self._store.run_beacon,
+            self._fleet.run,
+            streams.run,
+            suspects.run,
+            self._server_client.run_probes,
+            self._run_maintenance,
+        ):
+            tasks.start_loop(loop)
 
     async def _listen(self, group: TaskGroup) -> None:
+        """Open the sockets.
+
+        The daemon ends if one of them can't be served any more.
+        """
         cfg, clock = self._cfg, self._clock
         handlers = PeerRequestHandlers(
             self._stage_owner.run_stages,
@@ -208,29 +218,47 @@
         )
 
     async def _run_maintenance(self) -> None:
-        """Expire, update and clean up the components' state until cancelled."""
+        """Expire, update and clean up the components' state until cancelled.
+
+        An error of one step leaves out that step only.
+        """
+        steps = (
+            self._record_loop_delay,
+            self._store.expire_servers,
+            self._update_servers,
+            self._run_stage_maintenance,
+            self._retain_servers,
+        )
         while True:
             await anyio.sleep(seconds(TICK_INTERVAL_MS))
-            now = self._clock.now_ms()
-            self._record_loop_delay(self._state.loop_delay.record_tick(now))
-            self._store.expire_servers(now)
-            self._server_client.update_reachability()
-            self._stage_owner.run_maintenance()
-            servers = self._state.servers.all()
-            self._state.streams.observe_servers(servers, now)
-            self._state.placement.retain_servers(servers)
-            self._state.placement.expire_peer_loads(now)
-            self._state.server_limits.retain_servers(servers, now)
-            self._permits.evict_expired()
+            for step in steps:
+                with self._tasks.contained(step.__qualname__):
+                    step(self._clock.now_ms())
             await self._server_connections.close_stale(
-                server.address for server in servers
+                server.address for server in self._state.servers.all()
             )
 
-    def _record_loop_delay(self, delay_ms: int) -> None:
+    def _update_servers(self, now_ms: int) -> None:
+        self._server_client.update_reachability()
+        self._state.streams.observe_servers(self._state.servers.all(), now_ms)
+
+    def _run_stage_maintenance(self, _now_ms: int) -> None:
+        self._stage_owner.run_maintenance()
+
+    def _retain_servers(self, now_ms: int) -> None:
+        """Drop what is known of servers that are gone, and what is out of date."""
+        servers = self._state.servers.all()
+        self._state.placement.retain_servers(servers)
+        self._state.placement.expire_peer_loads(now_ms)
+        self._state.server_limits.retain_servers(servers, now_ms)
+        self._permits.evict_expired()
+
+    def _record_loop_delay(self, now_ms: int) -> None:
         """Record by how much maintenance is late, and log long delays.
 
         A busy loop applies changes of the store late.
         """
+        delay_ms = self._state.loop_delay.record_tick(now_ms)
         self._metrics.record_loop_delay(delay_ms)
         if delay_ms >= const.LOOP_DELAY_WARNING_MS:
             event(_LOGGER, "loop.late", logging.WARNING, delay_ms=delay_ms)
@@ -336,6 +364,12 @@
             "cowsliphitch_server_connections_opened",
             lambda: [(self._server_connections.diagnostics.opened, {})],
         )
+        observe(
+            "cowsliphitch_task_failures",
+            lambda: [
+                (count, {"task": name}) for name, count in self._tasks.failures.items()
+            ],
+        )
         observe(
             "cowsliphitch_log_lines_dropped", lambda: [(self._log_handler.dropped, {})]
         )
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -15,7 +15,6 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
 from cowsliphitch.core.quarantine.prompt_parts import PartReport, QuarantineChange
 from cowsliphitch.core.quarantine.trials import TRIAL_RETRY_AFTER_MS
@@ -24,6 +23,7 @@
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 from cowsliphitch.telemetry.logs import event
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 from cowsliphitch.upstreams.http1.models import UpstreamError
 from cowsliphitch.upstreams.transport.probe import refuses_connections
 
@@ -83,13 +83,13 @@
 class EngineQuarantine:
     """Record crashes with the requests that were lost, and apply the quarantine."""
 
-    def __init__(self, state: GatewayState, group: TaskGroup) -> None:
+    def __init__(self, state: GatewayState, tasks: BackgroundTasks) -> None:
         """Initialize without a suspicion.
 
-        :param group: runs the probes
+        :param tasks: run the probes
         """
         self._state = state
-        self._group = group
+        self._tasks = tasks
         self._probes: dict[Server, _Probe] = {}
         self._last_crashes: OrderedDict[tuple[str, int], _LastCrash] = OrderedDict()
         self._listeners: list[Callable[[], None]] = []
@@ -167,7 +167,7 @@
         probe = self._probes.get(server)
         if probe is None:
             probe = self._probes[server] = _Probe()
-            self._group.start_soon(self._probe, server, probe)
+            self._tasks.start_soon(self._probe, server, probe)
         probe.lost_requests.append(_LostRequest(parts, request.digest))
 
     async def wait_until_judged(self, server: Server) -> None:
@@ -204,13 +204,17 @@
             self._apply(registry.expire(now), "expiry")
 
     async def _probe(self, server: Server, probe: _Probe) -> None:
-        has_crashed = False
         try:
             has_crashed = await refuses_connections(
                 f"http://{server.address}", const.CRASH_PROBE_TIMEOUT_MS
             )
+            self._judge(server, probe, has_crashed)
         finally:
             del self._probes[server]
+            probe.done.set()
+
+    def _judge(self, server: Server, probe: _Probe, has_crashed: bool) -> None:
+        """Record the crash of a server with the requests that it lost, if it has."""
         requests = probe.lost_requests
         event(
             _LOGGER,
@@ -222,7 +226,6 @@
         )
         if has_crashed:
             self._record_crash(server, requests)
-        probe.done.set()
 
     def _record_crash(self, server: Server, requests: Collection[_LostRequest]) -> None:
         now = self._state.clock.now_ms()
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -14,7 +14,6 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.fleet.detector import (
@@ -51,6 +50,7 @@
 )
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.telemetry.logs import event
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from . import const
 from .engine_quarantine import EngineQuarantine
@@ -84,7 +84,7 @@
         state: GatewayState,
         connections: PeerConnections,
         quarantine: EngineQuarantine,
-        group: TaskGroup,
+        tasks: BackgroundTasks,
     ) -> None:
         """Initialize without live peers.
 
@@ -94,7 +94,7 @@
         self._quarantine = quarantine
         quarantine.add_crash_listener(self._announce_crash)
         self._connections = connections
-        self._group = group
+        self._tasks = tasks
         self._sequence_number = 0
         self._schedule = HeartbeatSchedule()
         self._detector = FailureDetector(
@@ -169,16 +169,16 @@
     def schedule_heartbeat(self) -> None:
         """Send a heartbeat at once, outside the interval, after a change of state."""
         if not self.is_probing:
-            self._group.start_soon(self.send_heartbeat)
+            self._tasks.start_soon(self.send_heartbeat)
             return
         self._encoded = None
         now = self._state.clock.now_ms()
         probes = self._detector.probe_some(const.NEWS_PROBES, now)
-        self._group.start_soon(self._execute, probes)
+        self._tasks.start_soon(self._execute, probes)
 
     def _announce_crash(self) -> None:
         """Tell all peers of new suspects before a caller can return to one of them."""
-        self._group.start_soon(self.send_heartbeat, True)
+        self._tasks.start_soon(self.send_heartbeat, True)
 
     async def refresh_view(self) -> None:
         """Ask some peers of a large fleet how old their views of the store are."""
@@ -423,7 +423,7 @@
             and not self._is_fetching
         ):
             self._is_fetching = True
-            self._group.start_soon(self._fetch_newer_settings, heartbeat.address)
+            self._tasks.start_soon(self._fetch_newer_settings, heartbeat.address)
 
     def _ids_by_checksum(self) -> dict[int, str]:
         """Return the identifiers of the known servers by their checksums."""
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -63,7 +63,14 @@
 NOT_SENT_REASONS = frozenset({Reason.UPSTREAM_LEAVING, Reason.RATE_LIMITED})
 
 # Failures that are no evidence against the server.
-BLAMELESS_REASONS = CRASHING_REASONS | {Reason.RESULT_LOST, Reason.RATE_LIMITED}
+BLAMELESS_REASONS = CRASHING_REASONS | {
+    Reason.RESULT_LOST,
+    Reason.RATE_LIMITED,
+    Reason.UNSENDABLE,
+}
+
+# Failures that another server would not change.
+FINAL_REASONS = CRASHING_REASONS | {Reason.RESULT_LOST, Reason.UNSENDABLE}
 
 # Failures after which a server is avoided for a while.
 UNREACHABLE_REASONS = frozenset(
@@ -183,7 +190,7 @@
             if reply.started and not ctx.route.resumable:
                 return self._final_refusal(ctx, refusal)
             now = self._state.clock.now_ms()
-            if refusal.reason in CRASHING_REASONS | {Reason.RESULT_LOST}:
+            if refusal.reason in FINAL_REASONS:
                 return self._final_refusal(ctx, refusal)
             if not may_retry(ctx.route, ctx.attempts) or (
                 ctx.attempts.may_have_run_on
@@ -269,7 +276,7 @@
         if (
             verdict is Verdict.NOT_RUN
             and last_refusal.retry_after_ms is None
-            and last_refusal.reason is not Reason.QUARANTINED
+            and last_refusal.reason not in (Reason.QUARANTINED, Reason.UNSENDABLE)
         ):
             return attrs.evolve(
                 last_refusal, verdict=verdict, retry_after_ms=RETRY_AFTER_MS
@@ -294,7 +301,7 @@
             last_event_id=ctx.stream_progress.last_event_id
             or ctx.request.last_event_id,
         )
-        request = wire.encode_request(ctx.request, server, options)
+        request = self._encode(ctx, server, options)
         placement = self._state.placement
         # From here on the request may have run, even if it is cancelled.
         ctx.attempts.may_have_run_on.add(server.id)
@@ -316,6 +323,19 @@
         finally:
             placement.record_end(server.id)
 
+    def _encode(
+        self, ctx: RequestContext, server: Server, options: wire.ForwardingOptions
+    ) -> OutgoingRequest:
+        """Encode a request for a server.
+
+        :raises UpstreamError: a value that it needs can't be part of a header
+        """
+        try:
+            return wire.encode_request(ctx.request, server, options)
+        except UnicodeEncodeError as exc:
+            detail = f"{exc.object!r} can't be sent in a header: {exc.reason}"
+            raise UpstreamError(not_run(Reason.UNSENDABLE, detail)) from exc
+
     @asynccontextmanager
     async def _exchange(
         self,
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -11,7 +11,6 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
 from cowsliphitch.core.batching.models import (
     Call,
@@ -46,6 +45,7 @@
 )
 from cowsliphitch.platform import servers as wire
 from cowsliphitch.telemetry.logs import event
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
 
 from . import const
@@ -95,19 +95,19 @@
         client: ServerClient,
         permits: PermitBroker,
         costs: CostWeights,
-        group: TaskGroup,
+        tasks: BackgroundTasks,
         cell: Cell = WHOLE_FLEET,
     ) -> None:
         """Initialize without stage pools.
 
         :param permits: grants requests to limited servers
-        :param group: task group of the calls to servers
+        :param tasks: send the calls to servers
         :param cell: the failure domains whose servers are used
         """
         self._state = state
         self._client = client
         self._permits = permits
-        self._group = group
+        self._tasks = tasks
         self._cell = cell
         # Ready servers of the cell by service, with all ready ones at that time.
         self._ready_servers: dict[
@@ -385,10 +385,20 @@
 
     def _start_calls(self) -> None:
         for call in self.planner.plan_calls(self._state.clock.now_ms()):
-            self._group.start_soon(self._run_call, call)
+            self._tasks.start_soon(self._run_call, call)
 
     async def _run_call(self, call: Call) -> None:
-        outcomes = await self._send_call(call)
+        try:
+            outcomes = await self._send_call(call)
+        except Exception:
+            # Its pieces would wait for the call until their deadlines.
+            self._end_call(call, StageCallFailed(may_have_run=True))
+            raise
+        self._end_call(call, outcomes)
+
+    def _end_call(
+        self, call: Call, outcomes: tuple[PieceOutcome, ...] | StageCallFailed
+    ) -> None:
         now = self._state.clock.now_ms()
         match outcomes:
             case StageCallFailed(may_have_run):
@@ -415,7 +425,7 @@
                             itertools.starmap(FreeResults, command.results)
                         )
                 case FreeResults(service, handles) if handles:
-                    self._group.start_soon(self._free_results, service, handles)
+                    self._tasks.start_soon(self._free_results, service, handles)
 
     async def _send_call(
         self, call: Call
@@ -509,7 +519,7 @@
         for address, handles_at_server in itertools.groupby(
             sorted(handles, key=wire.server_address_of), key=wire.server_address_of
         ):
-            self._group.start_soon(
+            self._tasks.start_soon(
                 self._free_results_of, service, address, list(handles_at_server)
             )
 
@@ -525,14 +535,16 @@
             (s for s in servers.all() if (s.service, s.address) == (service, address)),
             None,
         )
-        while holder is not None and (
-            until_ms := servers.paused(service).get(holder.id)
-        ):
-            left_ms = until_ms - self._state.clock.now_ms()
-            await anyio.sleep(seconds(max(left_ms, TICK_INTERVAL_MS)))
-        if holder is not None and servers.is_usable(holder):
-            await self._free_results_at(holder, handles)
-        self.planner.record_freed(service, handles)
+        try:
+            while holder is not None and (
+                until_ms := servers.paused(service).get(holder.id)
+            ):
+                left_ms = until_ms - self._state.clock.now_ms()
+                await anyio.sleep(seconds(max(left_ms, TICK_INTERVAL_MS)))
+            if holder is not None and servers.is_usable(holder):
+                await self._free_results_at(holder, handles)
+        finally:
+            self.planner.record_freed(service, handles)
         self._start_calls()
 
     async def _free_results_at(self, holder: Server, handles: list[str]) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/stage_owner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_owner.py
@@ -14,6 +14,7 @@
     RunStagesReply,
     RunStagesRequest,
 )
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from .stage_executor import StageExecutor
 from .state import GatewayState
@@ -23,14 +24,19 @@
     """Pass requests of all daemons on to the executors of their cells.
 
     :param make_executor: returns a new executor of a cell
+    :param tasks: contain the errors of one executor's maintenance
     """
 
     def __init__(
-        self, state: GatewayState, make_executor: Callable[[Cell], StageExecutor]
+        self,
+        state: GatewayState,
+        make_executor: Callable[[Cell], StageExecutor],
+        tasks: BackgroundTasks,
     ) -> None:
         """Initialize without executors; a cell gets one with its first request."""
         self._state = state
         self._make_executor = make_executor
+        self._tasks = tasks
         self._executors: dict[Cell, StageExecutor] = {}
 
     @property
@@ -77,7 +83,8 @@
     def run_maintenance(self) -> None:
         """Run the executors' maintenance, and drop those of cells that are idle."""
         for cell, executor in list(self._executors.items()):
-            executor.run_maintenance()
+            with self._tasks.contained("StageExecutor.run_maintenance"):
+                executor.run_maintenance()
             if executor.is_idle:
                 del self._executors[cell]
         self._state.own_delays_ms = {
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -10,7 +10,6 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.models import Route
@@ -29,6 +28,7 @@
 )
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.telemetry.logs import event
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from . import const
 from .stage_owner import StageOwner
@@ -93,18 +93,18 @@
         state: GatewayState,
         executor: StageOwner,
         peers: PeerConnections,
-        group: TaskGroup,
+        tasks: BackgroundTasks,
     ) -> None:
         """Initialize the runner.
 
         :param executor: runs the stages of pools that this daemon owns
         :param peers: connections to the other daemons
-        :param group: runs reports and timers in the background
+        :param tasks: run reports and timers in the background
         """
         self._state = state
         self._executor = executor
         self._peers = peers
-        self._group = group
+        self._tasks = tasks
 
     async def run(self, params: StageRunParams) -> StageRunResult:
         """Run all stages of a request and choose its engine.
@@ -128,7 +128,7 @@
 
         A daemon that has acquired the duty since then has no record of the request.
         """
-        self._group.start_soon(self._send_report, owner, report)
+        self._tasks.start_soon(self._send_report, owner, report)
 
     def schedule(
         self, delay_ms: int, scope: anyio.CancelScope, callback: Callable[[], None]
@@ -140,7 +140,7 @@
                 await anyio.sleep(seconds(delay_ms))
                 callback()
 
-        self._group.start_soon(call_later)
+        self._tasks.start_soon(call_later)
 
     async def _send_report(self, owner: str, report: EngineProgressReport) -> None:
         if owner == self._state.members.own.address:
--- a/packages/gateway/src/cowsliphitch/gateway/trials.py
+++ b/packages/gateway/src/cowsliphitch/gateway/trials.py
@@ -12,8 +12,6 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from anyio.abc import TaskGroup
-
 from cowsliphitch.core.deployment.models import Route
 from cowsliphitch.core.quarantine.trials import (
     TRIAL_RETRY_AFTER_MS,
@@ -31,6 +29,7 @@
 )
 from cowsliphitch.peers.fleet.rpc import PeerConnections
 from cowsliphitch.telemetry.logs import event
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 from cowsliphitch.upstreams.http1.models import UpstreamError
 
 from . import const
@@ -48,18 +47,18 @@
         state: GatewayState,
         peers: PeerConnections,
         quarantine: EngineQuarantine,
-        group: TaskGroup,
+        tasks: BackgroundTasks,
     ) -> None:
         """Initialize without trials.
 
         :param peers: connections to the other daemons
         :param quarantine: knows which requests are suspect
-        :param group: runs the reports on the ends of trials
+        :param tasks: run the reports on the ends of trials
         """
         self._state = state
         self._peers = peers
         self._quarantine = quarantine
-        self._group = group
+        self._tasks = tasks
         self._table = TrialTable()
 
     @asynccontextmanager
@@ -82,7 +81,7 @@
         try:
             yield True
         finally:
-            self._group.start_soon(self._end, owner, request.digest, server)
+            self._tasks.start_soon(self._end, owner, request.digest, server)
 
     async def _begin(
         self, request: CallerRequest, route: Route, server: Server, deadline_ms: int
--- a/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/heartbeats.py
@@ -46,6 +46,7 @@
         self._on_exchange = on_exchange
         self._socket: socket.socket | None = None
         self.malformed_datagrams = 0
+        self.failed_datagrams = 0
         self.superseded_datagrams = 0
 
     async def run(
@@ -61,7 +62,12 @@
             while True:
                 await anyio.wait_readable(sock)
                 for address, contents in self._read_all(sock).items():
-                    await self._apply(contents, address)
+                    try:
+                        await self._apply(contents, address)
+                    except Exception:
+                        # One peer's datagram must not end the exchange with all others.
+                        self.failed_datagrams += 1
+                        _LOGGER.exception("Heartbeat of %s not applied", address)
 
     def _read_all(self, sock: socket.socket) -> dict[str, list[bytes]]:
         """Read the buffered datagrams; return those of each peer by address."""
--- a/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
+++ b/packages/peers/src/cowsliphitch/peers/membership/coordinator.py
@@ -13,7 +13,6 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 from result import Err, Ok
 
 from cowsliphitch.core.clock import Clock, seconds
@@ -21,6 +20,7 @@
 from cowsliphitch.core.membership.ranking import rank
 from cowsliphitch.core.membership.view import MembershipView
 from cowsliphitch.core.orders.models import Record
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from ..wire import convert, peers_pb2 as pb
 from . import const
@@ -56,16 +56,16 @@
         self._logged_states: dict[str, MemberState] = {}
         self._is_fetching = False
         self._last_sent_slots = 0.0
-        self._task_group: TaskGroup | None = None
+        self._tasks: BackgroundTasks | None = None
         self.diagnostics = Diagnostics()
 
     async def run(self) -> None:
         """Exchange digests with a peer in each interval, until cancelled."""
         async with anyio.create_task_group() as group:
-            self._task_group = group
+            self._tasks = tasks = BackgroundTasks(group, self._clock)
             while True:
                 self._heartbeat()
-                group.start_soon(self._exchange_with, self._choose_addresses(1))
+                tasks.start_soon(self._exchange_with, self._choose_addresses(1))
                 await anyio.sleep(seconds(const.EXCHANGE_INTERVAL_MS))
 
     def set_listed_addresses(self, addresses: Iterable[str]) -> None:
@@ -114,8 +114,8 @@
 
     def schedule_gossip(self) -> None:
         """Start an exchange with some peers in the background."""
-        if self._task_group is not None:
-            self._task_group.start_soon(self.gossip)
+        if self._tasks is not None:
+            self._tasks.start_soon(self.gossip)
 
     async def forward_append(
         self, shard: int, record: Record, deadline_ms: int
@@ -318,10 +318,10 @@
                 self.diagnostics.failures += 1
 
     def _schedule_fetch(self, address: str) -> None:
-        if self._is_fetching or self._task_group is None:
+        if self._is_fetching or self._tasks is None:
             return
         self._is_fetching = True
-        self._task_group.start_soon(self._fetch_state, address)
+        self._tasks.start_soon(self._fetch_state, address)
 
     async def _fetch_state(self, address: str) -> None:
         """Fetch the configuration and the VM list from a peer, each if it is newer."""
--- a/packages/state/src/cowsliphitch/state/orders/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/orders/coordinator.py
@@ -16,6 +16,7 @@
 from cowsliphitch.core.orders.models import Answer, OrderKey, Record, State
 from cowsliphitch.core.settings.models import Orders, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from . import const
 from .models import Answered, Diagnostics, Forwarded, NoAnswer, Outcome
@@ -50,6 +51,7 @@
         self._forward = forward
         self._writers: dict[int, LogWriter] = {}
         self._task_group: TaskGroup | None = None
+        self._tasks: BackgroundTasks | None = None
         self._settings = Orders()
         self._unrecorded_outcomes = 0
         self.diagnostics = Diagnostics()
@@ -63,7 +65,7 @@
     async def run(self) -> None:
         """Run the writers, until cancelled."""
         async with anyio.create_task_group() as group:
-            self._task_group = group
+            self._task_group, self._tasks = group, BackgroundTasks(group, self._clock)
             await anyio.sleep_forever()
 
     async def claim(self, key: OrderKey, fingerprint: str, deadline_ms: int) -> Outcome:
@@ -94,9 +96,9 @@
 
         :raises AssertionError: if :meth:`run` has not started
         """
-        assert self._task_group is not None, "run() has not started"
+        assert self._tasks is not None, "run() has not started"
         self._unrecorded_outcomes += 1
-        self._task_group.start_soon(self._record_outcome_counted, record, state, answer)
+        self._tasks.start_soon(self._record_outcome_counted, record, state, answer)
 
     async def _record_outcome_counted(
         self, record: Record, state: State, answer: Answer | None
@@ -149,5 +151,6 @@
             shard, self._kv, self._clock, self._settings, self.diagnostics
         )
         self._writers[shard] = writer
+        # Claims wait in the writer, so its error ends the process.
         self._task_group.start_soon(writer.run)
         return writer
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
@@ -43,20 +43,16 @@
         self.reusable_until_ms = 0
         self.request_count = 0
 
-    async def send(self, request: OutgoingRequest) -> None:
+    async def send(self, request: OutgoingRequest, head: h11.Request) -> None:
         """Write a whole request.
 
         :meth:`read_head` may run concurrently, since a server may answer early.
 
+        :param head: the head that :func:`encode_head` returned for the request
         :raises UpstreamError: the connection broke, so the request may have run
         """
         self.request_count += 1
         self._request_sent = False
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[*request.headers, (b"content-length", b"%d" % len(request.body))],
-        )
         content = self._protocol.send(head) or b""
         if request.body:
             content += self._protocol.send(h11.Data(data=request.body)) or b""
@@ -194,6 +190,22 @@
             raise _invalid_answer(f"the answer is not valid HTTP: {exc}") from exc
 
 
+def encode_head(request: OutgoingRequest) -> h11.Request:
+    """Return the head of a request, before anything is sent.
+
+    :raises UpstreamError: a header can't be sent, so nothing ran
+    """
+    try:
+        return h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[*request.headers, (b"content-length", b"%d" % len(request.body))],
+        )
+    except h11.LocalProtocolError as exc:
+        detail = f"the request can't be sent: {exc}"
+        raise UpstreamError(not_run(Reason.UNSENDABLE, detail)) from exc
+
+
 async def connect(
     address: str,
     request_id_header: bytes,
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -13,14 +13,15 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
+import h11
 
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.overload.buffers import Buffer, BufferBudget
 from cowsliphitch.core.verdict import Reason, may_have_run, not_run
+from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from . import const
-from .connection import Connection, connect
+from .connection import Connection, connect, encode_head
 from .models import AnswerHead, OutgoingRequest, UpstreamError
 
 FIRST_FAILURE_STATUS: Final = 400
@@ -114,16 +115,16 @@
     def __init__(
         self,
         request_id_header: bytes,
-        group: TaskGroup,
+        tasks: BackgroundTasks,
         clock: Clock,
         budget: BufferBudget | None = None,
     ) -> None:
         """Initialize the pool without connections.
 
-        :param group: runs the tasks that send long requests
+        :param tasks: send long requests
         :param budget: memory for what is buffered, without a limit by default
         """
-        self._group = group
+        self._tasks = tasks
         self._budget = budget or BufferBudget(sys.maxsize)
         self._request_id_header = request_id_header
         self._clock = clock
@@ -149,13 +150,14 @@
         :param before_send: called on the open connection, before the first byte is sent
         :raises UpstreamError: no valid answer arrived
         """
+        message = encode_head(request)
         origin = self._origins.setdefault(address, _Origin())
         connection = await self._acquire(address, origin, max_open)
         reusable = False
         buffer = self._budget.open()
         try:
             before_send()
-            await self._send_request(connection, request)
+            await self._send_request(connection, request, message)
             head = await connection.read_head(request)
             answer = Answer(head, connection, buffer)
             yield answer
@@ -173,16 +175,16 @@
                 await connection.close()
 
     async def _send_request(
-        self, connection: Connection, request: OutgoingRequest
+        self, connection: Connection, request: OutgoingRequest, head: h11.Request
     ) -> None:
         """Send a request; send a long one concurrently with reading its answer.
 
         A server may answer before it has read a long body.
         """
         if len(request.body) <= const.MAX_INLINE_BODY_BYTES:
-            await connection.send(request)
+            await connection.send(request, head)
         else:
-            self._group.start_soon(_send_in_background, connection, request)
+            self._tasks.start_soon(_send_in_background, connection, request, head)
 
     async def close_stale(self, active_addresses: Iterable[str]) -> None:
         """Close idle connections that expired or whose address is not active.
@@ -243,7 +245,14 @@
         return is_unexpired and connection.has_no_pending_input()
 
 
-async def _send_in_background(connection: Connection, request: OutgoingRequest) -> None:
+async def _send_in_background(
+    connection: Connection, request: OutgoingRequest, head: h11.Request
+) -> None:
     """Send a long request; ignore its failure, which reading the answer reports too."""
-    with suppress(UpstreamError):
-        await connection.send(request)
+    try:
+        with suppress(UpstreamError):
+            await connection.send(request, head)
+    except Exception:
+        # Otherwise an answer would be waited for until the deadline.
+        await connection.close()
+        raise
