Hold back an event whose identifier can't be sent on

With a short body the stream was broken off for the caller.

Cause: last_event_id took any bytes of an id line, and put them into the header in which a stream is resumed. The event had been passed on, so resuming after an older identifier would have sent it twice (ORDER: a piece comes twice).

Change: on a route whose streams may be resumed, an event whose identifier is empty, over 1,024 bytes, or has a byte that no header value can carry is not passed on. The answer counts as invalid from there, and the stream goes on after the event before it, at another server if an attempt is left: no event is missing and none comes twice. Streams that may not be resumed are passed on unchanged, since nobody has to name their events.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -55,6 +55,21 @@
       | closes a bare stream before the first one |
       | closes inside its head                    |
 
+  Scenario Outline: A stream goes on before an event whose identifier can't be sent on
+    When a stream with a body of <size> bytes breaks off after an event whose identifier <oddity>
+    Then the stream goes on after event 1, and the caller has each event once
+
+    Examples:
+      | size  | oddity                     |
+      | 0     | has a zero byte            |
+      | 17000 | has a zero byte            |
+      | 17000 | has a form feed            |
+      | 17000 | has a vertical tab         |
+      | 17000 | has a lone carriage return |
+      | 0     | has a control byte         |
+      | 0     | is empty                   |
+      | 0     | has 5000 bytes             |
+
   Scenario Outline: A request whose team can't be named in a header is refused as not run
     Given servers "s1, s2" that listen
     When a request with a body of <size> bytes is forwarded, whose team's name has <oddity>
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -465,6 +465,39 @@
     assert reply.body == EVENTS.partition(b"\n\n")[0] + b"\n\n", reply.body
 
 
+# Identifiers of events that no header can carry, or that a header changes.
+ODD_IDENTIFIERS = {
+    "has a zero byte": b"2\0",
+    "has a form feed": b"2\x0cx",
+    "has a vertical tab": b"2\x0bx",
+    "has a lone carriage return": b"2\rx",
+    "has a control byte": b"2\x7f",
+    "is empty": b"",
+    "has 5000 bytes": b"2" * 5_000,
+}
+
+
+@when(
+    "a stream with a body of {size:d} bytes breaks off after an event whose identifier"
+    " {oddity}"
+)
+def forward_with_odd_identifier(context: Any, size: int, oddity: str) -> None:
+    odd = b"id: %s\ndata: odd\n\n" % ODD_IDENTIFIERS[oddity]
+    SCRIPTS["spoils an identifier"] = BARE_STREAM + EVENTS[:15] + odd + b"id: 3"
+    SCRIPTS["sends the rest"] = BARE_STREAM + EVENTS[15:]
+    context.sender = Sender(["s1", "s2"], s1="spoils an identifier")
+    context.sender.scripts["s2"] = "sends the rest"
+    forward(context, ["s1", "s2"], RouteKind.STREAM, 2, b"x" * size)
+
+
+@then("the stream goes on after event {number:d}, and the caller has each event once")
+def goes_on_after(context: Any, number: int) -> None:
+    received = context.sender.received["s2"].lower()
+    assert b"\r\nlast-event-id: %d\r\n" % number in received, received[:400]
+    assert context.refusal is None and context.reply.has_ended, context.refusal
+    assert context.reply.body == EVENTS, context.reply.body
+
+
 TEAM_NAMES = {"a character beyond Latin-1": "\u017dilina", "a line break": "a\nb"}
 
 
--- a/features/steps/version_steps.py
+++ b/features/steps/version_steps.py
@@ -39,7 +39,7 @@
 
 
 def receive_stream(
-    context: Any, daemon: int, headers: dict[str, str] | None = None
+    context: Any, daemon: int, headers: dict[str, str] | None = None, body: str = ""
 ) -> StreamPart:
     site = context.site
     request_id = f"stream-{next(context.stream_numbers)}"
@@ -52,7 +52,7 @@
     url = f"http://127.0.0.1:{site.daemons[daemon]['callers']}/generation/1"
     text, is_whole, started_s = "", False, time.monotonic()
     with httpx.stream(
-        "POST", url, headers=defaults | (headers or {}), timeout=8.0
+        "POST", url, headers=defaults | (headers or {}), content=body, timeout=8.0
     ) as answer:
         try:
             for part in answer.iter_text():
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -42,7 +42,13 @@
 from . import const
 from .engine_quarantine import EngineQuarantine
 from .permits import Permit
-from .relay import EventSplitter, StreamProgress, last_event_id, relay_buffered_answer
+from .relay import (
+    EventSplitter,
+    StreamProgress,
+    last_event_id,
+    relay_buffered_answer,
+    resumable_events,
+)
 from .server_client import Purpose, ServerClient
 from .state import GatewayState
 from .trials import TrialBroker
@@ -427,27 +433,36 @@
         """Pass complete events on as they arrive.
 
         :raises UpstreamError: the stream ended within an event, without an event after
-            those of an earlier attempt, or with the connection before its first event
+            those of an earlier attempt, or with the connection before its first event;
+            or it may be resumed, but not after its next event
         """
         splitter, progress = EventSplitter(), ctx.stream_progress
         is_continuation, has_events = reply.started, False
         async for chunk in answer.chunks():
-            events = splitter.feed(chunk)
+            received = splitter.feed(chunk)
             answer.keep(len(splitter))
-            if not events:
+            if not received:
                 continue
-            has_events = True
-            self._record_version(ctx, server)
-            if not reply.started:
-                progress.first_event_ms = self._state.clock.now_ms()
-                await reply.start(
-                    answer.head.status,
-                    end_to_end_headers(answer.head.headers),
-                    length=None,
+            events = resumable_events(received) if ctx.route.resumable else received
+            if events:
+                has_events = True
+                self._record_version(ctx, server)
+                if not reply.started:
+                    progress.first_event_ms = self._state.clock.now_ms()
+                    await reply.start(
+                        answer.head.status,
+                        end_to_end_headers(answer.head.headers),
+                        length=None,
+                    )
+                await reply.send(events)
+                progress.event_count += events.count(b"\n\n")
+                progress.last_event_id = last_event_id(events) or progress.last_event_id
+            if len(events) < len(received):
+                detail = (
+                    f"{server.id} sent an event after {progress.last_event_id} whose"
+                    " identifier no header can carry"
                 )
-            await reply.send(events)
-            progress.event_count += events.count(b"\n\n")
-            progress.last_event_id = last_event_id(events) or progress.last_event_id
+                raise UpstreamError(may_have_run(Reason.INVALID_ANSWER, detail))
         if splitter.incomplete_event:
             detail = "the stream ended in the middle of an event"
             raise UpstreamError(may_have_run(Reason.STREAM_CUT, detail))
--- a/packages/gateway/src/cowsliphitch/gateway/relay.py
+++ b/packages/gateway/src/cowsliphitch/gateway/relay.py
@@ -4,6 +4,7 @@
 the stream can continue at another server after the last one.
 """
 
+import re
 from typing import Final
 
 import attrs
@@ -20,6 +21,17 @@
 MAX_EVENT_BYTES: Final = 1_048_576
 _ID_FIELD: Final = b"id:"
 
+# Longer identifiers might not fit into the header in which a stream is resumed.
+MAX_EVENT_ID_BYTES: Final = 1_024
+
+# Identifiers that are empty, too long, or have a byte that no header value can carry
+# (RFC 9110, section 5.5).
+_UNSENDABLE_ID: Final = re.compile(
+    rb"^id:(?:[ \t]*\r?$|[^\n]{%d}|[^\n]*?(?:[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!$)))"
+    % MAX_EVENT_ID_BYTES,
+    re.MULTILINE,
+)
+
 
 @attrs.define
 class StreamProgress:
@@ -86,6 +98,21 @@
         return bytes(self._buffer)
 
 
+def resumable_events(events: bytes) -> bytes:
+    """Return the events before the first whose identifier can't be sent on.
+
+    A stream that breaks off later is resumed after the last event that was passed on,
+    so that event has to have an identifier which a header can name.
+
+    :param events: complete events
+    """
+    unsendable = _UNSENDABLE_ID.search(events)
+    if unsendable is None:
+        return events
+    end = events.rfind(EVENT_END, 0, unsendable.start())
+    return b"" if end < 0 else events[: end + len(EVENT_END)]
+
+
 def last_event_id(events: bytes) -> str | None:
     """Return the last event identifier among events, ``None`` if none has one.
 
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -42,7 +42,8 @@
         ``FIRST_VERSION``
     :param mode: ``good``, ``full`` (refuses), ``reset`` (runs the request and closes
         the connection without an answer), ``unsealed`` (answers without the seal),
-        ``cut`` (interrupts its streams within an event), ``endless`` (sends bytes until
+        ``cut`` (interrupts its streams within an event), ``spoil`` (interrupts them
+        after an event whose identifier has a zero byte), ``endless`` (sends bytes until
         the connection is closed)
     :param cut_after: event after which it interrupts its streams
     :param executed: identifiers of the requests that it ran
@@ -217,7 +218,9 @@
             if req.body in self.crashing_bodies:
                 self.crash()
                 await anyio.sleep_forever()
-            if self.mode == "cut" and number == self.cut_after:
+            if self.mode in ("cut", "spoil") and number == self.cut_after:
+                if self.mode == "spoil":
+                    await reply.send(b"id: %d\0\ndata: %s\n\n" % (number + 1, text))
                 await reply.send(b"id: %d\nda" % (number + 1))
                 return
         await reply.end()
