Plan around a skipped stage whose pool is not in force

What callers saw: nothing yet; found by the review from the source, and shown by the scenario. A request that skips a stage of a service which its owner does not know yet raised KeyError when its first stages were queued, after it had been admitted: each later planning round failed on it again, which ended the daemon before the errors of tasks were contained, and would stop the owner's calls since.

Cause: the expected duration of the stages that follow looked up the queue of each, also of those without pieces; admission checks only those with pieces.

Before: the scenario of batching.feature ended with KeyError: 'later'.

--- a/features/core/batching.feature
+++ b/features/core/batching.feature
@@ -24,6 +24,11 @@
     When the load "four, worst" is replayed with seeds 0 to 1
     Then every call stayed within its batch size and the memory of its server
 
+  Scenario: A skipped stage of a pool that is not in force yet does not break the planner
+    Given a request that skips its second stage, whose pool is not in force
+    When its stages continue
+    Then all its stages are done once, and the planner plans further calls
+
   Scenario: A refusal for lack of memory does not count as an attempt
     Given a pool of one server that refuses pieces for lack of memory 10 times
     When a job of 2 pieces runs there
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -254,6 +254,22 @@
     assert context.bench.freed_handles() == ["s0:1/1"]
 
 
+@given("a request that skips its second stage, whose pool is not in force")
+def skips_unknown_pool(context: Any) -> None:
+    context.bench = bench = PlannerBench()
+    stages = (StageSpec("s", (), 100), StageSpec("later", (0,), 100))
+    bench.admit(stages, (1, 0))
+    context.answer = bench.make_result
+
+
+@then("all its stages are done once, and the planner plans further calls")
+def done_and_goes_on(context: Any) -> None:
+    (ended,) = context.bench.terminal_commands()
+    assert isinstance(ended, StagesDone), ended
+    context.bench.admit(SINGLE_STAGE, (1,))
+    assert context.bench.planner.plan_calls(context.bench.now_ms)
+
+
 @given("a request with two parallel stages that both miss their deadline")
 def both_miss_deadline(context: Any) -> None:
     context.bench = PlannerBench(services=("s", "t"))
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -522,13 +522,15 @@
         request = execution.request
         durations_ms = []
         for follower, stage in enumerate(request.stages):
-            if index in stage.after:
-                servers = self._servers(stage.service)
-                queue = self._queues[stage.service]
-                own_ms = queue.job_duration_ms(
-                    request.piece_count(follower), servers, now_ms
-                )
-                durations_ms.append(
-                    own_ms + self._downstream_ms(execution, follower, now_ms)
+            if index not in stage.after:
+                continue
+            # The pool of a skipped stage may not be in force.
+            own_ms = 0.0
+            if pieces := request.piece_count(follower):
+                own_ms = self._queues[stage.service].job_duration_ms(
+                    pieces, self._servers(stage.service), now_ms
                 )
+            durations_ms.append(
+                own_ms + self._downstream_ms(execution, follower, now_ms)
+            )
         return max(durations_ms, default=float(request.engine_ms))
