Count the crash of a server that fell silent once it has started again

Cause: a crash was known only by a lost connection and an address that then refuses connections. A machine without power does neither: requests hang until their callers leave, which cancelled them without a record.

Change: each request that is sent to a server is kept until its fate is known. When the server's entry shows a later start, or another server with a later start stands at its address, all requests that were there are recorded with one crash, whose identifier is that of a refused connection after the same start. So two daemons, or both signs, count it once. An announced end and a server that comes back with the same start make nothing suspect. Prompt parts take the same way. A trial of a suspect whose server fell silent ends when the server is judged, not when its caller leaves. Of one crash the requests that were never answered are recorded first, so that they explain it for the others.

--- a/features/daemon/crashing_requests.feature
+++ b/features/daemon/crashing_requests.feature
@@ -40,6 +40,35 @@
     And it comes 6 times at the same moment through all daemons
     Then at most 3 copies of it reached servers
 
+  Scenario Outline: A request that makes servers fall silent is refused once they are back
+    Given a site with 3 daemons and 4 order desks
+    And servers that crash 50 ms after they receive one request
+    And servers that fall silent for 700 ms when they crash
+    When <request> comes 6 times through all daemons, its callers leave, and others come between
+    Then at most 3 copies of it reached servers
+    And all others were answered
+
+    Examples:
+      | request                            |
+      | an order                           |
+      | a lookup                           |
+      | a generation after its first event |
+
+  Scenario: A request at servers that are silent for a while and do not restart is not suspect
+    Given a site with 3 daemons and 4 order desks
+    And servers that crash 50 ms after they receive one request
+    And servers that fall silent for 700 ms and go on as before
+    When an order comes 6 times through all daemons, its callers leave, and others come between
+    Then exactly 6 copies of it reached servers
+    And all others were answered
+
+  Scenario: A prompt part that makes engines fall silent is refused
+    Given a site with 3 daemons and 4 order desks
+    And engines that fall silent for 700 ms on one prompt part
+    When 9 generations with the part come through all daemons, their callers leave, and sound ones come between
+    Then at most 5 engines crashed
+    And all others were answered
+
   Scenario: Sound lookups that are lost beside requests that crash servers are answered when they come again
     Given a site with 3 daemons and 4 order desks
     And servers that crash 50 ms after they receive one request
--- a/features/steps/containment_steps.py
+++ b/features/steps/containment_steps.py
@@ -2,6 +2,8 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from functools import partial
 from typing import Any
 from unittest import mock
 
@@ -15,7 +17,7 @@
 from cowsliphitch.core.fleet.cells import Cell
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.servers.models import Server, ServerState
-from cowsliphitch.core.verdict import Reason
+from cowsliphitch.core.verdict import Reason, may_have_run
 from cowsliphitch.gateway import engine_quarantine
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.stage_executor import StageExecutor
@@ -26,6 +28,7 @@
 from cowsliphitch.peers.fleet.models import Heartbeat
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.telemetry.tasks import BackgroundTasks
+from cowsliphitch.upstreams.http1.models import UpstreamError
 
 SERVER = Server("s1", "service", "127.0.0.1:1", "domain", ServerState.READY, 4)
 
@@ -85,17 +88,17 @@
 def lose_request(context: Any) -> None:
     async def action(tasks: BackgroundTasks) -> None:
         quarantine = EngineQuarantine(new_state(), tasks)
-        request = caller_request(0)
         with mock.patch.object(engine_quarantine, "refuses_connections", context.probe):
-            quarantine.record_lost_request(
-                request, SERVER, Reason.CONNECTION_LOST, has_begun=False
-            )
-            await quarantine.wait_until_judged(SERVER)
             # A later loss is probed again.
-            quarantine.record_lost_request(
-                request, SERVER, Reason.CONNECTION_LOST, has_begun=False
-            )
-            await quarantine.wait_until_judged(SERVER)
+            for _ in range(2):
+                exposure = quarantine.expose(caller_request(0), SERVER)
+                lost = may_have_run(Reason.CONNECTION_LOST, "lost")
+                with (
+                    suppress(UpstreamError),
+                    quarantine.observe(partial(lambda sent: sent, exposure)),
+                ):
+                    raise UpstreamError(lost)
+                await quarantine.wait_until_judged(SERVER)
 
     run(context, action)
 
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -9,6 +10,10 @@
 from behave import given, then, when
 from platform_steps import (
     CRASHING_BODY,
+    CRASHING_PART,
+    ENGINES,
+    SOUND_PART,
+    generate_with_part,
     send_one,
     set_up_site,
     wait_for_restarts,
@@ -68,6 +73,79 @@
             )
 
 
+@given("servers that fall silent for {ms:d} ms when they crash")
+def fall_silent(context: Any, ms: int) -> None:
+    for server in context.site.servers.values():
+        server.silent_ms = ms
+
+
+@given("servers that fall silent for {ms:d} ms and go on as before")
+def fall_silent_only(context: Any, ms: int) -> None:
+    for server in context.site.servers.values():
+        server.silent_ms, server.restarts = ms, False
+
+
+@given("engines that fall silent for {ms:d} ms on one prompt part")
+def engines_fall_silent(context: Any, ms: int) -> None:
+    fall_silent(context, ms)
+    for name in ENGINES:
+        context.site.servers[name].crashing_part = CRASHING_PART
+
+
+# Callers leave before a silent server is back.
+SHORT_DEADLINE = {"cowsliphitch-deadline-ms": "400"}
+
+
+def come_and_leave(
+    context: Any, count: int, send: Callable[[int], None], send_sound: Any
+) -> None:
+    context.sound_answers = []
+    for number in range(count):
+        send(number)
+        wait_for_restarts(context)
+        answer = send_sound(number)
+        assert answer is not None
+        context.sound_answers.append(answer)
+
+
+@when(
+    "{request} comes {count:d} times through all daemons, its callers leave, and others"
+    " come between"
+)
+def comes_and_leaves(context: Any, request: str, count: int) -> None:
+    daemons = context.site.daemon_count
+    come_and_leave(
+        context,
+        count,
+        lambda n: send_one(
+            context, request, CRASHING_BODY, n % daemons, SHORT_DEADLINE
+        ),
+        lambda n: send_one(context, request, f"sound {n}", n % daemons),
+    )
+
+
+@when(
+    "{count:d} generations with the part come through all daemons, their callers leave,"
+    " and sound ones come between"
+)
+def part_comes(context: Any, count: int) -> None:
+    daemons = context.site.daemon_count
+    come_and_leave(
+        context,
+        count,
+        lambda n: generate_with_part(
+            context, CRASHING_PART, n % daemons, SHORT_DEADLINE
+        ),
+        lambda n: generate_with_part(context, SOUND_PART, n % daemons),
+    )
+
+
+@then("exactly {count:d} copies of it reached servers")
+def exact_copies(context: Any, count: int) -> None:
+    copies = copies_at_servers(context, CRASHING_BODY)
+    assert copies == count, copies
+
+
 def copies_at_servers(context: Any, body: str) -> int:
     return sum(
         req.body == body.encode()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -558,7 +558,9 @@
 PAUSE_BETWEEN_CRASHES_S = 0.8
 
 
-def generate_with_part(context: Any, part: str, daemon: int) -> httpx.Response:
+def generate_with_part(
+    context: Any, part: str, daemon: int, more_headers: dict[str, str] | None = None
+) -> httpx.Response:
     """Request a generation whose prompt has a first part in common with all others."""
     number = next(context.part_numbers)
     prompt = f"{FIRST_PART}:50,{part}:30,{number:04x}:20"
@@ -566,7 +568,7 @@
         "cowsliphitch-pieces": "1,1",
         "cowsliphitch-prompt-prefix": prompt,
     }
-    return context.site.call("/generation/1", headers, daemon)
+    return context.site.call("/generation/1", headers | (more_headers or {}), daemon)
 
 
 def crash_count(context: Any) -> int:
@@ -660,10 +662,15 @@
 
 
 def send_one(
-    context: Any, request: str, body: str, daemon: int
+    context: Any,
+    request: str,
+    body: str,
+    daemon: int,
+    more_headers: dict[str, str] | None = None,
 ) -> httpx.Response | None:
     """Send a request of a kind; return ``None`` if its answer broke off."""
-    path, headers = "/order/7", {}
+    path: str = "/order/7"
+    headers: dict[str, str] = {}
     if request == "a lookup":
         path = "/lookup/7"
     elif request.startswith("a generation"):
@@ -674,7 +681,7 @@
             "cowsliphitch-prompt-prefix": f"{FIRST_PART}:50,{number:04x}:20",
         }
     try:
-        return context.site.call(path, headers, daemon, body)
+        return context.site.call(path, headers | (more_headers or {}), daemon, body)
     except httpx.RemoteProtocolError:
         return None
 
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -311,6 +311,10 @@
             crashed.append(record.counted_crashes(part))
         return attrs.evolve(self._update(now_ms), crashed=tuple(crashed))
 
+    def were_answered(self, parts: Collection[str]) -> bool:
+        """Return whether requests with each of some parts were answered before."""
+        return all(part in self._answered for part in parts)
+
     def record_answer(self, parts: Collection[str], now_ms: int) -> QuarantineChange:
         """Record that a request was answered, so none of its parts crashes engines."""
         records = {part: self._records[part] for part in parts if part in self._records}
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -127,7 +127,7 @@
             ),
             tasks,
         )
-        quarantine = EngineQuarantine(state, tasks)
+        self._quarantine = quarantine = EngineQuarantine(state, tasks)
         self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, tasks)
         self._store = StoreCoordinator(
             self._kv,
@@ -241,6 +241,7 @@
     def _update_servers(self, now_ms: int) -> None:
         self._server_client.update_reachability()
         self._state.streams.observe_servers(self._state.servers.all(), now_ms)
+        self._quarantine.observe_servers()
 
     def _run_stage_maintenance(self, _now_ms: int) -> None:
         self._stage_owner.run_maintenance()
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -95,6 +95,15 @@
 # Limit of the probe of an engine that lost a request.
 CRASH_PROBE_TIMEOUT_MS: Final = 300
 
+# A copy of a suspect request whose server fell silent is waited for this long before
+# the next one may be sent.
+MAX_TRIAL_SILENCE_MS: Final = 10_000
+
+# Time after which the entry of a server that has started again is read, and how often
+# it is looked for.
+RESTART_ENTRY_MS: Final = 1_500
+RESTART_POLL_MS: Final = 50
+
 # Time without a request after which what is known of a cell's engines is out of date.
 IDLE_EXECUTOR_MS: Final = 60_000
 
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -3,6 +3,8 @@
 Fault: a request crashes each server that begins to answer it.  When a connection to a
 server is lost, the server is probed: a refused connection means that it crashed.  A
 timeout or a success doesn't, since a network fault must not make a request suspect.
+A machine that falls silent loses no connection and refuses none.  Its crash is known
+once its entry shows a later start.
 
 The prompt parts of a request are suspect if it was lost before its first event, and the
 request itself, which comes again with the same content, whenever it was lost.
@@ -11,11 +13,14 @@
 import logging
 import zlib
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 
 import anyio
 import attrs
 
+from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.quarantine.exposures import Exposure
 from cowsliphitch.core.quarantine.prompt_parts import PartReport, QuarantineChange
 from cowsliphitch.core.quarantine.trials import TRIAL_RETRY_AFTER_MS
 from cowsliphitch.core.requests.models import CallerRequest
@@ -24,6 +29,7 @@
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 from cowsliphitch.telemetry.logs import event
 from cowsliphitch.telemetry.tasks import BackgroundTasks
+from cowsliphitch.upstreams.http1.connection import connect
 from cowsliphitch.upstreams.http1.models import UpstreamError
 from cowsliphitch.upstreams.transport.probe import refuses_connections
 
@@ -56,18 +62,6 @@
     time_ms: int
 
 
-@attrs.frozen
-class _LostRequest:
-    """A request whose connection was lost.
-
-    :param parts: its shared prompt parts, none if it had begun to be answered
-    :param digest: digest of its content
-    """
-
-    parts: tuple[str, ...]
-    digest: str
-
-
 @attrs.frozen
 class _Probe:
     """A probe of a server that lost requests.
@@ -76,7 +70,7 @@
     :param done: set when the server is judged
     """
 
-    lost_requests: list[_LostRequest] = attrs.Factory(list)
+    lost_requests: list[Exposure] = attrs.Factory(list)
     done: anyio.Event = attrs.Factory(anyio.Event)
 
 
@@ -154,21 +148,91 @@
             self._apply(change, "answer")
         self._apply(requests.record_answer((request.digest,), now), "answer")
 
-    def record_lost_request(
-        self, request: CallerRequest, server: Server, reason: Reason, has_begun: bool
-    ) -> None:
-        """Probe a server that lost a request.
+    @contextmanager
+    def observe(self, exposure_of: Callable[[], Exposure | None]) -> Iterator[None]:
+        """Observe the enclosed exchange of a request with a server.
+
+        If it ends without an answer, the request may be what crashes the server.
 
-        :param has_begun: the first event of its answer was passed on
+        :param exposure_of: returns the request once it is sent, ``None`` before
         """
-        if reason not in CRASH_REASONS:
+        exposures, clock = self._state.exposures, self._state.clock
+        try:
+            yield
+        except UpstreamError as exc:
+            exposure = exposure_of()
+            if exposure is not None and exc.refusal.reason in CRASH_REASONS:
+                exposures.give_up(exposure, clock.now_ms(), is_silent=False)
+                self._record_lost(exposure)
+            elif exposure is not None:
+                exposures.resolve(exposure)
+            raise
+        except BaseException:
+            # The caller has left, or its deadline has passed.
+            if (exposure := exposure_of()) is not None:
+                exposures.give_up(exposure, clock.now_ms(), is_silent=True)
+            raise
+        if (exposure := exposure_of()) is not None:
+            exposures.resolve(exposure)
+
+    def expose(self, request: CallerRequest, server: Server) -> Exposure:
+        """Record that a request is sent to a server."""
+        return self._state.exposures.begin(
+            request.digest, request.shared_part_ids, server, self._state.clock.now_ms()
+        )
+
+    def _record_lost(self, exposure: Exposure) -> None:
+        """Probe the server that lost a request, unless its crash is known already."""
+        if exposure.is_resolved:
             return
-        parts = () if has_begun else request.shared_part_ids
+        server = exposure.server
         probe = self._probes.get(server)
         if probe is None:
             probe = self._probes[server] = _Probe()
             self._tasks.start_soon(self._probe, server, probe)
-        probe.lost_requests.append(_LostRequest(parts, request.digest))
+        probe.lost_requests.append(exposure)
+
+    def observe_servers(self) -> None:
+        """Record the crashes of servers that have started again since."""
+        now = self._state.clock.now_ms()
+        for lost in self._state.exposures.take_lost(self._state.servers, now):
+            server = lost.server
+            event(
+                _LOGGER,
+                "engine.restarted",
+                server=server.id,
+                started_ms=server.started_ms,
+                lost_requests=len(lost.exposures),
+                given_up=sum(e.given_up_ms is not None for e in lost.exposures),
+                digests=sorted({e.digest for e in lost.exposures}),
+            )
+            key = server.id, server.started_ms
+            last = self._last_crashes.get(key)
+            number = 0 if last is None else last.number
+            crash = self._remember_crash(key, _LastCrash(number, now))
+            self._record_crash(crash, lost.exposures)
+
+    async def wait_until_resolved(self, exposure: Exposure) -> None:
+        """Wait until it is known whether a request that was given up was lost.
+
+        A server that accepts connections has either outlived the request, or writes a
+        later start into its entry soon.  One that stays silent is not waited for longer
+        than ``MAX_TRIAL_SILENCE_MS``.
+        """
+        clock, server = self._state.clock, exposure.server
+        end_ms = clock.now_ms() + const.MAX_TRIAL_SILENCE_MS
+        while not exposure.is_resolved and clock.now_ms() < end_ms:
+            try:
+                connection = await connect(
+                    server.address, b"", clock, const.CRASH_PROBE_TIMEOUT_MS
+                )
+            except UpstreamError:
+                await anyio.sleep(seconds(const.CRASH_PROBE_TIMEOUT_MS))
+                continue
+            await connection.close()
+            end_ms = min(end_ms, clock.now_ms() + const.RESTART_ENTRY_MS)
+            while not exposure.is_resolved and clock.now_ms() < end_ms:
+                await anyio.sleep(seconds(const.RESTART_POLL_MS))
 
     async def wait_until_judged(self, server: Server) -> None:
         """Wait until it is known whether a server that lost requests has crashed.
@@ -221,38 +285,48 @@
             "engine.crashed" if has_crashed else "engine.still_listens",
             server=server.id,
             lost_requests=len(requests),
-            parts=sorted({part for lost in requests for part in lost.parts}),
+            parts=sorted({part for lost in requests for part in lost.suspect_parts}),
             digests=sorted({lost.digest for lost in requests}),
         )
         if has_crashed:
-            self._record_crash(server, requests)
+            crash = self._identify_crash(server, self._state.clock.now_ms())
+            for exposure in requests:
+                self._state.exposures.resolve(exposure)
+            self._record_crash(crash, requests)
 
-    def _record_crash(self, server: Server, requests: Collection[_LostRequest]) -> None:
-        now = self._state.clock.now_ms()
-        crash = self._identify_crash(server, now)
-        for lost in requests:
-            for registry, parts in (
-                (self._state.prompt_parts, lost.parts),
-                (self._state.suspect_requests, (lost.digest,)),
-            ):
-                if parts:
-                    change = registry.record_crash(crash, parts, now)
-                    self._apply(change, "own requests")
+    def _record_crash(self, crash: int, requests: Iterable[Exposure]) -> None:
+        """Record a crash with the requests that were at the server.
+
+        Those that were answered before come last: the others may explain the crash.
+        """
+        now, requests = self._state.clock.now_ms(), tuple(requests)
+        for registry, groups in (
+            (self._state.prompt_parts, [lost.suspect_parts for lost in requests]),
+            (self._state.suspect_requests, [(lost.digest,) for lost in requests]),
+        ):
+            for parts in sorted(filter(None, groups), key=registry.were_answered):
+                change = registry.record_crash(crash, parts, now)
+                self._apply(change, "own requests")
         for listener in self._crash_listeners:
             listener()
 
     def _identify_crash(self, server: Server, now_ms: int) -> int:
         """Return an identifier that the daemons agree on without exchanging it."""
         key = server.id, server.started_ms
-        last = self._last_crashes.pop(key, None)
+        last = self._last_crashes.get(key)
         if last is None:
             last = _LastCrash(0, now_ms)
         elif now_ms - last.time_ms >= SAME_CRASH_MS:
             last = _LastCrash(last.number + 1, now_ms)
-        self._last_crashes[key] = last
+        return self._remember_crash(key, last)
+
+    def _remember_crash(self, key: tuple[str, int], crash: _LastCrash) -> int:
+        self._last_crashes.pop(key, None)
+        self._last_crashes[key] = crash
         if len(self._last_crashes) > MAX_CRASHED_ENGINES:
             self._last_crashes.popitem(last=False)
-        return zlib.crc32(f"{server.id}/{server.started_ms}/{last.number}".encode())
+        server_id, started_ms = key
+        return zlib.crc32(f"{server_id}/{started_ms}/{crash.number}".encode())
 
     def _apply(self, change: QuarantineChange, source: str) -> None:
         """Log a change of the quarantine and end the requests that it covers."""
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -18,6 +18,7 @@
     SlidingWindowRetryBudget,
 )
 from cowsliphitch.core.deployment.models import MAX_PRIORITY, Route, RouteKind, Team
+from cowsliphitch.core.quarantine.exposures import Exposure
 from cowsliphitch.core.requests.models import AnswerMetadata, CallerRequest
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.streams.models import StreamOrigin
@@ -101,6 +102,8 @@
     :param on_head: called when the head of an answer was received and accepted
     :param on_failure: called when an attempt failed, except for lost stage results
     :param is_trial: the request is suspect, and no other copy of it is at a server
+    :param exposure: the request as it was sent in the latest attempt, ``None`` if
+        nothing was sent
     :param server_id: server of the latest attempt
     :param status: status of the answer that was passed on
     """
@@ -122,6 +125,7 @@
     attempts: AttemptHistory = attrs.Factory(AttemptHistory)
     stream_progress: StreamProgress = attrs.Factory(StreamProgress)
     is_trial: bool = False
+    exposure: Exposure | None = None
     server_id: str | None = None
     status: int | None = None
 
@@ -217,9 +221,10 @@
 
         :returns: the refusal if no complete answer was passed on
         """
+        ctx.exposure = None
         try:
             async with self._trials.hold(
-                ctx.request, ctx.route, server, ctx.deadline_ms
+                ctx.request, ctx.route, server, ctx.deadline_ms, lambda: ctx.exposure
             ) as ctx.is_trial:
                 try:
                     await self._attempt(ctx, server, reply)
@@ -259,9 +264,6 @@
             self._state.placement.record_failure(server.id, now, is_unreachable)
             ctx.on_failure()
         has_begun = ctx.stream_progress.first_event_ms is not None
-        self._quarantine.record_lost_request(
-            ctx.request, server, refusal.reason, has_begun
-        )
         event(
             _LOGGER,
             "attempt.failed",
@@ -309,19 +311,21 @@
         )
         request = self._encode(ctx, server, options)
         placement = self._state.placement
+
+        def before_send() -> None:
+            self._quarantine.check_sendable(ctx.request, ctx.is_trial)
+            ctx.exposure = self._quarantine.expose(ctx.request, server)
+
         # From here on the request may have run, even if it is cancelled.
         ctx.attempts.may_have_run_on.add(server.id)
         placement.record_sent(server.id)
         ctx.on_sent()
         try:
-            async with self._exchange(ctx, server, request, permit) as answer:
-                metadata = wire.decode_head(answer.head)
-                self._check_answer(metadata, ctx)
-                placement.record_answer(server.id, self._state.clock.now_ms() - now)
-                ctx.on_head()
-                await self._relay_answer(ctx, server, answer, metadata, reply)
-                if metadata.is_success:
-                    self._quarantine.record_answer(ctx.request)
+            with self._quarantine.observe(lambda: ctx.exposure):
+                async with self._exchange(
+                    ctx, server, request, permit, before_send
+                ) as answer:
+                    await self._receive(ctx, server, answer, reply, now)
         except UpstreamError as exc:
             if exc.refusal.verdict is Verdict.NOT_RUN:
                 ctx.attempts.may_have_run_on.discard(server.id)
@@ -329,6 +333,27 @@
         finally:
             placement.record_end(server.id)
 
+    async def _receive(
+        self,
+        ctx: RequestContext,
+        server: Server,
+        answer: Answer,
+        reply: Reply,
+        sent_ms: int,
+    ) -> None:
+        """Check an answer and pass it on.
+
+        :raises UpstreamError: it may not be passed on, or is not complete
+        """
+        metadata = wire.decode_head(answer.head)
+        self._check_answer(metadata, ctx)
+        now = self._state.clock.now_ms()
+        self._state.placement.record_answer(server.id, now - sent_ms)
+        ctx.on_head()
+        await self._relay_answer(ctx, server, answer, metadata, reply)
+        if metadata.is_success:
+            self._quarantine.record_answer(ctx.request)
+
     def _encode(
         self, ctx: RequestContext, server: Server, options: wire.ForwardingOptions
     ) -> OutgoingRequest:
@@ -349,11 +374,15 @@
         server: Server,
         request: OutgoingRequest,
         permit: Permit | None,
+        before_send: Callable[[], None],
     ) -> AsyncIterator[Answer]:
         """Send a request and yield the answer.
 
         If the server's failure domain becomes unreachable, the exchange is abandoned
         only for requests that may be repeated.
+
+        :param before_send: called on the open connection, raises ``UpstreamError`` if
+            the request may not be sent any more
         """
         max_connections = self._max_connections(ctx.service)
         may_repeat = ctx.route.kind is RouteKind.IDEMPOTENT
@@ -367,9 +396,7 @@
                 max_connections,
                 Purpose.REQUEST,
                 permit,
-                functools.partial(
-                    self._quarantine.check_sendable, ctx.request, ctx.is_trial
-                ),
+                before_send,
             ) as answer:
                 yield answer
 
@@ -439,6 +466,9 @@
         splitter, progress = EventSplitter(), ctx.stream_progress
         is_continuation, has_events = reply.started, False
         async for chunk in answer.chunks():
+            self._state.exposures.hear(
+                server, answer.connected_ms, self._state.clock.now_ms()
+            )
             received = splitter.feed(chunk)
             answer.keep(len(splitter))
             if not received:
@@ -446,6 +476,8 @@
             events = resumable_events(received) if ctx.route.resumable else received
             if events:
                 has_events = True
+                if ctx.exposure is not None:
+                    ctx.exposure.has_begun = True
                 self._record_version(ctx, server)
                 if not reply.started:
                     progress.first_event_ms = self._state.clock.now_ms()
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -111,6 +111,9 @@
             ) as answer:
                 has_answered = True
                 self._reachability.record_answer(server.failure_domain)
+                self._state.exposures.hear(
+                    server, answer.connected_ms, self._state.clock.now_ms()
+                )
                 self._observe_head(server, answer.head)
                 yield answer
         except UpstreamError as exc:
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -18,6 +18,7 @@
 from cowsliphitch.core.fleet.members import MemberTable, hash_duty
 from cowsliphitch.core.limits.table import LimitTable
 from cowsliphitch.core.overload.loop_delay import LoopDelayMonitor
+from cowsliphitch.core.quarantine.exposures import ExposureTable
 from cowsliphitch.core.quarantine.prompt_parts import (
     MAX_ANSWERED_REQUESTS,
     MAX_REQUEST_REPORTS_PER_HEARTBEAT,
@@ -59,6 +60,7 @@
     :param freshness: how old the peers' views of the store are
     :param prompt_parts: prompt parts that are suspected of crashing engines
     :param suspect_requests: requests that are suspected of crashing servers, by digest
+    :param exposures: requests at servers, for those that are lost without a sign
     :param loop_delay: how late this daemon's event loop is
     :param stopping: SIGTERM was received
     :param stopping_since_ms: monotonic time at which ``stopping`` was set
@@ -85,6 +87,7 @@
             EachCrash(), MAX_REQUEST_REPORTS_PER_HEARTBEAT, MAX_ANSWERED_REQUESTS
         )
     )
+    exposures: ExposureTable = attrs.Factory(ExposureTable)
     loop_delay: LoopDelayMonitor = attrs.Factory(LoopDelayMonitor)
     stopping: bool = False
     stopping_since_ms: int = 0
--- a/packages/gateway/src/cowsliphitch/gateway/trials.py
+++ b/packages/gateway/src/cowsliphitch/gateway/trials.py
@@ -9,10 +9,11 @@
 """
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from cowsliphitch.core.deployment.models import Route
+from cowsliphitch.core.quarantine.exposures import Exposure
 from cowsliphitch.core.quarantine.trials import (
     TRIAL_RETRY_AFTER_MS,
     TrialRequest,
@@ -63,11 +64,17 @@
 
     @asynccontextmanager
     async def hold(
-        self, request: CallerRequest, route: Route, server: Server, deadline_ms: int
+        self,
+        request: CallerRequest,
+        route: Route,
+        server: Server,
+        deadline_ms: int,
+        exposure_of: Callable[[], Exposure | None],
     ) -> AsyncIterator[bool]:
         """Hold a trial of a request at a server, if the request is suspect.
 
         :param deadline_ms: monotonic time by which the copy has ended
+        :param exposure_of: returns the copy once it is sent, ``None`` before
         :returns: yields whether it is a trial
         :raises UpstreamError: the request is suspect and may not be sent now
         """
@@ -81,7 +88,9 @@
         try:
             yield True
         finally:
-            self._tasks.start_soon(self._end, owner, request.digest, server)
+            self._tasks.start_soon(
+                self._end, owner, request.digest, server, exposure_of()
+            )
 
     async def _begin(
         self, request: CallerRequest, route: Route, server: Server, deadline_ms: int
@@ -98,7 +107,10 @@
             duty=duty_name(group),
             holder=own,
             server_id=server.id,
-            duration_ms=deadline_ms - now + const.CRASH_PROBE_TIMEOUT_MS,
+            duration_ms=deadline_ms
+            - now
+            + const.CRASH_PROBE_TIMEOUT_MS
+            + const.MAX_TRIAL_SILENCE_MS,
             suspect=self._state.suspect_requests.report_of(request.digest, now),
         )
         owner = self._owner(message.duty)
@@ -152,9 +164,16 @@
         )
         return TrialReply(cause is None, known)
 
-    async def _end(self, owner: str, digest: str, server: Server) -> None:
-        """Report the end of a trial once its copy is judged."""
+    async def _end(
+        self, owner: str, digest: str, server: Server, exposure: Exposure | None
+    ) -> None:
+        """Report the end of a trial once its copy is judged.
+
+        :param exposure: the copy, ``None`` if it was not sent
+        """
         await self._quarantine.wait_until_judged(server)
+        if exposure is not None and exposure.is_silent:
+            await self._quarantine.wait_until_resolved(exposure)
         now = self._state.clock.now_ms()
         own = self._state.members.own.address
         report = EndTrial(own, self._state.suspect_requests.report_of(digest, now))
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -60,6 +60,9 @@
     :param crash_delay_ms: time from the receipt of such a body to the crash
     :param answer_delay_ms: time that it takes to answer other requests, unless it is an
         engine
+    :param silent_ms: time for which it falls silent when it crashes, as a machine
+        without power, 0 to refuse connections
+    :param restarts: a crash is followed by a new start, not only by a silent time
     :param crashes: number of its crashes
     :param limit: the limit on requests a second that its answers name, as sent
     :param says_leaving: its answers say that it leaves
@@ -86,11 +89,15 @@
     crashing_bodies: frozenset[bytes] = frozenset()
     crash_delay_ms: int = 0
     answer_delay_ms: int = 0
+    silent_ms: int = 0
+    restarts: bool = True
     crashes: int = 0
     limit: str | None = None
     says_leaving: bool = False
     arrivals_ms: list[int] = attrs.Factory(list)
     _crash_scope: anyio.CancelScope | None = None
+    _silent_until_s: float = 0.0
+    _handler_scopes: set[anyio.CancelScope] = attrs.Factory(set)
     _handle_numbers: Any = attrs.Factory(itertools.count)
 
     @property
@@ -109,7 +116,7 @@
             "state": self.state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": FIRST_START_MS + self.crashes,
+            "born": FIRST_START_MS + (self.crashes if self.restarts else 0),
         }
         return json.dumps(entry)
 
@@ -127,13 +134,32 @@
             await anyio.sleep(seconds(CRASH_MS))
 
     def crash(self) -> None:
-        """Close the listener and all connections."""
+        """Close the listener and all connections, or fall silent for a time."""
         self.crashes += 1
-        if self._crash_scope is not None:
+        if self.silent_ms:
+            self._silent_until_s = anyio.current_time() + seconds(self.silent_ms)
+            for scope in self._handler_scopes:
+                scope.cancel()
+        elif self._crash_scope is not None:
             self._crash_scope.cancel()
 
     async def handle(self, req: EdgeRequest, reply: Reply) -> None:
-        """Answer a call to run pieces, to free results or to run a request."""
+        """Answer a call to run pieces, to free results or to run a request.
+
+        In a silent time nothing is answered, and connections end when it is over.
+        """
+        if anyio.current_time() >= self._silent_until_s:
+            with anyio.CancelScope() as scope:
+                self._handler_scopes.add(scope)
+                try:
+                    await self._handle(req, reply)
+                finally:
+                    self._handler_scopes.discard(scope)
+            if not scope.cancelled_caught:
+                return
+        await anyio.sleep_until(self._silent_until_s)
+
+    async def _handle(self, req: EdgeRequest, reply: Reply) -> None:
         match req.path:
             case "/stage-run":
                 await self._run_stage(req, reply)
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/connection.py
@@ -28,6 +28,7 @@
     :ivar reusable_until_ms: monotonic time until which the idle connection may be used
         again
     :ivar request_count: requests sent on this connection
+    :ivar opened_ms: monotonic time at which the connection was opened
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self._eof_received = False
         self.reusable_until_ms = 0
         self.request_count = 0
+        self.opened_ms = clock.now_ms()
 
     async def send(self, request: OutgoingRequest, head: h11.Request) -> None:
         """Write a whole request.
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -67,6 +67,11 @@
         self.buffer = buffer
         self._connection = connection
 
+    @property
+    def connected_ms(self) -> int:
+        """Return the monotonic time at which its connection was opened."""
+        return self._connection.opened_ms
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body's bytes as they arrive.
 
