Count the crashes of stage servers under the requests whose pieces were there

Cause: only requests of callers were watched for crashes; a call to a stage server carried no digest, so the daemon that owns the pools could not tell what had been at the server.

Change: the digest goes with a request to the owner (a new field; without it nothing is recorded). A call that loses its connection, or hangs until its server has started again, makes the requests of its pieces suspect as any other request. A request that may have crashed two servers shares no call and has one at a time, so that sound ones are not lost beside it again. A failed call is judged before its pieces are tried again.

--- a/features/core/batching.feature
+++ b/features/core/batching.feature
@@ -29,6 +29,11 @@
     When its stages continue
     Then all its stages are done once, and the planner plans further calls
 
+  Scenario: Pieces of a request that may crash servers share no call, and have one at a time
+    Given 3 requests for a pool of two servers, of which the first may crash servers
+    When calls are planned for them and for a copy of the first
+    Then the first has a call of its own, its copy waits, and the others share one
+
   Scenario: A refusal for lack of memory does not count as an attempt
     Given a pool of one server that refuses pieces for lack of memory 10 times
     When a job of 2 pieces runs there
--- a/features/daemon/crashing_requests.feature
+++ b/features/daemon/crashing_requests.feature
@@ -69,6 +69,18 @@
     Then at most 5 engines crashed
     And all others were answered
 
+  Scenario Outline: A request whose pieces crash stage servers is refused when it comes again
+    Given a site with 3 daemons and 4 order desks
+    And stage servers that <crash> on the pieces of one request
+    When this request comes 6 times beside sound ones through all daemons
+    Then at most 3 stage servers crashed
+    And all others were answered
+
+    Examples:
+      | crash                   |
+      | crash                   |
+      | fall silent for 700 ms  |
+
   Scenario: Sound lookups that are lost beside requests that crash servers are answered when they come again
     Given a site with 3 daemons and 4 order desks
     And servers that crash 50 ms after they receive one request
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -254,6 +254,42 @@
     assert context.bench.freed_handles() == ["s0:1/1"]
 
 
+@given("3 requests for a pool of two servers, of which the first may crash servers")
+def may_crash_servers(context: Any) -> None:
+    context.bench = bench = PlannerBench(servers=2)
+    bench.planner = StagePlanner(
+        bench.servers.__getitem__, runs_apart=lambda digest: digest == "d0"
+    )
+    bench.planner.set_pools({"s": POOL})
+
+
+@when("calls are planned for them and for a copy of the first")
+def plan_for_suspects(context: Any) -> None:
+    planner = context.bench.planner
+    for name, digest in (("r0", "d0"), ("r1", "d1"), ("copy", "d0"), ("r2", "d2")):
+        request = StageRequest(
+            name,
+            SINGLE_STAGE,
+            (1,),
+            name,
+            8_000,
+            4_000,
+            50,
+            1,
+            "team",
+            "domain",
+            digest,
+        )
+        assert isinstance(planner.admit(request, 0), Admission)
+    context.planned = planner.plan_calls(0)
+
+
+@then("the first has a call of its own, its copy waits, and the others share one")
+def suspects_are_apart(context: Any) -> None:
+    groups = [{p.job.request_id for p in call.pieces} for call in context.planned]
+    assert groups == [{"r0"}, {"r1", "r2"}], groups
+
+
 @given("a request that skips its second stage, whose pool is not in force")
 def skips_unknown_pool(context: Any) -> None:
     context.bench = bench = PlannerBench()
--- a/features/steps/containment_steps.py
+++ b/features/steps/containment_steps.py
@@ -3,14 +3,12 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from functools import partial
 from typing import Any
 from unittest import mock
 
 import anyio
 from behave import given, then, when
 from heartbeat_steps import heartbeat
-from sending_steps import caller_request
 
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.engines.selector import CostWeights
@@ -61,7 +59,11 @@
 def run_call(context: Any) -> None:
     async def action(tasks: BackgroundTasks) -> None:
         unused: Any = None
-        executor = StageExecutor(new_state(), unused, unused, CostWeights(), tasks)
+        state = new_state()
+        quarantine = EngineQuarantine(state, tasks)
+        executor = StageExecutor(
+            state, unused, unused, CostWeights(), tasks, quarantine
+        )
         executor.planner = context.planner
         error = mock.AsyncMock(side_effect=KeyError("unexpected"))
         with mock.patch.object(executor, "_send_call", error):
@@ -91,11 +93,11 @@
         with mock.patch.object(engine_quarantine, "refuses_connections", context.probe):
             # A later loss is probed again.
             for _ in range(2):
-                exposure = quarantine.expose(caller_request(0), SERVER)
+                exposure = quarantine.expose("digest", (), SERVER)
                 lost = may_have_run(Reason.CONNECTION_LOST, "lost")
                 with (
                     suppress(UpstreamError),
-                    quarantine.observe(partial(lambda sent: sent, exposure)),
+                    quarantine.observe([exposure]),
                 ):
                     raise UpstreamError(lost)
                 await quarantine.wait_until_judged(SERVER)
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests that crash servers and come again at the same moment."""
 
 import itertools
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -19,6 +20,8 @@
     wait_for_restarts,
 )
 
+from cowsliphitch.standins.site import put
+
 # Time after which a caller repeats a request whose answer does not say when.
 REPEAT_S = 0.3
 
@@ -140,6 +143,49 @@
     )
 
 
+CRASHING_KEY = "crashing-key"
+
+
+@given("stage servers that crash on the pieces of one request")
+def stages_crash(context: Any) -> None:
+    """Have stage servers crash, and register when they have started again."""
+    context.part_numbers = itertools.count(1)
+    server = context.site.servers["encode-1"]
+    server.crashing_key = CRASHING_KEY
+
+    def register() -> None:
+        arguments = context.site.store, f"servers/{server.id}", server.entry()
+        threading.Thread(target=put, args=arguments).start()
+
+    server.on_restart = register
+
+
+@given("stage servers that fall silent for {ms:d} ms on the pieces of one request")
+def stages_fall_silent(context: Any, ms: int) -> None:
+    stages_crash(context)
+    context.site.servers["encode-1"].silent_ms = ms
+
+
+@when("this request comes {count:d} times beside sound ones through all daemons")
+def pieces_come(context: Any, count: int) -> None:
+    daemons = context.site.daemon_count
+    headers = {"cowsliphitch-piece-key": CRASHING_KEY}
+    come_and_leave(
+        context,
+        count,
+        lambda n: send_one(
+            context, "a generation", CRASHING_BODY, n % daemons, headers
+        ),
+        lambda n: send_one(context, "a generation", f"sound {n}", n % daemons),
+    )
+
+
+@then("at most {count:d} stage servers crashed")
+def at_most_stage_servers(context: Any, count: int) -> None:
+    crashes = context.site.servers["encode-1"].crashes
+    assert 1 <= crashes <= count, crashes
+
+
 @then("exactly {count:d} copies of it reached servers")
 def exact_copies(context: Any, count: int) -> None:
     copies = copies_at_servers(context, CRASHING_BODY)
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -9,6 +9,7 @@
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
+from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.stage_executor import StageExecutor
 from cowsliphitch.gateway.stage_runner import NO_GENERATION
 from cowsliphitch.gateway.state import GatewayState
@@ -48,7 +49,10 @@
     assert state.loop_delay.record_tick(clock.now_ms()) == ms
     context.clock = clock
     unused: Any = None
-    context.executor = StageExecutor(state, unused, unused, CostWeights(), unused)
+    quarantine = EngineQuarantine(state, unused)
+    context.executor = StageExecutor(
+        state, unused, unused, CostWeights(), unused, quarantine
+    )
 
 
 @when("it gets a {kind} {ms:d} ms after the tick")
--- a/packages/core/src/cowsliphitch/core/batching/models.py
+++ b/packages/core/src/cowsliphitch/core/batching/models.py
@@ -32,6 +32,7 @@
     :param queued_ms: time at which the job was queued
     :param best_effort: the request was admitted although it is expected to miss its
         objective
+    :param digest: digest of the request's content, empty if unknown
     """
 
     id: int
@@ -51,6 +52,7 @@
     cross_domain_bytes: int
     queued_ms: int
     best_effort: bool = False
+    digest: str = ""
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -60,11 +60,18 @@
 
     :param servers: returns the servers of a pool that accept new work
     :param rates: limits of the servers, ``None`` without any
+    :param runs_apart: returns whether requests with a digest are kept apart from others
     """
 
-    def __init__(self, servers: ServerLookup, rates: ServerRates | None = None) -> None:
+    def __init__(
+        self,
+        servers: ServerLookup,
+        rates: ServerRates | None = None,
+        runs_apart: Callable[[str], bool] = lambda _digest: False,
+    ) -> None:
         """Initialize a planner without pools and requests."""
         self._rates = rates or NoRates()
+        self._runs_apart = runs_apart
         self._servers = servers
         self._queues: dict[str, StageQueue] = {}
         self._pools: dict[str, StagePool] = {}
@@ -96,7 +103,7 @@
             if service in self._queues:
                 self._queues[service].set_pool(pool)
             else:
-                self._queues[service] = StageQueue(pool, self._rates)
+                self._queues[service] = StageQueue(pool, self._rates, self._runs_apart)
 
     def admit(self, request: StageRequest, now_ms: int) -> Admission | Refusal:
         """Admit a request and queue its first stages, or refuse it.
@@ -480,6 +487,7 @@
             cross_domain_bytes=self._cross_domain_bytes(execution, index),
             queued_ms=now_ms,
             best_effort=execution.best_effort,
+            digest=request.digest,
         )
         execution.job_ids[index] = job.id
         self._stage_of_job[job.id] = (execution.id, index)
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -8,7 +8,7 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -56,11 +56,19 @@
 
     :param pool: capacity and timing of one server
     :param rates: limits of the servers, ``None`` without any
+    :param runs_apart: returns whether requests with a digest are kept apart from
+        others: the digest may have crashed servers
     """
 
-    def __init__(self, pool: StagePool, rates: ServerRates | None = None) -> None:
+    def __init__(
+        self,
+        pool: StagePool,
+        rates: ServerRates | None = None,
+        runs_apart: Callable[[str], bool] = lambda _digest: False,
+    ) -> None:
         """Initialize an empty queue."""
         self._rates = rates or NoRates()
+        self._runs_apart = runs_apart
         self._pool = pool
         self._jobs: dict[int, JobProgress] = {}
         self._calls: dict[int, Call] = {}
@@ -261,7 +269,8 @@
     ) -> tuple[Piece, ...]:
         """Take the pieces of one call from the queue, the most urgent first.
 
-        The call stays within the batch size and the server's memory for results.
+        The call stays within the batch size and the server's memory for results.  A
+        request that is kept apart shares no call, and has one call at a time.
         """
         free_bytes = self.memory.free_bytes(server.id)
         chosen: list[Piece] = []
@@ -274,6 +283,8 @@
         eligible.sort(key=lambda p: self._sort_key(p, now_ms, server.failure_domain))
         for progress in eligible:
             job = progress.job
+            if not self._may_join(job, chosen):
+                continue
             while progress.waiting_pieces and len(chosen) < self._pool.batch:
                 if free_bytes < job.result_bytes:
                     self.diagnostics.out_of_memory += 1
@@ -283,6 +294,21 @@
                 progress.last_called_ms = now_ms
         return tuple(chosen)
 
+    def _may_join(self, job: Job, chosen: Sequence[Piece]) -> bool:
+        """Return whether a job's pieces may be in a call with those chosen so far."""
+        if chosen and chosen[0].job.request_id == job.request_id:
+            return True
+        if chosen and self._runs_apart(chosen[0].job.digest):
+            return False
+        if not self._runs_apart(job.digest):
+            return True
+        is_running = any(
+            piece.job.digest == job.digest
+            for call in self._calls.values()
+            for piece in call.pieces
+        )
+        return not chosen and not is_running
+
     def _start_call(
         self, server: Server, pieces: tuple[Piece, ...], now_ms: int
     ) -> Call:
--- a/packages/core/src/cowsliphitch/core/batching/requests.py
+++ b/packages/core/src/cowsliphitch/core/batching/requests.py
@@ -19,6 +19,7 @@
     :param engine_ms: expected duration from the last stage result to the first token
     :param priority: 0 is the most urgent
     :param engine_domain: failure domain of the engine that reads the final results
+    :param digest: digest of the request's content, empty if unknown
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     priority: int
     team: str
     engine_domain: str
+    digest: str = ""
 
     def piece_count(self, stage: int) -> int:
         """Return the number of pieces of a stage, 0 if it is skipped."""
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -115,6 +115,7 @@
         self._server_client = ServerClient(
             state, self._server_connections, self._permits
         )
+        self._quarantine = quarantine = EngineQuarantine(state, tasks)
         self._stage_owner = StageOwner(
             state,
             lambda cell: StageExecutor(
@@ -123,11 +124,11 @@
                 self._permits,
                 _cost_weights(cfg),
                 tasks,
+                quarantine,
                 cell,
             ),
             tasks,
         )
-        self._quarantine = quarantine = EngineQuarantine(state, tasks)
         self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, tasks)
         self._store = StoreCoordinator(
             self._kv,
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -13,7 +13,7 @@
 import logging
 import zlib
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 
 import anyio
@@ -22,7 +22,10 @@
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.quarantine.exposures import Exposure
 from cowsliphitch.core.quarantine.prompt_parts import PartReport, QuarantineChange
-from cowsliphitch.core.quarantine.trials import TRIAL_RETRY_AFTER_MS
+from cowsliphitch.core.quarantine.trials import (
+    CRASHES_TO_SEPARATE,
+    TRIAL_RETRY_AFTER_MS,
+)
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.servers.registry import STORE_SOURCE
@@ -149,36 +152,48 @@
         self._apply(requests.record_answer((request.digest,), now), "answer")
 
     @contextmanager
-    def observe(self, exposure_of: Callable[[], Exposure | None]) -> Iterator[None]:
-        """Observe the enclosed exchange of a request with a server.
+    def observe(self, sent: Sequence[Exposure]) -> Iterator[None]:
+        """Observe the enclosed exchange with a server.
 
-        If it ends without an answer, the request may be what crashes the server.
+        If it ends without an answer, what was sent may have crashed the server.
 
-        :param exposure_of: returns the request once it is sent, ``None`` before
+        :param sent: the requests in the exchange, filled once they are sent
         """
         exposures, clock = self._state.exposures, self._state.clock
         try:
             yield
         except UpstreamError as exc:
-            exposure = exposure_of()
-            if exposure is not None and exc.refusal.reason in CRASH_REASONS:
-                exposures.give_up(exposure, clock.now_ms(), is_silent=False)
-                self._record_lost(exposure)
-            elif exposure is not None:
-                exposures.resolve(exposure)
+            for exposure in sent:
+                if exc.refusal.reason in CRASH_REASONS:
+                    exposures.give_up(exposure, clock.now_ms(), is_silent=False)
+                    self._record_lost(exposure)
+                else:
+                    exposures.resolve(exposure)
             raise
         except BaseException:
-            # The caller has left, or its deadline has passed.
-            if (exposure := exposure_of()) is not None:
+            # The caller has left, or the time for the exchange is over.
+            for exposure in sent:
                 exposures.give_up(exposure, clock.now_ms(), is_silent=True)
             raise
-        if (exposure := exposure_of()) is not None:
+        for exposure in sent:
             exposures.resolve(exposure)
 
-    def expose(self, request: CallerRequest, server: Server) -> Exposure:
-        """Record that a request is sent to a server."""
-        return self._state.exposures.begin(
-            request.digest, request.shared_part_ids, server, self._state.clock.now_ms()
+    def expose(self, digest: str, parts: tuple[str, ...], server: Server) -> Exposure:
+        """Record that a request is sent to a server.
+
+        :param parts: its prompt parts that may crash the server
+        """
+        now = self._state.clock.now_ms()
+        return self._state.exposures.begin(digest, parts, server, now)
+
+    def runs_apart(self, digest: str) -> bool:
+        """Return whether a request is kept apart from others, as it may crash servers.
+
+        Sound requests would be lost beside it once more.
+        """
+        requests = self._state.suspect_requests
+        return requests.has_records and requests.is_suspect(
+            (digest,), CRASHES_TO_SEPARATE
         )
 
     def _record_lost(self, exposure: Exposure) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -312,16 +312,21 @@
         request = self._encode(ctx, server, options)
         placement = self._state.placement
 
+        sent: list[Exposure] = []
+
         def before_send() -> None:
             self._quarantine.check_sendable(ctx.request, ctx.is_trial)
-            ctx.exposure = self._quarantine.expose(ctx.request, server)
+            ctx.exposure = self._quarantine.expose(
+                ctx.request.digest, ctx.request.shared_part_ids, server
+            )
+            sent.append(ctx.exposure)
 
         # From here on the request may have run, even if it is cancelled.
         ctx.attempts.may_have_run_on.add(server.id)
         placement.record_sent(server.id)
         ctx.on_sent()
         try:
-            with self._quarantine.observe(lambda: ctx.exposure):
+            with self._quarantine.observe(sent):
                 async with self._exchange(
                     ctx, server, request, permit, before_send
                 ) as answer:
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -7,7 +7,7 @@
 
 import itertools
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import anyio
 import attrs
@@ -32,6 +32,7 @@
 from cowsliphitch.core.fleet.cells import WHOLE_FLEET, Cell
 from cowsliphitch.core.limits.models import Denied, Granted
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
+from cowsliphitch.core.quarantine.exposures import Exposure
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
 from cowsliphitch.peers.fleet.models import (
@@ -49,6 +50,7 @@
 from cowsliphitch.upstreams.http1.models import OutgoingRequest, UpstreamError
 
 from . import const
+from .engine_quarantine import EngineQuarantine
 from .permits import PermitBroker
 from .server_client import Purpose, ServerClient
 from .state import GatewayState, duty_name
@@ -96,11 +98,13 @@
         permits: PermitBroker,
         costs: CostWeights,
         tasks: BackgroundTasks,
+        quarantine: EngineQuarantine,
         cell: Cell = WHOLE_FLEET,
     ) -> None:
         """Initialize without stage pools.
 
         :param permits: grants requests to limited servers
+        :param quarantine: learns which requests were at servers that crashed
         :param tasks: send the calls to servers
         :param cell: the failure domains whose servers are used
         """
@@ -108,6 +112,7 @@
         self._client = client
         self._permits = permits
         self._tasks = tasks
+        self._quarantine = quarantine
         self._cell = cell
         # Ready servers of the cell by service, with all ready ones at that time.
         self._ready_servers: dict[
@@ -118,7 +123,7 @@
         self._engine_service = ""
         self.duty = ""
         self.delay_ms = 0
-        self.planner = StagePlanner(self._ready, permits)
+        self.planner = StagePlanner(self._ready, permits, quarantine.runs_apart)
         self.engine_selector = EngineSelector(costs, permits)
         self._pending: dict[int, _PendingRequest] = {}
         self._applied_version = 0
@@ -445,15 +450,29 @@
         ]
         expected_ms = (call.due_ms - call.started_ms) * const.STAGE_CALL_TIMEOUT_FACTOR
         timeout_ms = max(const.MIN_STAGE_CALL_TIMEOUT_MS, expected_ms)
+        digests = {piece.job.digest for piece in call.pieces} - {""}
+        exposures: list[Exposure] = []
+
+        def before_send() -> None:
+            exposures.extend(
+                self._quarantine.expose(digest, (), call.server) for digest in digests
+            )
+
         try:
-            with anyio.fail_after(seconds(timeout_ms)):
+            with (
+                anyio.fail_after(seconds(timeout_ms)),
+                self._quarantine.observe(exposures),
+            ):
                 content = await self._exchange(
                     call.server,
                     wire.encode_pieces(call.server, piece_requests),
                     Purpose.STAGE_CALL,
+                    before_send,
                 )
         except (UpstreamError, TimeoutError) as exc:
             self._log_failed_call(call, str(exc) or "timeout")
+            # What the pieces are tried again with depends on the verdict on the server.
+            await self._quarantine.wait_until_judged(call.server)
             return StageCallFailed(_may_have_run(exc))
         outcomes = wire.decode_pieces(content, len(piece_requests))
         if outcomes is None:
@@ -492,12 +511,16 @@
         )
 
     async def _exchange(
-        self, server: Server, request: OutgoingRequest, purpose: Purpose
+        self,
+        server: Server,
+        request: OutgoingRequest,
+        purpose: Purpose,
+        before_send: Callable[[], None] = lambda: None,
     ) -> bytes:
         max_connections = self._max_connections(server.service)
         with self._client.cancel_if_unreachable(server):
             async with self._client.exchange(
-                server, request, max_connections, purpose
+                server, request, max_connections, purpose, check_sendable=before_send
             ) as answer:
                 content = await answer.read(const.MAX_STAGE_ANSWER_BYTES)
         metadata = wire.decode_head(answer.head)
@@ -595,4 +618,5 @@
         priority=request.priority,
         team=request.team,
         engine_domain=choice.server.failure_domain,
+        digest=request.digest,
     )
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -199,6 +199,7 @@
             excluded_engines=params.excluded_engines,
             paused_engines=tuple(self._state.servers.paused(params.engine_service)),
             version=params.version,
+            digest=params.request.digest,
         )
 
     def _group_of(self, route: Route) -> str:
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -359,6 +359,7 @@
         paused=request.paused_engines,
         version=request.version,
         cell=request.cell,
+        digest=request.digest,
     )
 
 
@@ -398,6 +399,7 @@
         paused_engines=tuple(message.paused),
         version=message.version if message.HasField("version") else None,
         cell=tuple(message.cell),
+        digest=message.digest,
     )
 
 
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -148,6 +148,8 @@
         for now
     :param version: software version that the engine must have, ``None`` for any
     :param cell: failure domains whose servers run it, empty for all
+    :param digest: digest of its content, under which it is suspected of crashing
+        servers, empty if unknown
     """
 
     request_id: str
@@ -165,6 +167,7 @@
     paused_engines: tuple[str, ...] = ()
     version: str | None = None
     cell: tuple[str, ...] = ()
+    digest: str = ""
 
 
 # Service and result handles of each final stage.
--- a/packages/standins/src/cowsliphitch/standins/site.py
+++ b/packages/standins/src/cowsliphitch/standins/site.py
@@ -4,9 +4,11 @@
 separate processes.
 """
 
+import asyncio
 import base64
 import itertools
 import json
+from collections.abc import Callable
 from typing import Any, Final
 
 import anyio
@@ -57,12 +59,14 @@
     :param crashing_part: prompt part on which it crashes instead of answering
     :param crashing_bodies: bodies on which it crashes instead of answering, an engine
         after its first event
+    :param crashing_key: input of pieces on which a stage server crashes
     :param crash_delay_ms: time from the receipt of such a body to the crash
     :param answer_delay_ms: time that it takes to answer other requests, unless it is an
         engine
     :param silent_ms: time for which it falls silent when it crashes, as a machine
         without power, 0 to refuse connections
     :param restarts: a crash is followed by a new start, not only by a silent time
+    :param on_restart: called when it has started again after a crash
     :param crashes: number of its crashes
     :param limit: the limit on requests a second that its answers name, as sent
     :param says_leaving: its answers say that it leaves
@@ -87,10 +91,12 @@
     prefill_ms: int = 0
     crashing_part: str = ""
     crashing_bodies: frozenset[bytes] = frozenset()
+    crashing_key: str = ""
     crash_delay_ms: int = 0
     answer_delay_ms: int = 0
     silent_ms: int = 0
     restarts: bool = True
+    on_restart: Callable[[], None] = lambda: None
     crashes: int = 0
     limit: str | None = None
     says_leaving: bool = False
@@ -136,6 +142,9 @@
     def crash(self) -> None:
         """Close the listener and all connections, or fall silent for a time."""
         self.crashes += 1
+        asyncio.get_running_loop().call_later(
+            seconds(self.silent_ms or CRASH_MS), self.on_restart
+        )
         if self.silent_ms:
             self._silent_until_s = anyio.current_time() + seconds(self.silent_ms)
             for scope in self._handler_scopes:
@@ -174,6 +183,9 @@
     async def _run_stage(self, req: EdgeRequest, reply: Reply) -> None:
         items = json.loads(req.body)["items"]
         self.piece_count += len(items)
+        if self.crashing_key in {item.get("key") for item in items}:
+            self.crash()
+            await anyio.sleep_forever()
         results = [
             {"handle": f"{self.address}/{self.id}-{next(self._handle_numbers)}"}
             for _ in items
