--- a/features/steps/config_drill_steps.py
+++ b/features/steps/config_drill_steps.py
@@ -13,9 +13,9 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.config.const import ROOT_KEY
+from cowsliphitch.core.kv.models import Applied, WriteOutcomeUnknown, WriteResult
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Applied, WriteOutcomeUnknown, WriteResult
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.state.config.models import Author, Stored
--- a/features/steps/config_steps.py
+++ b/features/steps/config_steps.py
@@ -15,10 +15,10 @@
     branch_values,
     plan_change,
 )
+from cowsliphitch.core.kv.models import Entry, KeyRead, KeyUnchanged
 from cowsliphitch.core.revisions import NO_REVISION, Revision
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Entry, KeyRead, KeyUnchanged
 from cowsliphitch.state.config.coordinator import ConfigCoordinator
 from cowsliphitch.state.config.models import Root
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -12,12 +12,12 @@
 
 from cowsliphitch.callers.edge.models import EdgeRequest
 from cowsliphitch.core.clock import Clock
+from cowsliphitch.core.kv.models import Entry
 from cowsliphitch.core.revisions import Revision
 from cowsliphitch.gateway import store_coordinator, stream_records, suspect_records
 from cowsliphitch.peers.fleet import convert
 from cowsliphitch.platform import callers, operator_document, server_entries, servers
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Entry
 from cowsliphitch.standins.site import document, put
 from cowsliphitch.upstreams.http1 import connection
 from cowsliphitch.upstreams.http1.models import AnswerHead
--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -11,11 +11,7 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.fleet.members import Member, MemberTable
-from cowsliphitch.core.revisions import LeaseRef, Revision
-from cowsliphitch.gateway.state import GatewayState
-from cowsliphitch.gateway.store_coordinator import StoreCoordinator
-from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import (
+from cowsliphitch.core.kv.models import (
     Applied,
     Changes,
     Conflict,
@@ -26,6 +22,10 @@
     Unavailable,
     WriteOutcomeUnknown,
 )
+from cowsliphitch.core.revisions import LeaseRef, Revision
+from cowsliphitch.gateway.state import GatewayState
+from cowsliphitch.gateway.store_coordinator import StoreCoordinator
+from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.standins.site import SiteServer
 
 ITEM = {"key": "k", "value": "dg==", "mod_rev": 7, "created": 7, "lease": 0}
--- a/features/steps/order_drill_steps.py
+++ b/features/steps/order_drill_steps.py
@@ -12,11 +12,11 @@
 from config_drill_steps import OUTAGE_S, Drill
 from result import Err, Ok
 
+from cowsliphitch.core.kv.models import WriteResult
 from cowsliphitch.core.orders.log import Owned
 from cowsliphitch.core.orders.models import OrderKey, parse_key
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Orders
 from cowsliphitch.core.verdict import Verdict
-from cowsliphitch.platform.store.models import WriteResult
 from cowsliphitch.state.orders.coordinator import OrderCoordinator
 
 TIMEOUT_MS = 3_000
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -12,11 +12,7 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.fleet.following import reader_of
 from cowsliphitch.core.fleet.members import Member, MemberTable
-from cowsliphitch.core.revisions import Revision
-from cowsliphitch.gateway.state import GatewayState
-from cowsliphitch.gateway.store_coordinator import StoreCoordinator
-from cowsliphitch.peers.fleet.models import StoreNews
-from cowsliphitch.platform.store.models import (
+from cowsliphitch.core.kv.models import (
     Changes,
     Deleted,
     Entry,
@@ -24,6 +20,10 @@
     Restored,
     Unavailable,
 )
+from cowsliphitch.core.revisions import Revision
+from cowsliphitch.gateway.state import GatewayState
+from cowsliphitch.gateway.store_coordinator import StoreCoordinator
+from cowsliphitch.peers.fleet.models import StoreNews
 from cowsliphitch.standins.site import SiteServer
 
 SERVERS = 3
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -14,14 +14,7 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.fleet.members import Member, MemberTable
-from cowsliphitch.core.revisions import NO_REVISION, Revision
-from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
-from cowsliphitch.gateway.fleet_coordinator import FleetCoordinator
-from cowsliphitch.gateway.state import GatewayState
-from cowsliphitch.gateway.store_coordinator import StoreCoordinator
-from cowsliphitch.peers.fleet.rpc import PeerConnections
-from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import (
+from cowsliphitch.core.kv.models import (
     Applied,
     Changes,
     Deleted,
@@ -30,6 +23,13 @@
     Restored,
     Unavailable,
 )
+from cowsliphitch.core.revisions import NO_REVISION, Revision
+from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
+from cowsliphitch.gateway.fleet_coordinator import FleetCoordinator
+from cowsliphitch.gateway.state import GatewayState
+from cowsliphitch.gateway.store_coordinator import StoreCoordinator
+from cowsliphitch.peers.fleet.rpc import PeerConnections
+from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.standins.processes import free_port
 from cowsliphitch.state.leases.coordinator import LeaseCoordinator
 
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -28,13 +28,7 @@
     text,
     whole_number,
 )
-from cowsliphitch.core.revisions import FIRST_ERA, LeaseRef, Revision
-from cowsliphitch.core.servers.models import Server
-from cowsliphitch.core.servers.registry import STORE_SOURCE
-from cowsliphitch.peers.fleet.models import StoreChange, StoreNews
-from cowsliphitch.platform import operator_document, server_entries
-from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import (
+from cowsliphitch.core.kv.models import (
     Applied,
     Changes,
     Compacted,
@@ -46,6 +40,12 @@
     Restored,
     Unavailable,
 )
+from cowsliphitch.core.revisions import FIRST_ERA, LeaseRef, Revision
+from cowsliphitch.core.servers.models import Server
+from cowsliphitch.core.servers.registry import STORE_SOURCE
+from cowsliphitch.peers.fleet.models import StoreChange, StoreNews
+from cowsliphitch.platform import operator_document, server_entries
+from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.telemetry.logs import event
 
 from . import const, stream_records, suspect_records
--- a/packages/gateway/src/cowsliphitch/gateway/stream_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stream_coordinator.py
@@ -14,6 +14,7 @@
 from result import Err, Ok
 
 from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.kv.models import Applied
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.revisions import LeaseRef
 from cowsliphitch.core.streams.models import (
@@ -24,7 +25,6 @@
 from cowsliphitch.core.streams.registry import RECORD_TTL_MS
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Applied
 from cowsliphitch.telemetry.logs import event
 
 from . import const, stream_records
--- a/packages/gateway/src/cowsliphitch/gateway/suspect_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/suspect_coordinator.py
@@ -10,9 +10,9 @@
 from result import Err, Ok
 
 from cowsliphitch.core.clock import seconds
+from cowsliphitch.core.kv.models import Applied
 from cowsliphitch.core.quarantine.prompt_parts import CRASH_RETENTION_MS
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Applied
 from cowsliphitch.telemetry.logs import event
 
 from . import const, suspect_records
--- a/packages/state/src/cowsliphitch/state/config/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/config/coordinator.py
@@ -20,10 +20,10 @@
     branch_values,
     is_newer,
 )
+from cowsliphitch.core.kv.models import KeyRead, KeyUnchanged, Unavailable
 from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.core.settings.models import EMPTY_SETTINGS, Settings
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import KeyRead, KeyUnchanged, Unavailable
 
 from . import const
 from .models import Author, Root, RootUpdate, Stored, SubmitResult
--- a/packages/state/src/cowsliphitch/state/config/store.py
+++ b/packages/state/src/cowsliphitch/state/config/store.py
@@ -24,15 +24,15 @@
     Snapshot,
     plan_change,
 )
-from cowsliphitch.core.revisions import NO_REVISION, Revision
-from cowsliphitch.core.settings.models import Settings
-from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import (
+from cowsliphitch.core.kv.models import (
     Applied,
     Conflict as KeyConflict,
     Unavailable,
     WriteOutcomeUnknown,
 )
+from cowsliphitch.core.revisions import NO_REVISION, Revision
+from cowsliphitch.core.settings.models import Settings
+from cowsliphitch.platform.store.client import KeyValueClient
 
 from . import const
 from .models import (
--- a/packages/state/src/cowsliphitch/state/leases/coordinator.py
+++ b/packages/state/src/cowsliphitch/state/leases/coordinator.py
@@ -11,9 +11,9 @@
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.codec import to_json
 from cowsliphitch.core.fencing.lease import HeldLease, renew_at_ms
+from cowsliphitch.core.kv.models import Applied, LeaseExpired
 from cowsliphitch.core.revisions import NO_REVISION
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import Applied, LeaseExpired
 
 from . import const
 from .models import Diagnostics, Holder
--- a/packages/state/src/cowsliphitch/state/orders/writer.py
+++ b/packages/state/src/cowsliphitch/state/orders/writer.py
@@ -13,6 +13,12 @@
 from cowsliphitch.core import ids
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.codec import from_json, to_json
+from cowsliphitch.core.kv.models import (
+    Applied,
+    Conflict,
+    Unavailable,
+    WriteOutcomeUnknown,
+)
 from cowsliphitch.core.orders import const as keys
 from cowsliphitch.core.orders.log import (
     AppendPlan,
@@ -29,12 +35,6 @@
 from cowsliphitch.core.settings.models import Orders
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict, not_run
 from cowsliphitch.platform.store.client import KeyValueClient
-from cowsliphitch.platform.store.models import (
-    Applied,
-    Conflict,
-    Unavailable,
-    WriteOutcomeUnknown,
-)
 
 from . import const
 from .models import Diagnostics, Outcome, PendingRecord
