Evacuate failure domains and limit requests to cold servers

The operator takes whole failure domains out of service by keys of the store, which daemons did not read; and the time for which a server remains cold was read but not used, so that cold engines, which are idle, got whatever arrived.

ServerRegistry leaves out the servers of evacuated domains in ready() and is_usable(), so that everything that ServerClient sends obeys, whoever chose the server and when. StoreCoordinator reads op/evacuate/ZONE in listings, the watch and news; an outage of the store changes nothing. Requests of a service without other servers are refused at once with Retry-After, and so are those that wait for calls of such a stage pool. LimitTable keeps the rates of cold servers beside the limits that servers name, and the permits enforce the lower one. Heartbeats count what was sent to cold servers, without a change of the wire format.

Steps: the step for servers that leave while a connection is opened takes evacuations as well; what it checks for servers that leave is unchanged.

--- a/features/gateway/sending.feature
+++ b/features/gateway/sending.feature
@@ -177,3 +177,19 @@
     Given servers "s1" that listen
     When "s1" wants nothing for 3000 ms and its domain is suspect
     Then "s1" is not probed
+
+  Scenario Outline: A server whose domain is evacuated while the connection is opened gets nothing
+    Given servers "s1, s2" that listen
+    When a <purpose> is sent to "s1", which is evacuated while the connection is opened
+    Then nothing was sent to "s1", and the sender knows it
+
+    Examples:
+      | purpose      |
+      | request      |
+      | stage call   |
+      | free results |
+
+  Scenario: A request to a server that becomes cold while the connection is opened runs at another
+    Given servers "s1, s2" that listen
+    When a request is forwarded to "s1", which becomes cold while the connection is opened
+    Then the request was answered by "s2", and no retry was spent
--- a/features/platform/entries.feature
+++ b/features/platform/entries.feature
@@ -48,6 +48,7 @@
       | decoder                  |
       | a server's entry         |
       | the operator's document  |
+      | the key of an evacuation |
       | a member's entry         |
       | a daemon's streams       |
       | a daemon's suspects      |
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -16,7 +16,13 @@
 from cowsliphitch.core.revisions import Revision
 from cowsliphitch.gateway import store_coordinator, stream_records, suspect_records
 from cowsliphitch.peers.fleet import convert
-from cowsliphitch.platform import callers, operator_document, server_entries, servers
+from cowsliphitch.platform import (
+    callers,
+    evacuations,
+    operator_document,
+    server_entries,
+    servers,
+)
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.standins.site import document, put
 from cowsliphitch.upstreams.http1 import connection
@@ -159,6 +165,7 @@
 DECODERS: dict[str, Callable[[bytes], object]] = {
     "a server's entry": lambda raw: server_entries.decode_entry(KEY, text_of(raw)),
     "the operator's document": lambda raw: operator_document.decode_document(raw),
+    "the key of an evacuation": lambda raw: evacuations.decode_key(text_of(raw)),
     "a member's entry": lambda raw: store_coordinator._decode_member(
         Entry("members/127.0.0.1:1", text_of(raw), Revision(1, 1))
     ),
--- a/features/steps/sending_steps.py
+++ b/features/steps/sending_steps.py
@@ -174,6 +174,12 @@
         report = LeavingReport(name, Revision(1, 5), was_removed=False)
         self.state.servers.mark_leaving(report, self.state.clock.now_ms(), "peer")
 
+    def evacuate(self) -> None:
+        self.state.servers.set_evacuated_domains(frozenset({"domain"}))
+
+    def chill(self, name: str) -> None:
+        self.state.server_limits.set_cold({name: 6.6}, self.state.clock.now_ms())
+
     async def serve(self, name: str, stream: SocketStream) -> None:
         script = self.scripts.get(name, self.script)
         try:
@@ -317,10 +323,11 @@
     context.sender = Sender(names.split(", "))
 
 
-@when('a {purpose} is sent to "{name}", which leaves while the connection is opened')
-def send_to_leaving(context: Any, purpose: str, name: str) -> None:
+@when('a {purpose} is sent to "{name}", which {change} while the connection is opened')
+def send_to_changing(context: Any, purpose: str, name: str, change: str) -> None:
     sender = context.sender
     context.left = name
+    changes = {"leaves": lambda: sender.leave(name), "is evacuated": sender.evacuate}
 
     async def action(client: ServerClient, _group: TaskGroup) -> None:
         try:
@@ -328,7 +335,7 @@
         except UpstreamError as exc:
             context.refusal = exc.refusal
 
-    with sender.leaving_on_connect(name):
+    with sender.calling_on_connect(changes[change]):
         anyio.run(sender.run, action)
 
 
@@ -409,6 +416,15 @@
         forward(context, [name, "s2"])
 
 
+@when(
+    'a request is forwarded to "{name}", which becomes cold while the connection is'
+    " opened"
+)
+def forward_to_cold(context: Any, name: str) -> None:
+    with context.sender.calling_on_connect(lambda: context.sender.chill(name)):
+        forward(context, [name, "s2"])
+
+
 @when('"{name}" leaves and a request is forwarded with the choices "{names}"')
 def forward_after_leaving(context: Any, name: str, names: str) -> None:
     context.sender.leave(name)
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -314,6 +314,14 @@
                 commands.extend(self._free_inputs(execution, stage))
         return commands
 
+    def refuse_waiting(
+        self, service: str, refusal: Refusal, now_ms: int
+    ) -> list[Command]:
+        """Refuse the requests that wait for a call of a service's servers."""
+        queue = self._queues.get(service)
+        ended = queue.refuse_waiting(refusal) if queue is not None else []
+        return self._apply_outcomes(ended, now_ms)
+
     def record_freed(self, service: str, handles: Iterable[str]) -> None:
         """Record that results were freed at the servers that stored them."""
         queue = self._queues.get(service)
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -16,7 +16,7 @@
 from cowsliphitch.core.deployment.models import StagePool
 from cowsliphitch.core.limits.models import NoRates, ServerRates
 from cowsliphitch.core.servers.models import Server
-from cowsliphitch.core.verdict import Reason, not_run
+from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
 from . import const
 from .memory import ResultMemory
@@ -462,6 +462,25 @@
         refusal = not_run(Reason.DEADLINE_UNREACHABLE, detail, const.MIN_RETRY_AFTER_MS)
         return [JobFailed(job, refusal, self.remove_job(job.id)) for job in expired]
 
+    def refuse_waiting(self, refusal: Refusal) -> list[JobFailed]:
+        """Remove and return the jobs with pieces that are in no call.
+
+        A piece that waits because its call is overdue is still in that call.
+        """
+        in_calls = {
+            (piece.job.id, piece.number)
+            for call in self._calls.values()
+            for piece in call.pieces
+        }
+        refused = [
+            progress.job
+            for progress in self._jobs.values()
+            if any(
+                (progress.job.id, n) not in in_calls for n in progress.waiting_pieces
+            )
+        ]
+        return [JobFailed(job, refusal, self.remove_job(job.id)) for job in refused]
+
     def prune_servers(self, servers: Iterable[Server]) -> None:
         """Discard the state of all servers but the given ones."""
         ids = {server.id for server in servers}
--- a/packages/core/src/cowsliphitch/core/deployment/models.py
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -153,12 +153,17 @@
     """A pool of servers that requests are routed to.
 
     :param max_connections: connections that one server accepts from all daemons
+    :param cold_start_ms: time after its start until a server is warm
+    :param cold_per_s: requests a second that a cold server takes from all daemons, 0 if
+        a cold server takes as many as a warm one
     """
 
     name: str
     max_connections: int
     stage_pool: StagePool | None = None
     engine_pool: EnginePool | None = None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/fleet/members.py
+++ b/packages/core/src/cowsliphitch/core/fleet/members.py
@@ -127,6 +127,8 @@
         self.own = own
         # Term by hash of the duties that this daemon holds.
         self.claims: dict[int, int] = {}
+        # Monotonic time at which each duty was last acquired, by its hash.
+        self._acquired_ms: dict[int, int] = {}
         self._entries: dict[str, _MemberEntry] = {}
         self._last_tick_ms = now_ms
         self._has_listing = False
@@ -397,8 +399,17 @@
             self.claims[duty_hash] = 1 + max([PROVISIONAL_TERM, *terms])
         else:
             self.claims[duty_hash] = PROVISIONAL_TERM
+        if own_term != self.claims[duty_hash]:
+            self._acquired_ms[duty_hash] = now_ms
         return own_term is None
 
+    def held_ms(self, duty: str, now_ms: int) -> int:
+        """Return for how long this daemon has held a duty, 0 if it does not."""
+        duty_hash = hash_duty(duty)
+        if duty_hash not in self.claims:
+            return 0
+        return now_ms - self._acquired_ms[duty_hash]
+
     def is_held(self, duty_hash: int, now_ms: int) -> bool:
         """Return whether a live daemon, or this one, holds a duty."""
         return duty_hash in self.claims or any(
--- a/packages/core/src/cowsliphitch/core/limits/grants.py
+++ b/packages/core/src/cowsliphitch/core/limits/grants.py
@@ -8,6 +8,11 @@
 full rate.  A daemon that may not be the only one, since it is cut off or the granting
 daemon doesn't answer, grants at a share of the rate.  The requests that the daemons
 report to have sent bound both, also when another daemon takes over.
+
+A cold server crashes in a burst that a server with a named limit would survive: dozens
+of daemons that lose the granting daemon together, each with one request to grant at
+once, send dozens within a second.  A share of a cold server's rate therefore begins
+with the same share of a request.
 """
 
 from collections.abc import Sequence
@@ -62,6 +67,8 @@
         bucket = self._buckets.get(server_id)
         if bucket is None:
             return Granted(server_id)
+        if self._table.is_cold(server_id):
+            max_wait_ms = min(max_wait_ms, const.MAX_COLD_WAIT_MS)
         if wait_ms <= max_wait_ms:
             bucket.level -= 1
             return Granted(server_id, round(wait_ms))
@@ -89,20 +96,27 @@
         if rate is None:
             self._buckets.pop(server_id, None)
             return 0.0
-        bucket = self._refill(server_id, rate * share, now_ms)
+        bucket = self._refill(server_id, rate, share, now_ms)
         wait_ms = max(0.0, 1 - bucket.level) / (rate * share) * MS_PER_SECOND
         window_room = self._window_room(server_id, rate, now_ms)
         if window_room < 1:
             wait_ms = max(wait_ms, (1 - window_room) / rate * MS_PER_SECOND)
         return wait_ms
 
-    def _refill(self, server_id: str, granted_rate: float, now_ms: int) -> _Bucket:
+    def _refill(
+        self, server_id: str, rate: float, share: float, now_ms: int
+    ) -> _Bucket:
         bucket = self._buckets.get(server_id)
+        initial_level, burst = const.INITIAL_LEVEL, const.BURST
+        if self._table.is_cold(server_id):
+            initial_level *= share
+            # A bucket that holds less than one request would never grant any.
+            burst = max(1.0, burst * share)
         if bucket is None:
             # Requests that another daemon granted are not counted exactly.
-            bucket = self._buckets[server_id] = _Bucket(const.INITIAL_LEVEL, now_ms)
+            bucket = self._buckets[server_id] = _Bucket(initial_level, now_ms)
         elapsed_s = seconds(max(0, now_ms - bucket.updated_ms))
-        bucket.level = min(const.BURST, bucket.level + elapsed_s * granted_rate)
+        bucket.level = min(burst, bucket.level + elapsed_s * rate * share)
         bucket.updated_ms = now_ms
         return bucket
 
--- a/packages/core/src/cowsliphitch/core/limits/models.py
+++ b/packages/core/src/cowsliphitch/core/limits/models.py
@@ -47,12 +47,24 @@
     age_ms: int
 
 
+@attrs.frozen
+class ColdChange:
+    """A server became cold or warm, for logs.
+
+    :param per_s: requests a second that it takes, ``None`` if it is warm
+    """
+
+    server_id: str
+    per_s: float | None
+
+
 @attrs.frozen
 class LimitReport:
     """What one daemon heard from a server itself, for its peers.
 
     :param per_s: requests a second that the latest answer named, ``None`` if none
-    :param age_ms: time since that answer
+    :param age_ms: time since that answer, ``UNHEARD_AGE_MS`` if there was none and the
+        report only counts requests to a cold server
     :param sent: requests that the daemon sent to the server within the window
     """
 
@@ -128,7 +140,8 @@
 class LimitedServer:
     """A limited server, as a daemon that asks for a permit knows it.
 
-    :param age_ms: time since a daemon heard the limit from the server
+    :param age_ms: time since a daemon heard the limit from the server,
+        ``UNHEARD_AGE_MS`` if the server is limited because it is cold
     """
 
     server_id: str
--- a/packages/core/src/cowsliphitch/core/servers/models.py
+++ b/packages/core/src/cowsliphitch/core/servers/models.py
@@ -19,8 +19,8 @@
     :param address: host and port
     :param slots: requests that it runs concurrently
     :param started_ms: Unix time of its start, 0 if it did not register one
-    :param warmup_remaining_ms: remaining time after its start until it is at
-        full speed
+    :param warmup_remaining_ms: time for which it remains cold, from when its entry was
+        read
     :param version: version of its software, empty if it did not register one;
         versions have no order
     """
--- a/packages/core/src/cowsliphitch/core/servers/registry.py
+++ b/packages/core/src/cowsliphitch/core/servers/registry.py
@@ -8,10 +8,14 @@
 
 The store may come back from an older copy, with entries that were replaced since.  Of
 an entry that may be such a copy, the report of an earlier era holds.
+
+The operator evacuates whole failure domains and takes them back into service.  Their
+servers may have become cold meanwhile, and the store may tell that later than the end
+of the evacuation.
 """
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -146,6 +150,9 @@
         self._ready_by_service: dict[str, tuple[Server, ...]] = {}
         self._all: tuple[Server, ...] | None = None
         self._unreachable_domains: frozenset[str] = frozenset()
+        self.evacuated_domains: frozenset[str] = frozenset()
+        # Monotonic time until which servers are cold, by server.
+        self._cold_until_ms: dict[str, int] = {}
         self._store_answer_ms: int | None = None
         self._served_since_ms: int | None = None
         self.has_listing = False
@@ -208,7 +215,8 @@
 
         An entry that was written before the server's report of leaving keeps it
         draining.  A misdirected server stays excluded until its address or its start
-        time changes.
+        time changes.  It is cold for as long as the entry says, counted from when this
+        version of the entry was first read.
 
         :param revision: revision of the store at which the entry was written
         """
@@ -217,6 +225,10 @@
             revision < previous.revision or _is_older_copy(server, revision, previous)
         ):
             return
+        if previous is None or revision != previous.revision:
+            self._cold_until_ms.pop(server.id, None)
+            if server.warmup_remaining_ms:
+                self._cold_until_ms[server.id] = now_ms + server.warmup_remaining_ms
         source = STORE_SOURCE
         if server.state is ServerState.DRAINING:
             report = LeavingReport(server.id, revision, False, server.started_ms)
@@ -268,6 +280,7 @@
 
     def _delete(self, server_id: str, revision: Revision, now_ms: int) -> None:
         server = self._entries.pop(server_id).server
+        self._cold_until_ms.pop(server_id, None)
         was_removed = server.state is not ServerState.DRAINING
         report = LeavingReport(server_id, revision, was_removed, server.started_ms)
         self._record_leaving(report, now_ms, missing_since_ms=now_ms)
@@ -474,6 +487,56 @@
             self._unreachable_domains = domains
             self._forget_selections()
 
+    def set_evacuated_domains(self, domains: frozenset[str]) -> None:
+        """Exclude the servers of evacuated failure domains from new requests."""
+        if domains != self.evacuated_domains:
+            self.evacuated_domains = domains
+            self._forget_selections()
+
+    def evacuated(self, service: str) -> tuple[str, ...]:
+        """Return the ready servers of a service that are in evacuated domains."""
+        if not self.evacuated_domains:
+            return ()
+        return tuple(
+            entry.server.id
+            for entry in self._entries.values()
+            if entry.server.service == service
+            and entry.server.state is ServerState.READY
+            and entry.server.failure_domain in self.evacuated_domains
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all ready servers of a service are in evacuated domains."""
+        evacuated = self.evacuated(service)
+        return bool(evacuated) and len(evacuated) == sum(
+            entry.server.service == service and entry.server.state is ServerState.READY
+            for entry in self._entries.values()
+        )
+
+    def mark_cold(
+        self, domains: frozenset[str], cold_ms: Mapping[str, int], now_ms: int
+    ) -> None:
+        """Treat the servers of failure domains as cold until newer entries are read.
+
+        :param cold_ms: time for which they are taken to be cold, by service
+        """
+        for entry in self._entries.values():
+            server = entry.server
+            if server.failure_domain in domains and cold_ms.get(server.service):
+                self._cold_until_ms[server.id] = max(
+                    self._cold_until_ms.get(server.id, 0),
+                    now_ms + cold_ms[server.service],
+                )
+
+    def cold(self, now_ms: int) -> dict[str, int]:
+        """Return the remaining time for which servers are cold, by server."""
+        self._cold_until_ms = {
+            server_id: until_ms
+            for server_id, until_ms in self._cold_until_ms.items()
+            if until_ms > now_ms
+        }
+        return {s: until_ms - now_ms for s, until_ms in self._cold_until_ms.items()}
+
     def is_cut_off(self, server: Server) -> bool:
         """Return whether a server's failure domain is unreachable."""
         return server.failure_domain in self._unreachable_domains
@@ -487,7 +550,8 @@
         """Return whether a server chosen earlier may still get new requests.
 
         It may not once it drains, moves, restarts, has another version, is misdirected
-        or is removed, or while it wants no requests.
+        or is removed, while it wants no requests, or while its failure domain is
+        evacuated.
         """
         entry = self._entries.get(server.id)
         return (
@@ -495,6 +559,7 @@
             and not entry.misdirected
             and entry.paused_until_ms is None
             and entry.server.state is ServerState.READY
+            and entry.server.failure_domain not in self.evacuated_domains
             and entry.server.address == server.address
             and entry.server.started_ms == server.started_ms
             and entry.server.version == server.version
@@ -510,12 +575,13 @@
         """
         servers = self._ready_by_service.get(service)
         if servers is None:
+            excluded_domains = self._unreachable_domains | self.evacuated_domains
             entries = [
                 entry
                 for entry in self._entries.values()
                 if entry.server.service == service
                 and entry.server.state is ServerState.READY
-                and entry.server.failure_domain not in self._unreachable_domains
+                and entry.server.failure_domain not in excluded_domains
                 and not entry.misdirected
             ]
             listed = [entry for entry in entries if entry.expires_ms is None]
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -30,6 +30,7 @@
 from cowsliphitch.upstreams.http1.pool import ConnectionPool
 
 from . import const
+from .cold_servers import update_cold_servers
 from .diagnostics import collect_diagnostics
 from .engine_quarantine import EngineQuarantine
 from .fleet_coordinator import FleetCoordinator
@@ -241,6 +242,7 @@
 
     def _update_servers(self, now_ms: int) -> None:
         self._server_client.update_reachability()
+        update_cold_servers(self._state)
         self._state.streams.observe_servers(self._state.servers.all(), now_ms)
         self._quarantine.observe_servers()
 
@@ -339,6 +341,10 @@
         )
         observe("cowsliphitch_server_limit", self._read_limits)
         observe("cowsliphitch_server_limit_used", self._read_limit_use)
+        observe(
+            "cowsliphitch_domains_evacuated",
+            lambda: [(len(state.servers.evacuated_domains), {})],
+        )
         observe("cowsliphitch_store_era", lambda: [(self._store.era, {})])
         observe("cowsliphitch_store_lost_ms", lambda: [(self._store.outage_ms, {})])
         observe(
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -113,6 +113,11 @@
 # Retry delay sent to a caller when the owner of the stage pools is overloaded.
 OVERLOAD_RETRY_AFTER_MS: Final = 500
 
+# Retry delay sent to a caller when all servers of a service are in evacuated failure
+# domains, which takes seconds at least.  Callers wait at most a third of the time that
+# they have left, so a longer delay would keep most of them from returning at all.
+EVACUATED_RETRY_AFTER_MS: Final = 1_000
+
 # Retry delay sent to a caller when no engine is ready.
 NO_ENGINE_RETRY_AFTER_MS: Final = 200
 
--- a/packages/gateway/src/cowsliphitch/gateway/permits.py
+++ b/packages/gateway/src/cowsliphitch/gateway/permits.py
@@ -1,4 +1,4 @@
-"""Permits for requests to servers that name a limit.
+"""Permits for requests to servers that name a limit or are cold.
 
 The daemon that holds the duty for a service's pool group grants them.  For model
 engines and stage servers it chooses the server anyway; for other services, the daemons
@@ -12,7 +12,12 @@
 import attrs
 
 from cowsliphitch.core.clock import MS_PER_SECOND
-from cowsliphitch.core.limits.const import MAX_RETRY_AFTER_MS
+from cowsliphitch.core.limits.const import (
+    MAX_RETRY_AFTER_MS,
+    TAKEOVER_COLD_SHARE,
+    TAKEOVER_MS,
+    UNHEARD_AGE_MS,
+)
 from cowsliphitch.core.limits.grants import RateGrants
 from cowsliphitch.core.limits.models import (
     Decision,
@@ -112,7 +117,7 @@
         duty, domains = self._duty(request.service, request.servers[0].server_id)
         owner = self._state.members.owner_candidates(duty, now, domains=domains)
         if owner[0].address == own:
-            return self.grant(request)
+            return self._decide(request)
         reply = await self._peers.acquire_permit(owner[0].address, request)
         if isinstance(reply, PeerCallFailed):
             event(
@@ -122,13 +127,16 @@
                 owner=owner[0].address,
                 cause=reply.detail,
             )
-            return self.grant(request)
+            return self._decide(request)
         return reply
 
     def grant(self, request: PermitRequest) -> Decision:
-        """Grant or deny a request, of a peer or of this daemon."""
+        """Grant or deny a request of a peer, which may know of limits first."""
         now = self._state.clock.now_ms()
         self._state.server_limits.learn(request.servers, _REQUEST_SOURCE, now)
+        return self._decide(request)
+
+    def _decide(self, request: PermitRequest) -> Decision:
         return self.decide(
             request.service,
             [server.server_id for server in request.servers],
@@ -154,7 +162,8 @@
             "request": request_id,
             "server": decision.server_id,
             "per_s": known.per_s,
-            "age_ms": known.age_ms,
+            "age_ms": known.age_ms if known.age_ms < UNHEARD_AGE_MS else None,
+            "cold": self._state.server_limits.is_cold(decision.server_id),
             "share": round(share, 3),
             "sent": round(self._state.server_limits.sent(decision.server_id, now), 1),
         }
@@ -169,6 +178,10 @@
         """Return the requests a second to a server, ``None`` without a limit."""
         return self._state.server_limits.rate_of(server.id)
 
+    def is_cold(self, server: Server) -> bool:
+        """Return whether a server gets requests only with a permit since it is cold."""
+        return self._state.server_limits.is_cold(server.id)
+
     def wait_ms(self, server: Server, now_ms: int) -> float:
         """Return the time until this daemon could grant a request to a server."""
         if self._state.server_limits.rate_of(server.id) is None:
@@ -186,7 +199,11 @@
             event(_LOGGER, "duty.taken", duty=duty)
         owners = members.owner_candidates(duty, now_ms, domains=domains)
         if owners[0].address == members.own.address:
-            return members.fleet_share(now_ms)
+            share = members.fleet_share(now_ms)
+            is_takeover = members.held_ms(duty, now_ms) < TAKEOVER_MS
+            if is_takeover and self._state.server_limits.is_cold(server_id):
+                return min(share, TAKEOVER_COLD_SHARE)
+            return share
         return 1 / members.allowance_divisor(now_ms)
 
     def _duty(self, service: str, server_id: str) -> tuple[str, tuple[str, ...]]:
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -101,6 +101,8 @@
         def before_send() -> None:
             # The server may have left while the connection was opened.
             self._check_usable(server, purpose)
+            if permit is None:
+                self._check_warm(server)
             check_sendable()
             self._log_send(server, request, purpose, chosen_ms)
             self._state.server_limits.record_sent(server.id, self._state.clock.now_ms())
@@ -178,26 +180,40 @@
     def _check_usable(self, server: Server, purpose: Purpose) -> None:
         """Check that a server still takes what is about to be sent.
 
-        :raises UpstreamError: the server is draining, was removed, has restarted or
-            wants no requests for a time
+        :raises UpstreamError: the server is draining, was removed, has restarted, wants
+            no requests for a time or is in an evacuated failure domain
         """
         if self._state.servers.is_usable(server):
             return
         until_ms = self._state.servers.paused(server.service).get(server.id)
         pause_ms = until_ms - self._state.clock.now_ms() if until_ms else None
+        is_evacuated = server.failure_domain in self._state.servers.evacuated_domains
         event(
             _LOGGER,
             "server.not_sent",
             purpose=purpose.value,
             server=server.id,
             pause_ms=pause_ms,
+            evacuated=is_evacuated,
         )
+        if is_evacuated:
+            detail = f"{server.failure_domain} is evacuated; nothing was sent to it"
+            raise UpstreamError(not_run(Reason.UPSTREAM_LEAVING, detail))
         if pause_ms is not None:
             detail = f"{server.id} wants no requests for {pause_ms} ms"
             raise UpstreamError(not_run(Reason.RATE_LIMITED, detail, pause_ms))
         detail = f"{server.id} is leaving or gone; nothing was sent to it"
         raise UpstreamError(not_run(Reason.UPSTREAM_LEAVING, detail))
 
+    def _check_warm(self, server: Server) -> None:
+        """Check that a server did not become cold since it was chosen.
+
+        :raises UpstreamError: it did, so that the request needs a permit
+        """
+        if self._permits.is_cold(server):
+            detail = f"{server.id} has become cold; nothing was sent to it"
+            raise UpstreamError(not_run(Reason.RATE_LIMITED, detail))
+
     def _log_send(
         self,
         server: Server,
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -30,6 +30,7 @@
 from cowsliphitch.core.clock import MS_PER_SECOND, seconds
 from cowsliphitch.core.engines.selector import CostWeights, EngineChoice, EngineSelector
 from cowsliphitch.core.fleet.cells import WHOLE_FLEET, Cell
+from cowsliphitch.core.limits.cold import without_waits
 from cowsliphitch.core.limits.models import Denied, Granted
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.quarantine.exposures import Exposure
@@ -169,6 +170,9 @@
             return StagesRefused(refusal)
         if not any(request.piece_counts):
             return self._assign_engine(request, choice, ())
+        evacuation_refusal = self._check_evacuated(request)
+        if evacuation_refusal is not None:
+            return StagesRefused(evacuation_refusal)
         limit_refusal = self._check_engine_limits(request, now)
         if limit_refusal is not None:
             return StagesRefused(limit_refusal)
@@ -189,11 +193,23 @@
         match pending.outcome:
             case StagesDone(results=results):
                 choice = self._choose_engine(request, objective_ms, results) or choice
+                if choice.server.id in self._state.servers.evacuated(
+                    request.engine_service
+                ):
+                    self._execute_commands(itertools.starmap(FreeResults, results))
+                    return StagesRefused(_evacuation_refusal(request.engine_service))
                 return self._assign_engine(request, choice, results)
             case StagesFailed(stage=stage, refusal=refusal):
                 return StagesRefused(attrs.evolve(refusal, stage=str(stage)))
         raise AssertionError("the stages ended without an outcome")
 
+    def _check_evacuated(self, request: RunStagesRequest) -> Refusal | None:
+        """Return the refusal of a request with a stage that no server may run."""
+        for stage, count in zip(request.stages, request.piece_counts, strict=False):
+            if count and self._state.servers.is_evacuated(stage.service):
+                return _evacuation_refusal(stage.service)
+        return None
+
     def _check_engine_limits(
         self, request: RunStagesRequest, now_ms: int
     ) -> Refusal | None:
@@ -284,9 +300,14 @@
         engines = self._ready(request.engine_service)
         if excluded.issuperset(engine.id for engine in engines):
             engines = self._state.servers.ready(request.engine_service)
+        eligible = [
+            engine
+            for engine in engines
+            if request.version in (None, engine.version) and engine.id not in excluded
+        ]
         return self.engine_selector.choose(
             request.generation,
-            [e for e in engines if request.version in (None, e.version)],
+            without_waits(eligible, self._permits, self._state.server_limits, now),
             objective_ms - now,
             self._bytes_by_domain(request, results),
             now,
@@ -368,9 +389,20 @@
             self.planner.prune_servers(servers)
         self.engine_selector.remove_stale(servers, now)
         self._execute_commands(self.planner.tick(now))
+        if self._state.servers.evacuated_domains:
+            self._refuse_evacuated(now)
         self.delay_ms = self.planner.backlog_ms(now) + self._engine_backlog_ms()
         self._start_calls()
 
+    def _refuse_evacuated(self, now_ms: int) -> None:
+        """Refuse the requests that wait for pools whose servers are all evacuated."""
+        for service in self.planner.queues:
+            if self._state.servers.is_evacuated(service):
+                refusal = _evacuation_refusal(service)
+                self._execute_commands(
+                    self.planner.refuse_waiting(service, refusal, now_ms)
+                )
+
     def _engine_backlog_ms(self) -> int:
         engines = self._ready(self._engine_service) if self._engine_service else ()
         return self.engine_selector.backlog_ms(engines)
@@ -585,6 +617,11 @@
             )
 
 
+def _evacuation_refusal(service: str) -> Refusal:
+    detail = f"all servers of {service} are in evacuated failure domains"
+    return not_run(Reason.NO_UPSTREAM, detail, const.EVACUATED_RETRY_AFTER_MS)
+
+
 def _log_admission(request: RunStagesRequest, admitted: Admission) -> None:
     event(
         _LOGGER,
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -197,7 +197,11 @@
             generation=params.request.generation or NO_GENERATION,
             engine_service=params.engine_service,
             excluded_engines=params.excluded_engines,
-            paused_engines=tuple(self._state.servers.paused(params.engine_service)),
+            # The owner may not have read of an evacuation yet.
+            paused_engines=(
+                *self._state.servers.paused(params.engine_service),
+                *self._state.servers.evacuated(params.engine_service),
+            ),
             version=params.version,
             digest=params.request.digest,
         )
--- a/packages/gateway/src/cowsliphitch/gateway/state.py
+++ b/packages/gateway/src/cowsliphitch/gateway/state.py
@@ -30,6 +30,8 @@
 from cowsliphitch.core.serving.shutdown import ShutdownPlan
 from cowsliphitch.core.streams.registry import StreamRegistry
 
+from . import const
+
 # Time after which it is looked again which division of a pool group is in force.
 CELLS_TTL_MS: Final = 300
 
@@ -55,7 +57,7 @@
     :param delays: the same of the cells that other daemons own, as last heard
     :param versions: the active version of the operator's settings
     :param placement: load and failures of the servers, to choose the least loaded one
-    :param server_limits: limits on requests that servers name
+    :param server_limits: limits on requests that servers name, or that cold ones have
     :param streams: software versions that began streams
     :param freshness: how old the peers' views of the store are
     :param prompt_parts: prompt parts that are suspected of crashing engines
@@ -143,8 +145,11 @@
     def retry_after_ms(self, service: str, default_ms: int) -> int:
         """Return when a caller should return if no server of a service is ready.
 
-        :param default_ms: time in ms unless all servers want no requests for longer
+        :param default_ms: time in ms unless all servers want no requests for longer, or
+            are in evacuated failure domains
         """
+        if self.servers.is_evacuated(service):
+            return max(default_ms, const.EVACUATED_RETRY_AFTER_MS)
         ends_ms = self.servers.paused(service).values()
         left_ms = min(ends_ms, default=0) - self.clock.now_ms()
         return max(default_ms, left_ms)
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -44,11 +44,12 @@
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.peers.fleet.models import StoreChange, StoreNews
-from cowsliphitch.platform import operator_document, server_entries
+from cowsliphitch.platform import evacuations, operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.telemetry.logs import event
 
 from . import const, stream_records, suspect_records
+from .cold_servers import update_cold_servers
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -432,6 +433,13 @@
         for entry in listing.entries:
             if entry.key == operator_document.KEY:
                 self._activate_entry(entry)
+            elif entry.key.startswith(operator_document.PREFIX):
+                self._check_operator_key(entry)
+        evacuated = (_evacuated_domain(entry.key) for entry in listing.entries)
+        self._set_evacuated_domains(
+            frozenset(domain for domain in evacuated if domain is not None), listing.at
+        )
+        update_cold_servers(self._state)
         event(
             _LOGGER,
             "store.listed",
@@ -452,11 +460,69 @@
                 self._apply_member_event(change, now)
             elif change.key == operator_document.KEY and isinstance(change, Entry):
                 self._activate_entry(change)
+            elif change.key.startswith(operator_document.PREFIX):
+                self._apply_evacuation(change)
             elif change.key.startswith(const.STREAM_PREFIX) and isinstance(
                 change, Entry
             ):
                 self._learn_streams(change, now)
         self._state.streams.observe_servers(self._state.servers.all(), now)
+        update_cold_servers(self._state)
+
+    def _apply_evacuation(self, change: Event) -> None:
+        """Apply that the operator evacuates a failure domain or takes it back."""
+        domains = self._state.servers.evacuated_domains
+        match change:
+            case Entry():
+                if (domain := self._check_operator_key(change)) is not None:
+                    self._set_evacuated_domains(domains | {domain}, change.revision)
+            case Deleted():
+                domain = _evacuated_domain(change.key)
+                self._set_evacuated_domains(domains - {domain}, change.revision)
+
+    def _check_operator_key(self, entry: Entry) -> str | None:
+        """Return the failure domain that a key evacuates, or log that it is ignored."""
+        domain = _evacuated_domain(entry.key)
+        if domain is None:
+            event(
+                _LOGGER,
+                "operator.key_ignored",
+                logging.WARNING,
+                key=entry.key,
+                revision=entry.revision.number,
+                era=entry.revision.era,
+            )
+        return domain
+
+    def _set_evacuated_domains(self, domains: frozenset[str], at: Revision) -> None:
+        """Replace the evacuated domains; those taken back have cold servers.
+
+        :param at: revision of the store at which the domains were read
+        """
+        servers, deployment = self._state.servers, self._state.deployment
+        previous = servers.evacuated_domains
+        servers.set_evacuated_domains(domains)
+        for domain in sorted(domains - previous):
+            event(
+                _LOGGER,
+                "domain.evacuated",
+                logging.WARNING,
+                domain=domain,
+                servers=sum(s.failure_domain == domain for s in servers.all()),
+                revision=at.number,
+                era=at.era,
+            )
+        for domain in sorted(previous - domains):
+            event(
+                _LOGGER,
+                "domain.taken_back",
+                domain=domain,
+                revision=at.number,
+                era=at.era,
+            )
+        services = deployment.services.values() if deployment is not None else ()
+        cold_ms = {s.name: s.cold_start_ms for s in services if s.cold_per_s > 0}
+        servers.mark_cold(previous - domains, cold_ms, self._state.clock.now_ms())
 
     def _learn_suspect_entry(self, entry: Entry) -> None:
         """Learn which requests crashed servers before this daemon started."""
@@ -583,6 +649,12 @@
         event(_LOGGER, "store.lost", logging.WARNING, cause=unavailable.detail)
 
 
+def _evacuated_domain(key: str) -> str | None:
+    """Return the failure domain that one of the operator's keys evacuates, if any."""
+    is_evacuation = key.startswith(evacuations.PREFIX)
+    return evacuations.decode_key(key) if is_evacuation else None
+
+
 def _entries_under(prefix: str, entries: Iterable[Entry]) -> list[Entry]:
     return [entry for entry in entries if entry.key.startswith(prefix)]
 
--- a/packages/standins/src/cowsliphitch/standins/emulator/limits.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/limits.py
@@ -156,6 +156,7 @@
             Member(f"10.0.0.{n}:1", f"vm-{n}", f"d{n % DOMAINS}", self.start_ms)
             for n in range(daemon_count)
         ]
+        self.cold: dict[str, float] = {}
         self.daemons = [self._start(n) for n in range(daemon_count)]
         self.outcomes = Outcomes()
         self.heartbeat_delay_ms = HEARTBEAT_DELAY_MS
@@ -169,11 +170,18 @@
         member = attrs.evolve(self.members[number], started_ms=now)
         state = GatewayState(self.clock, now, MemberTable(member, now))
         state.members.set_listed(self.members, now)
+        state.server_limits.set_cold(self.cold, now)
         office = PermitBroker(state, cast(Any, _Peers(self, number)))
         client = ServerClient(state, cast(Any, None), office)
         detector = FailureDetector(state.members, random.Random(number))
         return EmulatedDaemon(member, state, office, client, detector)
 
+    def set_cold(self, rates: dict[str, float]) -> None:
+        """Have all daemons read which servers are cold, and their rates."""
+        self.cold = rates
+        for daemon in self.daemons:
+            daemon.state.server_limits.set_cold(rates, self.clock.now_ms())
+
     def at(self, after_ms: float, action: Callable[[], None]) -> None:
         """Run an action after a time."""
         due_ms = self.clock.now_ms() + round(after_ms)
