Tell crashes apart by the connections of the requests that they lost

Cause: crashes of a server with the same known start counted as one if they were less than a second apart. A request that crashes stage servers is tried again as soon as they listen, before their later start is read, so its later crashes did not count.

Change: an exposure knows when its connection was opened. A loss on a connection that was opened after the last crash was detected is another crash; one on an older connection belongs to that crash, however late it is noticed. For servers that fall silent, a connection opened after another one was lost with an error divides the requests of a start in the same way, and a request that is still open on such a connection stays with the server's later start instead of counting as lost.

--- a/features/core/exposures.feature
+++ b/features/core/exposures.feature
@@ -25,6 +25,20 @@
       | is given up at 3000 ms | 30 s pass                                                | is forgotten |
       | hangs                 | 30 s pass                                                 | is still open |
 
+  Scenario Outline: A second crash before the later start is read is told by the connections
+    Given a request that was sent to the server "s1" at 1000 ms
+    When its connection is lost at 2000 ms
+    And another is sent on a connection of <connected> ms and <fate>
+    And "s1" is listed with a later start
+    Then <crashes> crashes lost requests, and <moved> request is at the later lifetime
+
+    Examples:
+      | connected | fate         | crashes | moved |
+      | 2100      | is lost, too | 2       | 0     |
+      | 1900      | is lost, too | 1       | 0     |
+      | 2100      | is open      | 1       | 1     |
+      | 1900      | is open      | 1       | 0     |
+
   Scenario: A lost request is reported once
     Given a request that was sent to the server "s1" at 1000 ms
     When it hangs
@@ -35,3 +49,9 @@
   Scenario: Many requests that were given up take a bounded space
     Given 5000 requests that were sent to the server "s1" at 1000 ms and given up
     Then 4096 of them are still open
+
+  Scenario: A request at the restarted server is not lost with the crash that was detected before
+    Given a request that was sent to the server "s1" at 1000 ms
+    When a crash of "s1" was detected at 500 ms
+    And "s1" is listed with a later start
+    Then no request was lost, and it is at the later lifetime
--- a/features/steps/containment_steps.py
+++ b/features/steps/containment_steps.py
@@ -93,7 +93,7 @@
         with mock.patch.object(engine_quarantine, "refuses_connections", context.probe):
             # A later loss is probed again.
             for _ in range(2):
-                exposure = quarantine.expose("digest", (), SERVER)
+                exposure = quarantine.expose("digest", (), SERVER, 0)
                 lost = may_have_run(Reason.CONNECTION_LOST, "lost")
                 with (
                     suppress(UpstreamError),
--- a/features/steps/crash_sign_steps.py
+++ b/features/steps/crash_sign_steps.py
@@ -41,21 +41,27 @@
             server, Revision(1, server.started_ms), self.state.clock.now_ms()
         )
 
-    def send(self, digest: str, server: Server) -> None:
-        self.exposures.append(self.quarantine.expose(digest, (), server))
+    def send(self, digest: str, server: Server, connected_ms: int = 0) -> None:
+        self.exposures.append(self.quarantine.expose(digest, (), server, connected_ms))
 
     def start_again(self, server: Server) -> None:
         self.list_server(server)
         self.quarantine.observe_servers()
 
-    async def lose_connection(self) -> None:
+    async def lose_connections(self, exposures: list[Exposure]) -> None:
         async with anyio.create_task_group() as group:
             self.quarantine._tasks = BackgroundTasks(group, Clock())
             lost = may_have_run(Reason.CONNECTION_LOST, "lost")
-            with suppress(UpstreamError), self.quarantine.observe(self.exposures[:1]):
-                raise UpstreamError(lost)
+            for exposure in exposures:
+                with suppress(UpstreamError), self.quarantine.observe([exposure]):
+                    raise UpstreamError(lost)
             await self.quarantine.wait_until_judged(FIRST)
 
+    def lose(self, exposures: list[Exposure]) -> None:
+        refused = mock.AsyncMock(return_value=True)
+        with mock.patch.object(engine_quarantine, "refuses_connections", refused):
+            anyio.run(self.lose_connections, exposures)
+
 
 @given('two daemons that each sent the same request to the server "s1"')
 def two_daemons(context: Any) -> None:
@@ -72,9 +78,37 @@
 
 @when("the connection of the first is lost, and the address refuses connections")
 def lose_connection(context: Any) -> None:
-    refused = mock.AsyncMock(return_value=True)
-    with mock.patch.object(engine_quarantine, "refuses_connections", refused):
-        anyio.run(context.daemons[0].lose_connection)
+    daemon = context.daemons[0]
+    context.detected_ms = daemon.state.clock.now_ms()
+    daemon.lose(daemon.exposures[:1])
+
+
+@when("{count:d} copies on {connections} are lost within the same second")
+def lose_copies(context: Any, count: int, connections: str) -> None:
+    daemon = context.daemons[0]
+    connected_ms = {
+        "connections that were open before": context.detected_ms - 1,
+        "connections that were opened since": daemon.state.clock.now_ms() + 1,
+    }[connections]
+    for _ in range(count):
+        daemon.send(DIGEST, FIRST, connected_ms)
+    daemon.lose(daemon.exposures[-count:])
+    assert daemon.state.clock.now_ms() - context.detected_ms < 1_000
+
+
+@when("a copy on an old connection and one on a new connection are lost together")
+def lose_both(context: Any) -> None:
+    daemon = context.daemons[0]
+    for connected_ms in (context.detected_ms - 1, daemon.state.clock.now_ms() + 1):
+        daemon.send(DIGEST, FIRST, connected_ms)
+    daemon.lose(daemon.exposures[-2:])
+
+
+@then("the first daemon knows {count:d} of the request's crashes")
+def first_knows(context: Any, count: int) -> None:
+    state = context.daemons[0].state
+    report = state.suspect_requests.report_of(DIGEST, state.clock.now_ms())
+    assert report.crash_count == len(report.crashes) == count, report
 
 
 @when('the entry of "s1" shows a later start at both')
--- a/features/steps/exposure_steps.py
+++ b/features/steps/exposure_steps.py
@@ -27,7 +27,7 @@
     context.exposures, context.registry = ExposureTable(), ServerRegistry()
     context.now_ms, context.revision = ms, Revision(1, 1)
     list_servers(context, SERVER)
-    context.exposure = context.exposures.begin("digest", ("part",), SERVER, ms)
+    context.exposure = context.exposures.begin("digest", ("part",), SERVER, ms, ms)
 
 
 @when("it hangs")
@@ -41,6 +41,49 @@
     context.now_ms = 4_000
 
 
+@when("its connection is lost at {ms:d} ms")
+def connection_is_lost(context: Any, ms: int) -> None:
+    context.exposures.give_up(context.exposure, ms, is_silent=False)
+    context.now_ms = ms
+
+
+@when("another is sent on a connection of {connected_ms:d} ms and {fate}")
+def another_is_sent(context: Any, connected_ms: int, fate: str) -> None:
+    context.other = context.exposures.begin(
+        "digest", (), SERVER, connected_ms, connected_ms
+    )
+    if fate == "is lost, too":
+        context.exposures.give_up(context.other, context.now_ms, is_silent=False)
+
+
+@then("{count:d} crashes lost requests, and {moved:d} request is at the later lifetime")
+def count_crashes(context: Any, count: int, moved: int) -> None:
+    (lifetime,) = context.exposures.take_lost(context.registry, context.now_ms)
+    assert len(list(filter(None, lifetime.crashes))) == count, lifetime
+    assert len(context.exposures) == moved
+    assert not moved or context.other.server.started_ms == 200
+    # Its loss shows once the server starts again.
+    list_servers(context, attrs.evolve(SERVER, started_ms=300))
+    later = take_lost(context)
+    assert later == ([context.other] if moved else []), later
+
+
+@when('a crash of "s1" was detected at {ms:d} ms')
+def crash_was_detected(context: Any, ms: int) -> None:
+    context.crashed_ms = ms
+
+
+@then("no request was lost, and it is at the later lifetime")
+def is_at_later_lifetime(context: Any) -> None:
+    for _ in range(2):
+        assert not context.exposures.take_lost(
+            context.registry, context.now_ms, lambda _server: context.crashed_ms
+        )
+    assert context.exposure.server.started_ms == 200 and len(context.exposures) == 1
+    list_servers(context, attrs.evolve(SERVER, started_ms=300))
+    assert take_lost(context) == [context.exposure]
+
+
 @when("it is answered")
 def is_answered(context: Any) -> None:
     context.exposures.resolve(context.exposure)
@@ -121,7 +164,7 @@
 def many_given_up(context: Any, count: int, ms: int) -> None:
     context.exposures = ExposureTable()
     for number in range(count):
-        exposure = context.exposures.begin(str(number), (), SERVER, ms)
+        exposure = context.exposures.begin(str(number), (), SERVER, ms, ms)
         context.exposures.give_up(exposure, ms, is_silent=True)
 
 
--- a/packages/core/src/cowsliphitch/core/quarantine/exposures.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/exposures.py
@@ -7,11 +7,15 @@
 
 A request counts as lost if it was at the server until then, or was given up while the
 server may have been silent already.
+
+A server may crash again before its later start is read.  A connection that was opened
+after a crash was detected, or after another one was lost with an error, goes to a later
+lifetime: its loss is another crash, and while it is open, its request is not lost.
 """
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -34,6 +38,7 @@
     :param parts: its shared prompt parts
     :param server: the server as it was when the request was sent
     :param sent_ms: monotonic time
+    :param connected_ms: monotonic time at which its connection was opened
     :param has_begun: the first event of its answer has arrived
     :param given_up_ms: monotonic time at which its exchange ended without its outcome
         being known, ``None`` before
@@ -46,6 +51,7 @@
     parts: tuple[str, ...]
     server: Server
     sent_ms: int
+    connected_ms: int
     has_begun: bool = False
     given_up_ms: int | None = None
     is_silent: bool = False
@@ -62,10 +68,19 @@
 
 @attrs.frozen
 class LostLifetime:
-    """A server that ended without announcing it, and the requests that were at it."""
+    """A server that ended without announcing it, and the requests that were at it.
+
+    :param crashes: the requests that were lost, by crash.  The first crash is the last
+        one that was detected already, if any, and may have lost no further request
+    """
 
     server: Server
-    exposures: tuple[Exposure, ...]
+    crashes: tuple[tuple[Exposure, ...], ...]
+
+    @property
+    def exposures(self) -> tuple[Exposure, ...]:
+        """Return the requests that were lost in any of the crashes."""
+        return tuple(itertools.chain.from_iterable(self.crashes))
 
 
 # A server from its start to its end, by identifier and start time.
@@ -101,10 +116,18 @@
         return sum(len(lifetime.open) for lifetime in self._lifetimes.values())
 
     def begin(
-        self, digest: str, parts: tuple[str, ...], server: Server, now_ms: int
+        self,
+        digest: str,
+        parts: tuple[str, ...],
+        server: Server,
+        connected_ms: int,
+        now_ms: int,
     ) -> Exposure:
-        """Record that a request is sent to a server."""
-        exposure = Exposure(digest, parts, server, now_ms)
+        """Record that a request is sent to a server.
+
+        :param connected_ms: time at which its connection was opened
+        """
+        exposure = Exposure(digest, parts, server, now_ms, connected_ms)
         key = server.id, server.started_ms
         lifetime = self._lifetimes.setdefault(key, _ServerExposures(server))
         lifetime.open.append(exposure)
@@ -157,12 +180,20 @@
             if is_outlived:
                 self.resolve(exposure)
 
-    def take_lost(self, servers: ServerRegistry, now_ms: int) -> list[LostLifetime]:
+    def take_lost(
+        self,
+        servers: ServerRegistry,
+        now_ms: int,
+        crashed_ms_of: Callable[[Server], int | None] = lambda _server: None,
+    ) -> list[LostLifetime]:
         """Return the lifetimes that have ended, and forget their requests.
 
-        Requests at a server that has announced its end are forgotten only.
+        Requests at a server that has announced its end are forgotten only.  Those that
+        a later lifetime of the server may still answer are kept for that.
 
         :param servers: the servers that are listed now
+        :param crashed_ms_of: returns when the last crash of a server with this start
+            was detected, ``None`` if none was
         """
         for exposure in tuple(self._expired(now_ms)):
             self.resolve(exposure)
@@ -172,15 +203,35 @@
             listed = servers.get(server.id)
             if listed is not None and listed.started_ms == server.started_ms:
                 lifetime.is_leaving |= listed.state is ServerState.DRAINING
-            if not _has_ended(server, servers):
+            successor = _successor(server, servers)
+            if successor is None:
                 continue
-            exposures = tuple(lifetime.open)
-            for exposure in exposures:
-                self.resolve(exposure)
+            crashes = _divide_by_crash(lifetime.open, crashed_ms_of(server))
             if not lifetime.is_leaving:
-                lost.append(LostLifetime(server, exposures))
+                for later in crashes[1:]:
+                    for exposure in itertools.filterfalse(
+                        _is_lost_with_error, tuple(later)
+                    ):
+                        later.remove(exposure)
+                        self._move(exposure, successor)
+            for exposure in tuple(lifetime.open):
+                self.resolve(exposure)
+            self._lifetimes.pop((server.id, server.started_ms), None)
+            if not lifetime.is_leaving and any(crashes):
+                lost.append(LostLifetime(server, tuple(map(tuple, crashes))))
         return lost
 
+    def _move(self, exposure: Exposure, successor: Server) -> None:
+        """Assign a request to the server's later lifetime."""
+        self._lifetimes[exposure.server.id, exposure.server.started_ms].open.remove(
+            exposure
+        )
+        exposure.server = successor
+        key = successor.id, successor.started_ms
+        self._lifetimes.setdefault(key, _ServerExposures(successor)).open.append(
+            exposure
+        )
+
     def _expired(self, now_ms: int) -> Iterator[Exposure]:
         return itertools.takewhile(
             lambda e: (
@@ -191,14 +242,41 @@
         )
 
 
-def _has_ended(server: Server, servers: ServerRegistry) -> bool:
-    """Return whether a later start shows that a server's lifetime is over.
+def _is_lost_with_error(exposure: Exposure) -> bool:
+    return exposure.given_up_ms is not None and not exposure.is_silent
+
+
+def _divide_by_crash(
+    exposures: Iterable[Exposure], crashed_ms: int | None
+) -> list[list[Exposure]]:
+    """Return requests at a server by the crash that their connections can be lost in.
+
+    :param crashed_ms: when the first of these crashes was detected, ``None`` if it was
+        not
+    """
+    crashes: list[list[Exposure]] = [[]]
+    end_ms = crashed_ms
+    for exposure in sorted(exposures, key=lambda e: e.connected_ms):
+        if end_ms is not None and exposure.connected_ms > end_ms:
+            crashes.append([])
+            end_ms = None
+        crashes[-1].append(exposure)
+        if exposure.given_up_ms is not None and not exposure.is_silent:
+            lost_ms = exposure.given_up_ms
+            end_ms = lost_ms if end_ms is None else min(end_ms, lost_ms)
+    return crashes
+
+
+def _successor(server: Server, servers: ServerRegistry) -> Server | None:
+    """Return the listed server whose later start shows that a lifetime is over.
 
     Its machine may come back under another identifier.
     """
     if not server.started_ms:
-        return False
+        return None
     successor = servers.get(server.id) or next(
         (other for other in servers.all() if other.address == server.address), None
     )
-    return successor is not None and successor.started_ms > server.started_ms
+    if successor is None or successor.started_ms <= server.started_ms:
+        return None
+    return successor
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -45,10 +45,6 @@
 CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.STREAM_CUT})
 
 
-# A later crash of an engine with the same start time is another one: it has restarted,
-# and its new entry has not been read yet.
-SAME_CRASH_MS = 1_000
-
 # Engines whose last crash is remembered.
 MAX_CRASHED_ENGINES = 512
 
@@ -178,13 +174,20 @@
         for exposure in sent:
             exposures.resolve(exposure)
 
-    def expose(self, digest: str, parts: tuple[str, ...], server: Server) -> Exposure:
+    def expose(
+        self,
+        digest: str,
+        parts: tuple[str, ...],
+        server: Server,
+        connected_ms: int,
+    ) -> Exposure:
         """Record that a request is sent to a server.
 
         :param parts: its prompt parts that may crash the server
+        :param connected_ms: monotonic time at which its connection was opened
         """
         now = self._state.clock.now_ms()
-        return self._state.exposures.begin(digest, parts, server, now)
+        return self._state.exposures.begin(digest, parts, server, connected_ms, now)
 
     def runs_apart(self, digest: str) -> bool:
         """Return whether a request is kept apart from others, as it may crash servers.
@@ -210,7 +213,9 @@
     def observe_servers(self) -> None:
         """Record the crashes of servers that have started again since."""
         now = self._state.clock.now_ms()
-        for lost in self._state.exposures.take_lost(self._state.servers, now):
+        for lost in self._state.exposures.take_lost(
+            self._state.servers, now, self._crashed_ms_of
+        ):
             server = lost.server
             event(
                 _LOGGER,
@@ -223,9 +228,15 @@
             )
             key = server.id, server.started_ms
             last = self._last_crashes.get(key)
-            number = 0 if last is None else last.number
-            crash = self._remember_crash(key, _LastCrash(number, now))
-            self._record_crash(crash, lost.exposures)
+            first = 0 if last is None else last.number
+            for number, exposures in enumerate(lost.crashes, first):
+                if exposures:
+                    crash = self._remember_crash(key, _LastCrash(number, now))
+                    self._record_crash(crash, exposures)
+
+    def _crashed_ms_of(self, server: Server) -> int | None:
+        last = self._last_crashes.get((server.id, server.started_ms))
+        return None if last is None else last.time_ms
 
     async def wait_until_resolved(self, exposure: Exposure) -> None:
         """Wait until it is known whether a request that was given up was lost.
@@ -304,10 +315,10 @@
             digests=sorted({lost.digest for lost in requests}),
         )
         if has_crashed:
-            crash = self._identify_crash(server, self._state.clock.now_ms())
             for exposure in requests:
                 self._state.exposures.resolve(exposure)
-            self._record_crash(crash, requests)
+            for crash, lost in self._divide_by_crash(server, requests).items():
+                self._record_crash(crash, lost)
 
     def _record_crash(self, crash: int, requests: Iterable[Exposure]) -> None:
         """Record a crash with the requests that were at the server.
@@ -325,15 +336,26 @@
         for listener in self._crash_listeners:
             listener()
 
-    def _identify_crash(self, server: Server, now_ms: int) -> int:
-        """Return an identifier that the daemons agree on without exchanging it."""
-        key = server.id, server.started_ms
+    def _divide_by_crash(
+        self, server: Server, requests: Iterable[Exposure]
+    ) -> dict[int, list[Exposure]]:
+        """Return lost requests by the identifier of the crash that lost them.
+
+        The daemons agree on identifiers without exchanging them.  A connection that was
+        opened after the last crash was detected shows that the server has restarted, so
+        its loss is another crash even if the server's new entry has not been read yet.
+        One that is older ended with the last crash, however late its loss is noticed.
+        """
+        key, now = (server.id, server.started_ms), self._state.clock.now_ms()
         last = self._last_crashes.get(key)
         if last is None:
-            last = _LastCrash(0, now_ms)
-        elif now_ms - last.time_ms >= SAME_CRASH_MS:
-            last = _LastCrash(last.number + 1, now_ms)
-        return self._remember_crash(key, last)
+            return {self._remember_crash(key, _LastCrash(0, now)): list(requests)}
+        same = [lost for lost in requests if lost.connected_ms <= last.time_ms]
+        later = [lost for lost in requests if lost.connected_ms > last.time_ms]
+        groups = (last, same), (_LastCrash(last.number + 1, now), later)
+        return {
+            self._remember_crash(key, crash): lost for crash, lost in groups if lost
+        }
 
     def _remember_crash(self, key: tuple[str, int], crash: _LastCrash) -> int:
         self._last_crashes.pop(key, None)
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -314,10 +314,13 @@
 
         sent: list[Exposure] = []
 
-        def before_send() -> None:
+        def before_send(connected_ms: int) -> None:
             self._quarantine.check_sendable(ctx.request, ctx.is_trial)
             ctx.exposure = self._quarantine.expose(
-                ctx.request.digest, ctx.request.shared_part_ids, server
+                ctx.request.digest,
+                ctx.request.shared_part_ids,
+                server,
+                connected_ms,
             )
             sent.append(ctx.exposure)
 
@@ -379,15 +382,15 @@
         server: Server,
         request: OutgoingRequest,
         permit: Permit | None,
-        before_send: Callable[[], None],
+        before_send: Callable[[int], None],
     ) -> AsyncIterator[Answer]:
         """Send a request and yield the answer.
 
         If the server's failure domain becomes unreachable, the exchange is abandoned
         only for requests that may be repeated.
 
-        :param before_send: called on the open connection, raises ``UpstreamError`` if
-            the request may not be sent any more
+        :param before_send: called with the monotonic time at which the connection was
+            opened, raises ``UpstreamError`` if the request may not be sent any more
         """
         max_connections = self._max_connections(ctx.service)
         may_repeat = ctx.route.kind is RouteKind.IDEMPOTENT
--- a/packages/gateway/src/cowsliphitch/gateway/server_client.py
+++ b/packages/gateway/src/cowsliphitch/gateway/server_client.py
@@ -79,15 +79,15 @@
         max_connections: int,
         purpose: Purpose,
         permit: Permit | None = None,
-        check_sendable: Callable[[], None] = lambda: None,
+        check_sendable: Callable[[int], None] = lambda _connected_ms: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer, once the head has been read.
 
         Without a permit, a request to a limited server gets one first.
 
         :param max_connections: connections to the server that may be open at a time
-        :param check_sendable: called on the open connection, raises ``UpstreamError``
-            if the request may not be sent any more
+        :param check_sendable: called with the monotonic time at which the connection
+            was opened, raises ``UpstreamError`` if the request may not be sent any more
         :raises UpstreamError: the server sent no answer, or may get nothing more
         """
         has_answered = False
@@ -98,10 +98,10 @@
         if permit is not None:
             await self.wait_for(permit)
 
-        def before_send() -> None:
+        def before_send(connected_ms: int) -> None:
             # The server may have left while the connection was opened.
             self._check_usable(server, purpose)
-            check_sendable()
+            check_sendable(connected_ms)
             self._log_send(server, request, purpose, chosen_ms)
             self._state.server_limits.record_sent(server.id, self._state.clock.now_ms())
 
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -453,9 +453,10 @@
         digests = {piece.job.digest for piece in call.pieces} - {""}
         exposures: list[Exposure] = []
 
-        def before_send() -> None:
+        def before_send(connected_ms: int) -> None:
             exposures.extend(
-                self._quarantine.expose(digest, (), call.server) for digest in digests
+                self._quarantine.expose(digest, (), call.server, connected_ms)
+                for digest in digests
             )
 
         try:
@@ -515,7 +516,7 @@
         server: Server,
         request: OutgoingRequest,
         purpose: Purpose,
-        before_send: Callable[[], None] = lambda: None,
+        before_send: Callable[[int], None] = lambda _connected_ms: None,
     ) -> bytes:
         max_connections = self._max_connections(server.service)
         with self._client.cancel_if_unreachable(server):
--- a/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
+++ b/packages/upstreams/src/cowsliphitch/upstreams/http1/pool.py
@@ -142,7 +142,7 @@
         address: str,
         request: OutgoingRequest,
         max_open: int,
-        before_send: Callable[[], None] = lambda: None,
+        before_send: Callable[[int], None] = lambda _connected_ms: None,
     ) -> AsyncIterator[Answer]:
         """Send a request and read the head of its answer.
 
@@ -152,7 +152,8 @@
 
         :param address: host and port
         :param max_open: limit of open connections to this address
-        :param before_send: called on the open connection, before the first byte is sent
+        :param before_send: called with the monotonic time at which the connection was
+            opened, before the first byte is sent
         :raises UpstreamError: no valid answer arrived
         """
         message = encode_head(request)
@@ -161,7 +162,7 @@
         reusable = False
         buffer = self._budget.open()
         try:
-            before_send()
+            before_send(connection.opened_ms)
             await self._send_request(connection, request, message)
             head = await connection.read_head(request)
             answer = Answer(head, connection, buffer)
