Place requests by the pace that servers report, and pass reports on

Cause: the load header was read with exactly three figures, so nothing was known of a server that reports its pace.

ServerPlacement keeps the latest report of each server and weighs it by its age, with the mean pace of the service in place of what is not known. Heartbeats carry the reports in the rows that list requests in flight, with their age, and delay_ms for heartbeats that are encoded once and sent several times.

--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -184,7 +184,7 @@
 @when('"{name}" has {count:d} requests in flight from this daemon')
 def has_in_flight(context: Any, name: str, count: int) -> None:
     for _ in range(count):
-        context.placement.record_sent(name)
+        context.placement.record_sent(name, context.now_ms)
 
 
 @when('a peer reports {count:d} requests in flight at "{name}"')
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -4,6 +4,7 @@
 """
 
 import hashlib
+from typing import Final
 
 import attrs
 
@@ -101,6 +102,15 @@
         return tuple(part.id for part in self.generation.shared_parts)
 
 
+# Bounds of a reported pace: a faulty server could name any.
+MIN_PACE: Final = 0.1
+MAX_PACE: Final = 10.0
+
+
+def _bounded_pace(pace: float | None) -> float | None:
+    return None if pace is None else min(MAX_PACE, max(MIN_PACE, pace))
+
+
 @attrs.frozen
 class Load:
     """The load that a server reports with an answer.
@@ -108,11 +118,14 @@
     :param running: requests in execution
     :param waiting: queue depth
     :param slots: requests that it runs concurrently
+    :param pace: how long work takes at this moment, 1.0 is normal, ``None`` if it is
+        not reported
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = attrs.field(default=None, converter=_bounded_pace)
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/servers/placement.py
+++ b/packages/core/src/cowsliphitch/core/servers/placement.py
@@ -4,16 +4,24 @@
 daemons send to them at once, some are slow and some fail requests while their health
 checks pass.  Each daemon counts its own requests in flight exactly, and has those of
 its peers as of their last heartbeat.
+
+Load pattern: servers become slower by a multiple for a second or two and say so in
+their answers, and many daemons share a few servers, so that each of them gets an answer
+of a server only every ten seconds.  Daemons pass the latest report of each server on
+with their heartbeats, and its weight falls with its age.
 """
 
+import bisect
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Mapping, Sequence
 from typing import Final
 
 import attrs
 
-from .load import ServerLoad
+from cowsliphitch.core.requests.models import Load
+
+from .load import ServerLoad, ServerReport
 from .models import Server
 
 # Time for which other servers are preferred to an unreachable one; crashes last
@@ -39,6 +47,35 @@
 PEER_LOADS_TTL_MS: Final = 2_000
 
 
+# Time in which a server's report loses half of its weight, and after which it has none
+# (measured in docs/design/pace.md).
+REPORT_HALF_LIFE_MS: Final = 300
+MAX_REPORT_AGE_MS: Final = 1_000
+
+# Weight of the latest report in the moving average of a server's pace.
+PACE_EWMA_WEIGHT: Final = 0.05
+
+# The load of servers that report their pace is varied at random by this share.  Daemons
+# with the same reports would otherwise all choose the same server.
+LOAD_VARIATION: Final = 0.1
+
+
+@attrs.frozen
+class _KnownReport:
+    """A server's report and the monotonic time at which it was made."""
+
+    requests: int
+    pace: float
+    made_ms: int
+
+    def weight(self, now_ms: int) -> float:
+        """Return the report's weight, from 0 to 1."""
+        age_ms = now_ms - self.made_ms
+        if age_ms > MAX_REPORT_AGE_MS:
+            return 0.0
+        return float(0.5 ** (age_ms / REPORT_HALF_LIFE_MS))
+
+
 @attrs.frozen
 class _PeerLoads:
     """A peer's requests in flight, by server, and when it reported them."""
@@ -57,6 +94,10 @@
         first answer
     :param failure_rate: moving average of failures, from 0 to 1, as of
         ``last_failure_ms``
+    :param report: the server's latest report, ``None`` if it reports no pace
+    :param mean_pace: moving average of the paces in its reports
+    :param sent_ms: times at which requests were sent, of the last second
+    :param ended_ms: times at which requests ended, of the last second
     """
 
     running: int = 0
@@ -64,6 +105,21 @@
     latency_ms: float = 0.0
     failure_rate: float = 0.0
     last_failure_ms: int = 0
+    report: _KnownReport | None = None
+    mean_pace: float = 1.0
+    sent_ms: deque[int] = attrs.Factory(deque)
+    ended_ms: deque[int] = attrs.Factory(deque)
+
+    def started_since(self, time_ms: int) -> int:
+        """Return by how many the requests in flight have increased."""
+        sent = len(self.sent_ms) - bisect.bisect_right(self.sent_ms, time_ms)
+        ended = len(self.ended_ms) - bisect.bisect_right(self.ended_ms, time_ms)
+        return sent - ended
+
+    def set_report(self, report: _KnownReport) -> None:
+        """Set the server's latest report."""
+        self.report = report
+        self.mean_pace += PACE_EWMA_WEIGHT * (report.pace - self.mean_pace)
 
 
 class ServerPlacement:
@@ -82,8 +138,14 @@
     def set_peer_loads(
         self, peer: str, loads: Mapping[str, ServerLoad], now_ms: int
     ) -> None:
-        """Replace a peer's requests in flight, by server identifier."""
+        """Replace a peer's requests in flight, and adopt its later reports.
+
+        :param loads: what the peer knows, by server identifier
+        """
         self.remove_peer(peer)
+        for server_id, load in loads.items():
+            if load.report is not None:
+                self._adopt(server_id, load.report, now_ms)
         if loads:
             self._peer_loads[peer] = _PeerLoads(loads, now_ms)
             for server_id, load in loads.items():
@@ -109,13 +171,32 @@
         for peer in expired:
             self.remove_peer(peer)
 
-    def own_loads(self) -> dict[str, ServerLoad]:
-        """Return this daemon's requests in flight by server, for its heartbeats."""
-        return {
-            server_id: ServerLoad(stats.running)
+    def own_loads(self, now_ms: int) -> dict[str, ServerLoad]:
+        """Return what this daemon knows by server, for its heartbeats."""
+        loads = {
+            server_id: ServerLoad(stats.running, _recent_report(stats, now_ms))
             for server_id, stats in self._stats.items()
-            if stats.running > 0
         }
+        return {
+            server_id: load
+            for server_id, load in loads.items()
+            if load.running > 0 or load.report is not None
+        }
+
+    def record_load(self, server_id: str, load: Load, now_ms: int) -> None:
+        """Record the load that a server reported with an answer."""
+        stats = self._stats_of(server_id)
+        if load.pace is None:
+            stats.report = None
+            return
+        requests = load.running + load.waiting
+        stats.set_report(_KnownReport(requests, load.pace, now_ms))
+
+    def _adopt(self, server_id: str, report: ServerReport, now_ms: int) -> None:
+        """Adopt a peer's report of a server if it is later than the known one."""
+        stats, made_ms = self._stats_of(server_id), now_ms - report.age_ms
+        if stats.report is None or stats.report.made_ms < made_ms:
+            stats.set_report(_KnownReport(report.requests, report.pace, made_ms))
 
     def choose(
         self,
@@ -155,11 +236,42 @@
         median_ms = (
             sorted(latencies_ms)[len(latencies_ms) // 2] if latencies_ms else 0.0
         )
+        if any(self._stats_of(s.id).report is not None for s in candidates):
+            paces = [self._stats_of(s.id).mean_pace for s in candidates]
+            mean_pace = sum(paces) / len(paces)
+            return sorted(
+                candidates, key=lambda s: self._paced_load(s, mean_pace, now_ms)
+            )
         return sorted(
             candidates,
             key=lambda s: (self._load(s, median_ms, now_ms), self._rng.random()),
         )
 
+    def _paced_load(self, server: Server, mean_pace: float, now_ms: int) -> float:
+        """Return the load of a server of a service whose servers report their pace.
+
+        Requests of others count only where all together exceed the server's slots: a
+        free slot is as good as another, and all daemons would choose the server that
+        last reported the fewest.  A server without a recent report is taken to have the
+        mean pace, so that one that was not slow a moment ago is preferred to it.
+        Latencies of this daemon's own requests are not used: each of them is older than
+        the slow times of the servers.
+
+        :param mean_pace: mean pace of the service's servers
+        """
+        stats = self._stats_of(server.id)
+        known = stats.running + self._peer_running.get(server.id, 0)
+        slots, requests, pace = max(1, server.slots), float(known), mean_pace
+        if stats.report is not None:
+            weight = stats.report.weight(now_ms)
+            reported = stats.report.requests + stats.started_since(stats.report.made_ms)
+            requests += weight * (max(stats.running, reported) - known)
+            pace += weight * (stats.report.pace - mean_pace)
+        queueing = 1 + max(0.0, requests + 1 - slots) / slots
+        load = (stats.running + 1) / slots * pace * queueing
+        load *= self._rng.uniform(1 - LOAD_VARIATION, 1 + LOAD_VARIATION)
+        return load + self._failure_rate(stats, now_ms) * FAILURE_RATE_LOAD
+
     def _load(self, server: Server, median_ms: float, now_ms: int) -> float:
         """Return a server's requests per slot, increased if it is slow or fails."""
         stats = self._stats_of(server.id)
@@ -174,13 +286,17 @@
         age_ms = now_ms - stats.last_failure_ms
         return float(stats.failure_rate * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS))
 
-    def record_sent(self, server_id: str) -> None:
+    def record_sent(self, server_id: str, now_ms: int) -> None:
         """Count a request sent to a server as in flight."""
-        self._stats_of(server_id).running += 1
+        stats = self._stats_of(server_id)
+        stats.running += 1
+        _append_recent(stats.sent_ms, now_ms)
 
-    def record_end(self, server_id: str) -> None:
+    def record_end(self, server_id: str, now_ms: int) -> None:
         """Count a request as no longer in flight, whatever its result."""
-        self._stats_of(server_id).running -= 1
+        stats = self._stats_of(server_id)
+        stats.running -= 1
+        _append_recent(stats.ended_ms, now_ms)
 
     def record_answer(self, server_id: str, latency_ms: int) -> None:
         """Record a successful answer in a server's latency and failure rate.
@@ -224,3 +340,16 @@
 
     def _stats_of(self, server_id: str) -> _ServerStats:
         return self._stats.setdefault(server_id, _ServerStats())
+
+
+def _append_recent(times_ms: deque[int], now_ms: int) -> None:
+    times_ms.append(now_ms)
+    while times_ms[0] < now_ms - MAX_REPORT_AGE_MS:
+        times_ms.popleft()
+
+
+def _recent_report(stats: _ServerStats, now_ms: int) -> ServerReport | None:
+    report = stats.report
+    if report is None or not report.weight(now_ms):
+        return None
+    return ServerReport(report.requests, report.pace, now_ms - report.made_ms)
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -222,16 +222,24 @@
             and member.address != members.own.address
         ]
         content = self._recent()
-        encoded = exchange_to_wire(Exchange(store_news=news))
+        delay_ms = self._encoded_age_ms()
+        encoded = exchange_to_wire(Exchange(store_news=news, delay_ms=delay_ms))
         if len(content) + len(encoded) > MAX_DATAGRAM_BYTES:
             cut = attrs.evolve(news, after=news.at, changes=())
-            encoded = exchange_to_wire(Exchange(store_news=cut))
+            encoded = exchange_to_wire(Exchange(store_news=cut, delay_ms=delay_ms))
         await self.socket.send_encoded(content + encoded, addresses)
 
     async def _send_exchange(self, address: str, exchange: Exchange) -> None:
-        content = self._recent() + exchange_to_wire(exchange)
+        content = self._recent()
+        exchange = attrs.evolve(exchange, delay_ms=self._encoded_age_ms())
+        content += exchange_to_wire(exchange)
         await self.socket.send_encoded(content, (address,))
 
+    def _encoded_age_ms(self) -> int:
+        if self._encoded is None:
+            return 0
+        return self._state.clock.now_ms() - self._encoded.made_ms
+
     def _recent(self) -> bytes:
         """Return the encoded heartbeat, made within the shortest interval."""
         now = self._state.clock.now_ms()
@@ -283,7 +291,9 @@
             leaving_servers=state.servers.next_announcement(state.clock.now_ms()),
             servers={
                 server_checksum(server_id): load
-                for server_id, load in state.placement.own_loads().items()
+                for server_id, load in state.placement.own_loads(
+                    state.clock.now_ms()
+                ).items()
             },
             duties=dict(state.members.claims),
             delays_ms=dict(state.own_delays_ms),
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -326,7 +326,7 @@
 
         # From here on the request may have run, even if it is cancelled.
         ctx.attempts.may_have_run_on.add(server.id)
-        placement.record_sent(server.id)
+        placement.record_sent(server.id, now)
         ctx.on_sent()
         try:
             with self._quarantine.observe(sent):
@@ -339,7 +339,7 @@
                 ctx.attempts.may_have_run_on.discard(server.id)
             raise
         finally:
-            placement.record_end(server.id)
+            placement.record_end(server.id, self._state.clock.now_ms())
 
     async def _receive(
         self,
@@ -354,8 +354,12 @@
         :raises UpstreamError: it may not be passed on, or is not complete
         """
         metadata = wire.decode_head(answer.head)
-        self._check_answer(metadata, ctx)
         now = self._state.clock.now_ms()
+        # The owner of the stage pools chooses engines by what it knows itself.
+        is_placed = ctx.choose_server is None and not metadata.wrong_server
+        if metadata.load is not None and is_placed:
+            self._state.placement.record_load(server.id, metadata.load, now)
+        self._check_answer(metadata, ctx)
         self._state.placement.record_answer(server.id, now - sent_ms)
         ctx.on_head()
         await self._relay_answer(ctx, server, answer, metadata, reply)
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -8,6 +8,7 @@
 import math
 import zlib
 from collections.abc import Iterable
+from typing import Final
 
 from cowsliphitch.core.deployment.models import StageSpec
 from cowsliphitch.core.fleet.detector import MemberReport
@@ -23,7 +24,7 @@
 from cowsliphitch.core.quarantine.prompt_parts import PartReport
 from cowsliphitch.core.requests.models import Generation, PromptPart
 from cowsliphitch.core.revisions import Revision
-from cowsliphitch.core.servers.load import ServerLoad
+from cowsliphitch.core.servers.load import ServerLoad, ServerReport
 from cowsliphitch.core.servers.registry import LeavingReport
 from cowsliphitch.core.streams.models import StreamOrigin, StreamRecords
 from cowsliphitch.core.verdict import Reason, Refusal, Verdict
@@ -46,6 +47,13 @@
     TrialReply,
 )
 
+# Unit of a pace on the wire.
+_PACE_UNIT: Final = 100
+
+# Time from sending a heartbeat to applying it, unless the receiver is busy.  The
+# latency between failure domains is about 1 ms.
+_TRANSIT_MS: Final = 10
+
 
 @functools.lru_cache(maxsize=4_096)
 def server_checksum(server_id: str) -> int:
@@ -78,8 +86,7 @@
             for report in heartbeat.leaving_servers
         ],
         servers=[
-            pb.ServerShare(server=server, running=share.running)
-            for server, share in heartbeat.servers.items()
+            _load_to_wire(server, load) for server, load in heartbeat.servers.items()
         ],
         duties=[
             pb.Duty(duty=duty, term=term, delay_ms=heartbeat.delays_ms.get(duty, 0))
@@ -130,6 +137,33 @@
     return bytes(message.SerializeToString())
 
 
+def _load_to_wire(server: int, load: ServerLoad) -> pb.ServerShare:
+    if load.report is None:
+        return pb.ServerShare(server=server, running=load.running)
+    return pb.ServerShare(
+        server=server,
+        running=load.running,
+        requests=load.report.requests,
+        pace=round(load.report.pace * _PACE_UNIT),
+        age_ms=load.report.age_ms,
+    )
+
+
+def _load_from_wire(row: pb.ServerShare, delay_ms: int) -> ServerLoad:
+    """Decode what a peer knows of a server.
+
+    With an age that is too low, a report that peers pass on in a circle would never
+    become old.
+
+    :param delay_ms: time from encoding the heartbeat to sending it
+    """
+    if not row.pace:
+        return ServerLoad(row.running)
+    age_ms = row.age_ms + delay_ms + _TRANSIT_MS
+    report = ServerReport(row.requests, row.pace / _PACE_UNIT, age_ms)
+    return ServerLoad(row.running, report)
+
+
 def exchange_to_wire(exchange: Exchange) -> bytes:
     """Encode what goes with a heartbeat, to be appended to the encoded heartbeat."""
     message = pb.Heartbeat(
@@ -137,6 +171,7 @@
         answer=exchange.answer,
         target=exchange.target,
         store_news=_news_to_wire(exchange.store_news),
+        delay_ms=exchange.delay_ms,
     )
     return bytes(message.SerializeToString())
 
@@ -152,7 +187,11 @@
 def _exchange_of(message: pb.Heartbeat) -> Exchange:
     news = message.store_news if message.HasField("store_news") else None
     return Exchange(
-        message.probe, message.answer, message.target, _news_from_wire(news)
+        message.probe,
+        message.answer,
+        message.target,
+        _news_from_wire(news),
+        message.delay_ms,
     )
 
 
@@ -233,7 +272,10 @@
             )
             for row in message.leaving_servers
         ),
-        servers={row.server: ServerLoad(row.running) for row in message.servers},
+        servers={
+            row.server: _load_from_wire(row, message.delay_ms)
+            for row in message.servers
+        },
         duties={row.duty: row.term for row in message.duties},
         delays_ms={row.duty: row.delay_ms for row in message.duties if row.delay_ms},
         interval_ms=message.interval_ms or HEARTBEAT_INTERVAL_MS,
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -56,12 +56,14 @@
     :param answer: number of the receiver's probe that this answers, 0 for none
     :param target: address of the daemon that the receiver probes in the sender's
         place, empty if the probe is for the receiver itself
+    :param delay_ms: time from encoding the heartbeat that it is added to
     """
 
     probe: int = 0
     answer: int = 0
     target: str = ""
     store_news: StoreNews | None = None
+    delay_ms: int = 0
 
     def is_empty(self) -> bool:
         """Return whether a heartbeat came by itself."""
