--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -314,16 +314,19 @@
 
         sent: list[Exposure] = []
 
-        def before_send() -> None:
+        def before_send(connected_ms: int) -> None:
             self._quarantine.check_sendable(ctx.request, ctx.is_trial)
             ctx.exposure = self._quarantine.expose(
-                ctx.request.digest, ctx.request.shared_part_ids, server
+                ctx.request.digest,
+                ctx.request.shared_part_ids,
+                server,
+                connected_ms,
             )
             sent.append(ctx.exposure)
 
         # From here on the request may have run, even if it is cancelled.
         ctx.attempts.may_have_run_on.add(server.id)
-        placement.record_sent(server.id)
+        placement.record_sent(server.id, now)
         ctx.on_sent()
         try:
             with self._quarantine.observe(sent):
@@ -336,7 +339,7 @@
                 ctx.attempts.may_have_run_on.discard(server.id)
             raise
         finally:
-            placement.record_end(server.id)
+            placement.record_end(server.id, self._state.clock.now_ms())
 
     async def _receive(
         self,
@@ -351,8 +354,12 @@
         :raises UpstreamError: it may not be passed on, or is not complete
         """
         metadata = wire.decode_head(answer.head)
-        self._check_answer(metadata, ctx)
         now = self._state.clock.now_ms()
+        # The owner of the stage pools chooses engines by what it knows itself.
+        is_placed = ctx.choose_server is None and not metadata.wrong_server
+        if metadata.load is not None and is_placed:
+            self._state.placement.record_load(server.id, metadata.load, now)
+        self._check_answer(metadata, ctx)
         self._state.placement.record_answer(server.id, now - sent_ms)
         ctx.on_head()
         await self._relay_answer(ctx, server, answer, metadata, reply)
@@ -379,15 +386,15 @@
         server: Server,
         request: OutgoingRequest,
         permit: Permit | None,
-        before_send: Callable[[], None],
+        before_send: Callable[[int], None],
     ) -> AsyncIterator[Answer]:
         """Send a request and yield the answer.
 
         If the server's failure domain becomes unreachable, the exchange is abandoned
         only for requests that may be repeated.
 
-        :param before_send: called on the open connection, raises ``UpstreamError`` if
-            the request may not be sent any more
+        :param before_send: called with the monotonic time at which the connection was
+            opened, raises ``UpstreamError`` if the request may not be sent any more
         """
         max_connections = self._max_connections(ctx.service)
         may_repeat = ctx.route.kind is RouteKind.IDEMPOTENT
