--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -64,6 +64,7 @@
         self.daemon_count = daemon_count
         self.grace = "5s"
         self.memory_mb = 256
+        self.max_descriptors = 4_096
         for number, version in enumerate(engine_versions, 1):
             name = f"engine-{number}"
             self.servers[name] = SiteServer(
@@ -121,6 +122,7 @@
             f'store:\n  address: "{self.store.removeprefix("http://")}"\n'
             f'shutdown:\n  grace: "{self.grace}"\n'
             f"vm:\n  memory_mb: {self.memory_mb}\n"
+            f"  max_descriptors: {self.max_descriptors}\n"
         )
         process = self._start(["cowsliphitch.gateway"], COWSLIPHITCH_CONFIG=str(path))
         return ports | {"process": process, "path": path}
