Bound what a daemon holds for callers that read no answers

Cause: anyio's streams read an accepted socket from the start, 256 KB at a time, until a read has waited once. A caller that always has bytes waiting is never paused, so the queue of its input grows without bound. Unsent output, input and the connections themselves counted towards no budget, and writes had no timeout.

Change: CallerStream reads a socket only while somebody waits for its bytes. Unsent output, input read ahead and 40 KB for each connection count towards the budget; the one with the most unsent output is closed when it is exhausted. Bodies in use are pinned: giving them up freed nothing. Connections are limited by memory too, and at the limit one whose caller has read nothing for 1 s makes room. Pipelined input is read ahead by 4 KB; beyond that the state of the socket is polled, so that a disconnect is still noticed. The next request waits until at most 16 KB of answers are unread. A caller that acknowledges nothing for the idle timeout, at least 15 s, is closed. The readiness and metrics listeners share the budget.

--- a/features/steps/unread_steps.py
+++ b/features/steps/unread_steps.py
@@ -94,7 +94,8 @@
 
 
 @when(
-    "{count:d} callers send {requests} to its {name} address for {s:d} s and read nothing"
+    "{count:d} callers send {requests} to its {name} address for {s:d} s and read"
+    " nothing"
 )
 def send_unread(context: Any, count: int, requests: str, name: str, s: int) -> None:
     daemon = context.site.daemons[0]
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -1,23 +1,25 @@
 """Server side of one HTTP/1.1 connection of a caller.
 
 Requests whose framing is ambiguous are rejected, and a handler is cancelled as soon as
-its caller disconnects.
+its caller disconnects.  A caller that does not read its answers gets no further ones,
+and its connection ends if it reads nothing for long, or if it holds the most unsent
+bytes when the memory for buffers is exhausted.
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import anyio
 import h11
-from anyio.abc import SocketStream
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
-from cowsliphitch.core.overload.buffers import Buffer, BufferBudget
+from cowsliphitch.core.overload.buffers import CONNECTION_BYTES, Buffer, BufferBudget
 
 from . import const
 from .models import Diagnostics, EdgeRequest, Handler, Header, ReplyError
+from .stream import CallerStream
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -57,12 +59,12 @@
     :param is_closing: returns whether the connection is to be closed after its next
         answer
     :param diagnostics: counters of the server, shared by its connections
-    :param budget: memory for the bodies of requests
+    :param budget: memory for the connection, its input and its unsent output
     """
 
     def __init__(
         self,
-        stream: SocketStream,
+        stream: CallerStream,
         handler: Handler,
         limits: Callable[[], CallerLimits],
         is_closing: Callable[[], bool],
@@ -83,6 +85,26 @@
         )
         self._started = False
         self._idle_since_ms = clock.now_ms()
+        self._stalled_since_ms: int | None = None
+        self._held = budget.open(is_pinned=True)
+        self._held.resize(CONNECTION_BYTES)
+        self._unsent = budget.open()
+        self._unsent.on_give_up = self._give_up
+
+    @property
+    def stalled_ms(self) -> int:
+        """Return for how long the caller has left all of its answers unread."""
+        if self._stalled_since_ms is None:
+            return 0
+        return self._clock.now_ms() - self._stalled_since_ms
+
+    def reset(self) -> None:
+        """Close the connection, and drop what its caller has not read."""
+        self._stream.reset()
+
+    def _give_up(self) -> None:
+        self._diagnostics.given_up += 1
+        self.reset()
 
     @property
     def started(self) -> bool:
@@ -101,8 +123,9 @@
             _LOGGER.info("Rejecting request: status=%d cause=%s", exc.status, exc)
             await self._send_error(exc.status)
         finally:
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(self._stream)
+            self._stream.close()
+            self._unsent.close()
+            self._held.close()
 
     async def start(
         self, status: int, headers: tuple[Header, ...], length: int | None
@@ -146,6 +169,7 @@
             req = await self._read_request(buffer)
             if req is None:
                 return False
+            buffer.pin()
             self._diagnostics.requests += 1
             self._started = False
             await self._handle(req)
@@ -163,9 +187,9 @@
 
         async def watch_disconnect(scope: anyio.CancelScope) -> None:
             nonlocal disconnected
-            disconnected = await self._wait_for_disconnect()
-            if disconnected:
-                scope.cancel()
+            await self._wait_for_disconnect()
+            disconnected = True
+            scope.cancel()
 
         self._diagnostics.active += 1
         try:
@@ -192,22 +216,24 @@
             return True
         return False
 
-    async def _wait_for_disconnect(self) -> bool:
-        """Buffer pipelined bytes until the caller disconnects.
+    async def _wait_for_disconnect(self) -> None:
+        """Read a little ahead until the caller disconnects.
 
-        :returns: ``False`` if the buffer's limit was reached instead
+        Beyond the limit the state of the connection is polled instead.
         """
-        while len(self._protocol.trailing_data[0]) <= const.MAX_PIPELINED_BYTES:
+        while len(self._protocol.trailing_data[0]) < const.MAX_PIPELINED_BYTES:
             try:
-                data = await self._stream.receive(const.READ_BYTES)
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
-                return True
+                data = await self._stream.receive(const.MAX_PIPELINED_BYTES)
+            except anyio.EndOfStream:
+                return
             self._protocol.receive_data(data)
-        return False
+            self._count_input()
+        while not self._stream.has_caller_left:
+            await anyio.sleep(seconds(const.STATE_POLL_MS))
+
+    def _count_input(self) -> None:
+        """Count what was read ahead."""
+        self._held.resize(CONNECTION_BYTES + len(self._protocol.trailing_data[0]))
 
     async def _read_request(self, buffer: Buffer) -> EdgeRequest | None:
         """Read a request; return ``None`` if the connection ended before one began.
@@ -220,10 +246,17 @@
         received_ms = await self._wait_for_first_byte(limits.idle_timeout_ms)
         if received_ms is None:
             return None
-        remaining_ms = received_ms + limits.header_timeout_ms - self._clock.now_ms()
+        # Callers that read an answer before their next request never wait here.
+        await self._wait_until(
+            lambda: (
+                self._stream.unread_bytes <= const.MAX_UNREAD_BYTES
+                or self._stream.has_caller_left
+            ),
+            lambda: anyio.sleep(seconds(const.STATE_POLL_MS)),
+        )
         try:
-            with anyio.fail_after(seconds(max(0, remaining_ms))):
-                event = await self._next_event()
+            with anyio.fail_after(seconds(limits.header_timeout_ms)):
+                event = await self._next_event(const.READ_HEAD_BYTES)
         except TimeoutError:
             raise _RequestRejected(
                 408, f"no complete head within {limits.header_timeout_ms} ms"
@@ -251,13 +284,8 @@
         remaining_ms = self._idle_since_ms + idle_timeout_ms - self._clock.now_ms()
         try:
             with anyio.fail_after(seconds(max(0, remaining_ms))):
-                data = await self._stream.receive(const.READ_BYTES)
-        except (
-            TimeoutError,
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
+                data = await self._stream.receive(const.READ_HEAD_BYTES)
+        except (TimeoutError, anyio.EndOfStream):
             return None
         self._receive(data)
         return self._clock.now_ms()
@@ -278,7 +306,7 @@
         while True:
             try:
                 with anyio.fail_after(seconds(const.BODY_READ_TIMEOUT_MS)):
-                    event = await self._next_event()
+                    event = await self._next_event(const.READ_BYTES)
             except TimeoutError:
                 raise _RequestRejected(
                     408, f"no body data within {const.BODY_READ_TIMEOUT_MS} ms"
@@ -296,7 +324,7 @@
                 case _:
                     raise _CallerDisconnected
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, max_bytes: int) -> object:
         while True:
             try:
                 event = self._protocol.next_event()
@@ -305,12 +333,8 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._stream.receive(const.READ_BYTES)
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
+                data = await self._stream.receive(max_bytes)
+            except anyio.EndOfStream:
                 raise _CallerDisconnected from None
             self._receive(data)
 
@@ -319,14 +343,53 @@
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise _RequestRejected(exc.error_status_hint, str(exc)) from exc
+        self._count_input()
 
     async def _write(self, data: bytes | None) -> None:
-        if not data:
-            return
+        """Send bytes, and wait until the operating system has taken them.
+
+        :raises ReplyError: the caller disconnected, or has read nothing for long
+        """
+        unsent = memoryview(data or b"")
         try:
-            await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            while unsent:
+                part, unsent = unsent[: const.WRITE_BYTES], unsent[const.WRITE_BYTES :]
+                self._stream.write(part)
+                self._unsent.resize(self._stream.unsent_bytes + len(unsent))
+                await self._wait_until(
+                    lambda: not self._stream.unsent_bytes, self._stream.wait_drained
+                )
+                await self._stream.wait_drained()
+        except anyio.BrokenResourceError as exc:
             raise ReplyError("the caller closed the connection") from exc
+        finally:
+            self._unsent.resize(self._stream.unsent_bytes)
+
+    async def _wait_until(
+        self, is_done: Callable[[], bool], wait: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Wait until the caller has read enough of its answers.
+
+        :param wait: returns when the condition may hold
+        :raises ReplyError: the caller has read nothing for long
+        """
+        unread: int | None = None
+        try:
+            while not is_done():
+                if self._stream.unread_bytes != unread:
+                    unread = self._stream.unread_bytes
+                    self._stalled_since_ms = self._clock.now_ms()
+                elif self.stalled_ms >= self._stall_timeout_ms():
+                    self._diagnostics.stalled += 1
+                    self.reset()
+                    raise ReplyError("the caller reads nothing")
+                with anyio.move_on_after(seconds(const.STALL_CHECK_MS)):
+                    await wait()
+        finally:
+            self._stalled_since_ms = None
+
+    def _stall_timeout_ms(self) -> int:
+        return max(self._limits().idle_timeout_ms, const.MIN_STALL_TIMEOUT_MS)
 
     async def _send_error(self, status: int) -> None:
         """Send an answer without a body, then close the connection."""
@@ -352,15 +415,10 @@
             return False
         try:
             with anyio.move_on_after(seconds(const.LINGER_MS)):
-                await self._stream.send_eof()
+                self._stream.send_eof()
                 while True:
                     await self._stream.receive(const.READ_BYTES)
-        except (
-            OSError,
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
+        except (OSError, anyio.EndOfStream):
             return False
         return False
 
--- a/packages/callers/src/cowsliphitch/callers/edge/const.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/const.py
@@ -2,12 +2,31 @@
 
 from typing import Final
 
-# Maximum of one read from a socket.
+# Maximum of one read from a socket: of bodies, and of anything else.
 READ_BYTES: Final = 65_536
+READ_HEAD_BYTES: Final = 16_384
 
-# Limit of pipelined bytes that are buffered while a request is served.  Beyond it the
-# connection is read again only after the answer.
-MAX_PIPELINED_BYTES: Final = 65_536
+# Pipelined bytes that are read while a request is served, to notice a disconnect.
+# Beyond it the connection is read again only after the answer.
+MAX_PIPELINED_BYTES: Final = 4_096
+
+# Interval at which the state of a connection is polled that is not read.
+STATE_POLL_MS: Final = 50
+
+# Largest part of an answer that is handed to the operating system at once.
+WRITE_BYTES: Final = 65_536
+
+# Bytes of answers that a caller may leave unread before its next request is served.
+MAX_UNREAD_BYTES: Final = 16_384
+
+# A caller that acknowledges no byte of its answer for the idle timeout, but at least
+# for this long, is taken to have stopped reading.
+MIN_STALL_TIMEOUT_MS: Final = 15_000
+STALL_CHECK_MS: Final = 250
+
+# Stall after which a connection is closed to make room for another one at the limit of
+# connections.  Pauses of readers are shorter than that, retransmissions included.
+EVICTABLE_STALL_MS: Final = 1_000
 
 # Time for which unread input is read and discarded after the last answer.
 # Closing a socket with unread bytes resets the connection, which may lose the answer.
@@ -16,7 +35,7 @@
 # Timeout of each read of a request's body.
 BODY_READ_TIMEOUT_MS: Final = 5_000
 
-# Limit for a write to a caller that does not read, after its answer was aborted.
-ABORT_WRITE_TIMEOUT_MS: Final = 100
-
 LISTEN_BACKLOG: Final = 1_024
+
+# Pause of a listener that can't accept a connection.
+ACCEPT_RETRY_MS: Final = 100
--- a/packages/callers/src/cowsliphitch/callers/edge/models.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/models.py
@@ -76,6 +76,12 @@
     :param malformed: connections that were closed with an error status
     :param disconnected: times that a caller disconnected during a request or its answer
     :param refused_connections: connections that were closed over the limit
+    :param evicted: connections that were closed to make room at the limit, since their
+        callers did not read
+    :param stalled: connections that were closed since their callers read nothing for
+        the stall timeout
+    :param given_up: connections that were closed since they held the most unsent bytes
+        when the memory for buffers was exhausted
     """
 
     connections: int = 0
@@ -84,6 +90,9 @@
     malformed: int = 0
     disconnected: int = 0
     refused_connections: int = 0
+    evicted: int = 0
+    stalled: int = 0
+    given_up: int = 0
 
 
 class ReplyError(Exception):
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -1,19 +1,27 @@
-"""Listener that accepts callers' connections, with a limit on their number."""
+"""Listener that accepts callers' connections, with a limit on their number.
 
+Fault: a crowd of callers that read nothing holds all connections.  At the limit, the
+one whose caller has read nothing for longest makes room for the next.
+"""
+
+import asyncio
 import logging
+import socket
 import sys
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import SocketStream, TaskStatus
+from anyio.abc import SocketAttribute, TaskGroup, TaskStatus
+from anyio.lowlevel import checkpoint
 
-from cowsliphitch.core.clock import Clock
+from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
-from cowsliphitch.core.overload.buffers import BufferBudget
+from cowsliphitch.core.overload.buffers import CONNECTION_BYTES, BufferBudget
 
 from . import const
 from .connection import CallerConnection
 from .models import Diagnostics, Handler
+from .stream import CallerStream
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -24,8 +32,10 @@
     :param address: host and port
     :param handler: answers each request
     :param limits: returns the limits in force
-    :param max_connections: limit of open connections; further ones are closed at once
-    :param budget: memory for the bodies of requests, without a limit by default
+    :param max_connections: limit of open connections; further ones are closed at once,
+        unless one whose caller does not read makes room
+    :param budget: memory for connections and for what they buffer, without a limit by
+        default
     """
 
     def __init__(
@@ -45,6 +55,7 @@
         self._max_connections = max_connections
         self._clock = clock
         self._keep_alive_disabled = False
+        self._connections: set[CallerConnection] = set()
         self.diagnostics = Diagnostics()
 
     def disable_keep_alive(self) -> None:
@@ -62,34 +73,77 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=const.LISTEN_BACKLOG
         )
-        task_status.started()
-        async with listener:
-            await listener.serve(self._serve)
-        # End the daemon, so that it restarts: otherwise it would look alive to its
-        # peers without accepting connections.
-        raise RuntimeError(
-            f"listener on {self._address} stopped; no further connections are accepted"
-        )
+        async with listener, anyio.create_task_group() as group:
+            for part in listener.listeners:
+                sock = part.extra(SocketAttribute.raw_socket)
+                group.start_soon(self._accept, sock, group)
+            task_status.started()
 
-    async def _serve(self, stream: SocketStream) -> None:
-        diagnostics = self.diagnostics
-        if diagnostics.connections >= self._max_connections:
-            diagnostics.refused_connections += 1
-            await anyio.aclose_forcefully(stream)
-            return
-        diagnostics.connections += 1
+    async def _accept(self, listening: socket.socket, group: TaskGroup) -> None:
+        """Accept connections on a listening socket, one at a time.
+
+        :raises RuntimeError: the socket was closed
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            await checkpoint()
+            try:
+                sock, _ = await loop.sock_accept(listening)
+            except OSError as exc:
+                if listening.fileno() < 0:
+                    # End the daemon, so that it restarts: otherwise it would look alive
+                    # to its peers without accepting connections.
+                    raise RuntimeError(
+                        f"listener on {self._address} stopped; no further connections"
+                        " are accepted"
+                    ) from exc
+                # No descriptor or kernel memory is free, or the caller has left.
+                await anyio.sleep(seconds(const.ACCEPT_RETRY_MS))
+                continue
+            finally:
+                loop.remove_reader(listening)
+            if not self._make_room():
+                self.diagnostics.refused_connections += 1
+                sock.close()
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await loop.connect_accepted_socket(
+                lambda: CallerStream(lambda stream: self._open(stream, group)), sock
+            )
+
+    def _open(self, stream: CallerStream, group: TaskGroup) -> None:
+        """Serve a new connection."""
         connection = CallerConnection(
             stream,
             self._handler,
             self._limits,
             lambda: self._keep_alive_disabled,
-            diagnostics,
+            self.diagnostics,
             self._clock,
             self._budget,
         )
+        self._connections.add(connection)
+        self.diagnostics.connections += 1
+        group.start_soon(self._serve, connection)
+
+    def _make_room(self) -> bool:
+        """Return whether a connection may be opened, closing another one if need be."""
+        has_room = len(self._connections) < self._max_connections
+        if has_room and self._budget.has_room(CONNECTION_BYTES):
+            return True
+        slowest = max(self._connections, key=lambda c: c.stalled_ms, default=None)
+        if slowest is None or slowest.stalled_ms < const.EVICTABLE_STALL_MS:
+            return False
+        self.diagnostics.evicted += 1
+        self._connections.discard(slowest)
+        slowest.reset()
+        return True
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         except Exception:
             _LOGGER.exception("Unexpected error; closing the caller's connection")
         finally:
-            diagnostics.connections -= 1
+            self._connections.discard(connection)
+            self.diagnostics.connections -= 1
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -16,7 +16,11 @@
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.limits.const import WINDOW_MS
-from cowsliphitch.core.overload.buffers import BufferBudget, budget_bytes
+from cowsliphitch.core.overload.buffers import (
+    BufferBudget,
+    budget_bytes,
+    max_connections,
+)
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.serving.shutdown import ShutdownPlan
@@ -206,16 +210,26 @@
             (cfg.listen.metrics, self._handle_metrics),
         ):
             edge = EdgeServer(
-                address, handler, CallerLimits, MAX_INTERNAL_CONNECTIONS, clock
+                address,
+                handler,
+                CallerLimits,
+                MAX_INTERNAL_CONNECTIONS,
+                clock,
+                self._buffers,
             )
             await group.start(edge.run)
         await group.start(self._caller_edge.run)
 
     def _max_caller_connections(self) -> int:
-        descriptors = self._cfg.vm.max_descriptors - const.RESERVED_DESCRIPTORS
+        """Return for how many connections there are descriptors and memory."""
+        vm = self._cfg.vm
+        descriptors = vm.max_descriptors - const.RESERVED_DESCRIPTORS
         return max(
             const.MIN_CALLER_CONNECTIONS,
-            round(descriptors * const.CALLER_DESCRIPTOR_SHARE),
+            min(
+                round(descriptors * const.CALLER_DESCRIPTOR_SHARE),
+                max_connections(vm.memory_mb),
+            ),
         )
 
     async def _run_maintenance(self) -> None:
--- a/packages/gateway/src/cowsliphitch/gateway/relay.py
+++ b/packages/gateway/src/cowsliphitch/gateway/relay.py
@@ -55,6 +55,8 @@
     await reply.start(
         answer.head.status, end_to_end_headers(answer.head.headers), len(content)
     )
+    # From here on the caller's connection counts what is not sent yet.
+    answer.buffer.resize(0)
     if content:
         await reply.send(content)
     await reply.end()
