Show and describe the limits on callers that read no answers

Cause: connections that are closed to protect the memory were not visible, and buffered log lines were limited by their number only: at 16 KB for a long path, 3,000 lines are 48 MB.

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -44,6 +44,8 @@
       | closes the connection |
       | ends its side         |
       | resets the connection |
+      | ends its side after 20 more requests         |
+      | resets the connection after 20 more requests |
 
   Scenario: An aborted answer does not look complete
     Given an edge server whose handler stops in the middle of its answer
@@ -64,3 +66,29 @@
     Given an edge server whose limits are 2000 bytes of head and 1000 bytes of body
     When a caller waits 300 ms between two requests
     Then the caller gets 200 both times
+
+  Scenario: A caller that reads no answers gets no further requests served
+    Given an edge server whose limits are 2000 bytes of head and 1000 bytes of body
+    When a caller sends 5000 requests at once and reads nothing for 1000 ms
+    Then the handler received at most 1000 requests
+
+  Scenario: A caller that reads slowly gets its whole answer
+    Given an edge server whose answers have 8 MB
+    When a caller pauses for 1500 ms in the middle of an answer
+    Then the caller gets 8 MB
+
+  Scenario: A caller that reads nothing for the stall timeout is disconnected
+    Given an edge server whose answers have 8 MB
+    When a caller reads nothing for 1000 ms with a stall timeout of 300 ms
+    Then 1 connection was closed as "stalled"
+
+  Scenario: The caller that holds the most is disconnected when memory is exhausted
+    Given an edge server whose answers have 8 MB, with a budget of 1 MB
+    When a caller reads nothing for 500 ms with a stall timeout of 15000 ms
+    Then 1 connection was closed as "given-up"
+
+  Scenario: At the limit of connections, a caller that does not read makes room
+    Given an edge server whose answers have 8 MB
+    When another caller comes after a caller has read nothing for 2500 ms at a limit of 1
+    Then the caller gets 8 MB
+    And 1 connection was closed as "evicted"
--- a/features/daemon/memory.feature
+++ b/features/daemon/memory.feature
@@ -27,6 +27,11 @@
       | 10, 20 | 80   | the other | 30   |
       | 10, 60 | 40   | number 2  | 50   |
 
+  Scenario: A buffer whose bytes are in use counts, but is not given up
+    Given a budget of 100 bytes with buffers of 10, 60 bytes
+    When number 2 is pinned and another buffer grows to 40 bytes
+    Then the other is given up and 70 bytes are used once it is closed
+
   Scenario: An answer of the store without end is given up
     When the store's client reads an answer without end
     Then the call fails after at most 17 MB
--- a/features/operators/explain.feature
+++ b/features/operators/explain.feature
@@ -24,3 +24,8 @@
     Given a log whose reader has stalled
     When 5000 lines are written to it within a second
     Then no write blocked and at least 2000 lines were counted as dropped
+
+  Scenario: Long log lines are dropped by their size while their reader has stalled
+    Given a log whose reader has stalled
+    When 1000 lines of 16000 bytes are written to it within a second
+    Then no write blocked and at least 800 lines were counted as dropped
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -1,20 +1,24 @@
 """Steps on callers' connections, over real sockets on the loopback address."""
 
+import asyncio
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Final
+from unittest import mock
 
 import anyio
 from anyio.abc import SocketStream
 from behave import given, then, when
 
+from cowsliphitch.callers.edge import const
 from cowsliphitch.callers.edge.models import EdgeRequest, Reply
 from cowsliphitch.callers.edge.server import EdgeServer
 from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.standins.processes import free_port
 
+MB: Final = 1_000_000
 HOST = b"Host: a.example\r\n"
 HEADER_TIMEOUT_MS = 400
 READ_TIMEOUT_S = 3.0
@@ -32,6 +36,9 @@
 
 
 PLAIN_REQUEST = b"GET /0 HTTP/1.1\r\n" + HOST + b"\r\n"
+
+# A request of about 500 bytes: 20 are more than the server reads ahead.
+MORE_REQUEST = PLAIN_REQUEST.replace(b"\r\n\r\n", b"\r\nX: " + b"x" * 450 + b"\r\n\r\n")
 REQUESTS = {
     "both a content-length and a transfer-encoding": (
         b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 5\r\n"
@@ -56,6 +63,34 @@
 }
 
 
+async def connect_edge(port: int) -> SocketStream:
+    return await anyio.connect_tcp("127.0.0.1", port)
+
+
+class UnreadStream:
+    """Connection with a small window, of which nothing is read."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+
+    async def __aenter__(self) -> "UnreadStream":
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        self._socket.close()
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self._socket, data)
+
+
+async def connect_unread(port: int) -> Any:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
+    sock.connect(("127.0.0.1", port))
+    sock.setblocking(False)
+    return UnreadStream(sock)
+
+
 class Edge:
     """Edge server with a given handler; records the requests that the handler gets."""
 
@@ -77,13 +112,17 @@
             self.cancelled_ms = self.clock.now_ms()
             raise
 
-    def run(self, call: Callable[[SocketStream], Awaitable[Any]]) -> Any:
+    def run(
+        self,
+        call: Callable[[SocketStream], Awaitable[Any]],
+        connect: Callable[[int], Awaitable[Any]] = connect_edge,
+    ) -> Any:
         """Run the server while ``call`` uses a connection to it."""
 
         async def serve_and_call() -> Any:
             async with anyio.create_task_group() as group:
                 await group.start(self.server.run)
-                async with await anyio.connect_tcp("127.0.0.1", self.port) as stream:
+                async with await connect(self.port) as stream:
                     result = await call(stream)
                 await anyio.sleep(0.15)
                 group.cancel_scope.cancel()
@@ -194,12 +233,14 @@
 @when("a caller {leaves} {ms:d} ms after its request")
 def disconnect_caller(context: Any, leaves: str, ms: int) -> None:
     async def call(stream: SocketStream) -> None:
+        more = int(leaves.split()[-3]) if leaves.endswith("more requests") else 0
         await stream.send(PLAIN_REQUEST)
+        await stream.send(MORE_REQUEST * more)
         await anyio.sleep(ms / 1_000)
         sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        if leaves == "ends its side":
+        if leaves.startswith("ends its side"):
             await stream.send_eof()
-        elif leaves == "resets the connection":
+        elif leaves.startswith("resets the connection"):
             linger = struct.pack("ii", 1, 0)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             await stream.aclose()
@@ -248,3 +289,92 @@
 @then("the caller gets 200 both times")
 def assert_both_answered(context: Any) -> None:
     assert context.answer.count(b"HTTP/1.1 200 ") == 2, context.answer
+
+
+@given("an edge server whose answers have {mb:d} MB")
+def given_large_answers(context: Any, mb: int) -> None:
+    async def answer(_req: EdgeRequest, reply: Reply) -> None:
+        await reply.start(200, (), mb * MB)
+        await reply.send(b"x" * (mb * MB))
+        await reply.end()
+
+    context.edge = Edge(answer, CallerLimits(idle_timeout_ms=200))
+
+
+@given("an edge server whose answers have {mb:d} MB, with a budget of {budget:d} MB")
+def given_budget(context: Any, mb: int, budget: int) -> None:
+    given_large_answers(context, mb)
+    context.edge.server._budget.limit = budget * MB
+
+
+@when("a caller sends {count:d} requests at once and reads nothing for {ms:d} ms")
+def send_unread(context: Any, count: int, ms: int) -> None:
+    async def call(stream: SocketStream) -> None:
+        with anyio.move_on_after(ms / 1_000):
+            await stream.send(PLAIN_REQUEST * count)
+            await anyio.sleep(ms / 1_000)
+
+    context.edge.run(call, connect_unread)
+
+
+@then("the handler received at most {count:d} requests")
+def assert_few_requests(context: Any, count: int) -> None:
+    assert 1 <= len(context.edge.requests) <= count, len(context.edge.requests)
+
+
+async def read_body(stream: SocketStream, size: int, pause_s: float) -> int:
+    """Read an answer, with a pause in its middle; return the length of its body."""
+    content = bytearray()
+    with anyio.fail_after(READ_TIMEOUT_S + pause_s):
+        while (read := len(content.partition(b"\r\n\r\n")[2])) < size:
+            content += await stream.receive(MB)
+            if read < size // 2 <= len(content):
+                await anyio.sleep(pause_s)
+    return read
+
+
+@when("a caller pauses for {ms:d} ms in the middle of an answer")
+def pause_reading(context: Any, ms: int) -> None:
+    async def call(stream: SocketStream) -> int:
+        await stream.send(PLAIN_REQUEST)
+        return await read_body(stream, 8 * MB, ms / 1_000)
+
+    context.size = context.edge.run(call)
+
+
+@then("the caller gets {mb:d} MB")
+def assert_whole(context: Any, mb: int) -> None:
+    assert context.size == mb * MB, context.size
+
+
+@when("a caller reads nothing for {ms:d} ms with a stall timeout of {timeout:d} ms")
+def read_nothing(context: Any, ms: int, timeout: int) -> None:
+    async def call(stream: SocketStream) -> None:
+        await stream.send(PLAIN_REQUEST)
+        await anyio.sleep(ms / 1_000)
+
+    with mock.patch.object(const, "MIN_STALL_TIMEOUT_MS", timeout):
+        context.edge.run(call, connect_unread)
+
+
+@when(
+    "another caller comes after a caller has read nothing for {ms:d} ms at a limit of"
+    " {count:d}"
+)
+def come_at_limit(context: Any, ms: int, count: int) -> None:
+    context.edge.server._max_connections = count
+
+    async def call(stream: SocketStream) -> int:
+        await stream.send(PLAIN_REQUEST)
+        await anyio.sleep(ms / 1_000)
+        async with await connect_edge(context.edge.port) as other:
+            await other.send(PLAIN_REQUEST)
+            return await read_body(other, 8 * MB, 0)
+
+    context.size = context.edge.run(call, connect_unread)
+
+
+@then('{count:d} connection was closed as "{cause}"')
+def assert_closed(context: Any, count: int, cause: str) -> None:
+    closed = context.edge.server.diagnostics.closed_by_cause()
+    assert {c: n for c, n in closed.items() if n} == {cause: count}, closed
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -94,14 +94,20 @@
     context.pipe = os.pipe()
     os.set_blocking(context.pipe[1], False)
     context.handler = BoundedHandler(ManualClock(), context.pipe[1])
+    context.handler.setFormatter(logging.Formatter("%(message)s %(text)s"))
 
 
 @when("{count:d} lines are written to it within a second")
-def write_lines(context: Any, count: int) -> None:
+def write_short_lines(context: Any, count: int) -> None:
+    write_lines(context, count, 100)
+
+
+@when("{count:d} lines of {size:d} bytes are written to it within a second")
+def write_lines(context: Any, count: int, size: int) -> None:
     logger = logging.Logger("stalled")
     logger.addHandler(context.handler)
     for number in range(count):
-        event(logger, "line", number=number, text="x" * 100)
+        event(logger, "line", number=number, text="x" * size)
         context.handler.write_pending()
 
 
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -166,6 +166,12 @@
     context.buffers[-1].grow(size)
 
 
+@when("number {number:d} is pinned and another buffer grows to {size:d} bytes")
+def pin_and_grow(context: Any, number: int, size: int) -> None:
+    context.buffers[number - 1].pin()
+    grow_buffer(context, size)
+
+
 @then("{which} is given up and {used:d} bytes are used once it is closed")
 def check_given_up(context: Any, which: str, used: int) -> None:
     kept = [buffer.grow(0) for buffer in context.buffers]
--- a/packages/callers/src/cowsliphitch/callers/edge/models.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/models.py
@@ -94,6 +94,15 @@
     stalled: int = 0
     given_up: int = 0
 
+    def closed_by_cause(self) -> dict[str, int]:
+        """Return how many connections the server closed to protect itself."""
+        return {
+            "refused": self.refused_connections,
+            "evicted": self.evicted,
+            "stalled": self.stalled,
+            "given-up": self.given_up,
+        }
+
 
 class ReplyError(Exception):
     """The caller disconnected before its answer was sent."""
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -173,6 +173,7 @@
             clock,
             self._buffers,
         )
+        self._edges = {"callers": self._caller_edge}
         self._register_gauges()
         await self._listen(group)
         for loop in (
@@ -205,9 +206,9 @@
         self._peer_server = make_server(handlers)
         await self._peer_server.start(host, int(port))
         await group.start(self._fleet.socket.run)
-        for address, handler in (
-            (cfg.listen.ready, self._handle_readiness),
-            (cfg.listen.metrics, self._handle_metrics),
+        for name, address, handler in (
+            ("ready", cfg.listen.ready, self._handle_readiness),
+            ("metrics", cfg.listen.metrics, self._handle_metrics),
         ):
             edge = EdgeServer(
                 address,
@@ -217,6 +218,7 @@
                 clock,
                 self._buffers,
             )
+            self._edges[name] = edge
             await group.start(edge.run)
         await group.start(self._caller_edge.run)
 
@@ -365,6 +367,8 @@
         )
         observe("cowsliphitch_buffered_bytes", lambda: [(self._buffers.used, {})])
         observe("cowsliphitch_buffers_given_up", lambda: [(self._buffers.given_up, {})])
+        observe("cowsliphitch_caller_connections", self._read_connections)
+        observe("cowsliphitch_caller_connections_closed", self._read_closed_connections)
         observe(
             "cowsliphitch_requests_active",
             lambda: [(self._caller_edge.diagnostics.active, {})],
@@ -394,6 +398,20 @@
         limits = self._state.server_limits.limits(self._clock.now_ms())
         return [(limit.per_s, {"server": limit.server_id}) for limit in limits]
 
+    def _read_connections(self) -> list[tuple[float, dict[str, str]]]:
+        return [
+            (edge.diagnostics.connections, {"listener": name})
+            for name, edge in self._edges.items()
+        ]
+
+    def _read_closed_connections(self) -> list[tuple[float, dict[str, str]]]:
+        """Return how many connections each listener closed to protect the process."""
+        return [
+            (count, {"listener": name, "cause": cause})
+            for name, edge in self._edges.items()
+            for cause, count in edge.diagnostics.closed_by_cause().items()
+        ]
+
     def _read_limit_use(self) -> list[tuple[float, dict[str, str]]]:
         """Return the share of each server's limit that all daemons use."""
         limits = self._state.server_limits.limits(self._clock.now_ms())
--- a/packages/telemetry/src/cowsliphitch/telemetry/logs.py
+++ b/packages/telemetry/src/cowsliphitch/telemetry/logs.py
@@ -16,7 +16,10 @@
 from cowsliphitch.core.clock import Clock, seconds
 
 # Lines buffered for a slow reader of standard output; at 300 bytes a line this is 1 MB.
+# Lines that name a path of a caller can be as long as a head, so the bytes have a limit
+# of their own.
 MAX_BUFFERED_LINES: Final = 3_000
+MAX_BUFFERED_BYTES: Final = 2_000_000
 
 # Token bucket that limits the log lines of a process: refill rate and size.
 MAX_LINES_PER_S: Final = 400
@@ -50,6 +53,7 @@
         self._clock = clock
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_ms = clock.now_ms()
         self.dropped = 0
@@ -62,10 +66,16 @@
             self.dropped += 1
             return
         try:
-            self._lines.append(self.format(record).encode() + b"\n")
-            self._has_lines.set()
+            line = self.format(record).encode() + b"\n"
         except Exception:
             self.handleError(record)
+            return
+        if self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        self._buffered_bytes += len(line)
+        self._has_lines.set()
 
     def _acquire_token(self) -> bool:
         now = self._clock.now_ms()
@@ -86,6 +96,7 @@
             except BlockingIOError:
                 return
             self._lines.clear()
+            self._buffered_bytes = len(content) - written
             if written < len(content):
                 self._lines.append(content[written:])
                 return
