Search for connections to close at most every 100 ms

Cause: at the limit of connections each new one looked at all others, some thousand of them with a flood of new connections.

Change: one search finds up to 64 connections whose callers do not read, for the next ones that need room.

--- a/packages/callers/src/cowsliphitch/callers/edge/const.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/const.py
@@ -28,6 +28,11 @@
 # connections.  Pauses of readers are shorter than that, retransmissions included.
 EVICTABLE_STALL_MS: Final = 1_000
 
+# Time between two searches for such connections; each looks at all of them.
+# What a search finds is limited, since it keeps connections in memory that have ended.
+STALL_SEARCH_INTERVAL_MS: Final = 100
+MAX_STALLED_FOUND: Final = 64
+
 # Time for which unread input is read and discarded after the last answer.
 # Closing a socket with unread bytes resets the connection, which may lose the answer.
 LINGER_MS: Final = 1_000
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -56,6 +56,8 @@
         self._clock = clock
         self._keep_alive_disabled = False
         self._connections: set[CallerConnection] = set()
+        self._stalled: list[CallerConnection] = []
+        self._next_search_ms = 0
         self.diagnostics = Diagnostics()
 
     def disable_keep_alive(self) -> None:
@@ -131,14 +133,32 @@
         has_room = len(self._connections) < self._max_connections
         if has_room and self._budget.has_room(CONNECTION_BYTES):
             return True
-        slowest = max(self._connections, key=lambda c: c.stalled_ms, default=None)
-        if slowest is None or slowest.stalled_ms < const.EVICTABLE_STALL_MS:
+        stalled = self._next_stalled()
+        if stalled is None:
             return False
         self.diagnostics.evicted += 1
-        self._connections.discard(slowest)
-        slowest.reset()
+        self._connections.discard(stalled)
+        stalled.reset()
         return True
 
+    def _next_stalled(self) -> CallerConnection | None:
+        """Return the connection that has read nothing for longest, if long enough.
+
+        Those that were found are kept for the next calls, so that a flood of new
+        connections costs no search each.
+        """
+        now_ms = self._clock.now_ms()
+        if not self._stalled and now_ms >= self._next_search_ms:
+            self._next_search_ms = now_ms + const.STALL_SEARCH_INTERVAL_MS
+            stalled = filter(_is_evictable, self._connections)
+            self._stalled = sorted(stalled, key=lambda c: c.stalled_ms)
+            del self._stalled[: -const.MAX_STALLED_FOUND]
+        while self._stalled:
+            connection = self._stalled.pop()
+            if connection in self._connections and _is_evictable(connection):
+                return connection
+        return None
+
     async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
@@ -147,3 +167,7 @@
         finally:
             self._connections.discard(connection)
             self.diagnostics.connections -= 1
+
+
+def _is_evictable(connection: CallerConnection) -> bool:
+    return connection.stalled_ms >= const.EVICTABLE_STALL_MS
