--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -17,7 +17,11 @@
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.limits.const import WINDOW_MS
-from cowsliphitch.core.overload.buffers import BufferBudget, budget_bytes
+from cowsliphitch.core.overload.buffers import (
+    BufferBudget,
+    budget_bytes,
+    max_connections,
+)
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.serving.shutdown import ShutdownPlan
@@ -182,6 +186,7 @@
             clock,
             self._buffers,
         )
+        self._edges = {"callers": self._caller_edge}
         self._register_gauges()
         await self._listen(group)
         for loop in (
@@ -214,21 +219,32 @@
         self._peer_server = make_server(handlers)
         await self._peer_server.start(host, int(port))
         await group.start(self._fleet.socket.run)
-        for address, handler in (
-            (cfg.listen.ready, self._handle_readiness),
-            (cfg.listen.metrics, self._handle_metrics),
+        for name, address, handler in (
+            ("ready", cfg.listen.ready, self._handle_readiness),
+            ("metrics", cfg.listen.metrics, self._handle_metrics),
         ):
             edge = EdgeServer(
-                address, handler, CallerLimits, MAX_INTERNAL_CONNECTIONS, clock
+                address,
+                handler,
+                CallerLimits,
+                MAX_INTERNAL_CONNECTIONS,
+                clock,
+                self._buffers,
             )
+            self._edges[name] = edge
             await group.start(edge.run)
         await group.start(self._caller_edge.run)
 
     def _max_caller_connections(self) -> int:
-        descriptors = self._cfg.vm.max_descriptors - const.RESERVED_DESCRIPTORS
+        """Return for how many connections there are descriptors and memory."""
+        vm = self._cfg.vm
+        descriptors = vm.max_descriptors - const.RESERVED_DESCRIPTORS
         return max(
             const.MIN_CALLER_CONNECTIONS,
-            round(descriptors * const.CALLER_DESCRIPTOR_SHARE),
+            min(
+                round(descriptors * const.CALLER_DESCRIPTOR_SHARE),
+                max_connections(vm.memory_mb),
+            ),
         )
 
     async def _run_maintenance(self) -> None:
@@ -377,6 +393,8 @@
         )
         observe("cowsliphitch_buffered_bytes", lambda: [(self._buffers.used, {})])
         observe("cowsliphitch_buffers_given_up", lambda: [(self._buffers.given_up, {})])
+        observe("cowsliphitch_caller_connections", self._read_connections)
+        observe("cowsliphitch_caller_connections_closed", self._read_closed_connections)
         observe(
             "cowsliphitch_requests_active",
             lambda: [(self._caller_edge.diagnostics.active, {})],
@@ -406,6 +424,20 @@
         limits = self._state.server_limits.limits(self._clock.now_ms())
         return [(limit.per_s, {"server": limit.server_id}) for limit in limits]
 
+    def _read_connections(self) -> list[tuple[float, dict[str, str]]]:
+        return [
+            (edge.diagnostics.connections, {"listener": name})
+            for name, edge in self._edges.items()
+        ]
+
+    def _read_closed_connections(self) -> list[tuple[float, dict[str, str]]]:
+        """Return how many connections each listener closed to protect the process."""
+        return [
+            (count, {"listener": name, "cause": cause})
+            for name, edge in self._edges.items()
+            for cause, count in edge.diagnostics.closed_by_cause().items()
+        ]
+
     def _read_limit_use(self) -> list[tuple[float, dict[str, str]]]:
         """Return the share of each server's limit that all daemons use."""
         limits = self._state.server_limits.limits(self._clock.now_ms())
