Keep the place of a request whose stage results were lost

An engine that finds a request's stage results gone refuses it, and its stages run again.

The daemon now marks the second run (`is_rerun`, field `again` of StagesOrder, which an older owner ignores). The owner admits it on time as long as it can meet its deadline with nothing ahead of it, and its jobs go ahead of new jobs of the same priority, but not of more urgent ones. It is exempt from the refusals that an objective which is nearly over leads to.

--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -109,7 +109,8 @@
         """Admit a request and queue its first stages, or refuse it.
 
         A request that is not expected to meet its objective is admitted as best effort
-        if it is likely to meet its deadline.
+        if it is likely to meet its deadline.  A rerun keeps its place instead, as long
+        as it can meet its deadline.
         """
         unknown = [
             s.service
@@ -122,8 +123,15 @@
         expected_ms = self.predicted_first_token_ms(
             request, now_ms, include_best_effort=False
         )
-        best_effort = expected_ms > request.objective_ms - now_ms
+        best_effort = (
+            not request.is_rerun and expected_ms > request.objective_ms - now_ms
+        )
         self._record_demand(request, best_effort, now_ms)
+        if request.is_rerun:
+            expected_ms = self._predicted_rerun_ms(request, now_ms)
+            if expected_ms > request.deadline_ms - now_ms:
+                self.diagnostics.refused += 1
+                return _refuse_late(request, expected_ms, now_ms)
         if best_effort:
             expected_ms = self.predicted_first_token_ms(
                 request, now_ms, include_best_effort=True
@@ -149,12 +157,15 @@
         remaining_ms = request.deadline_ms - now_ms
         if expected_ms <= remaining_ms * const.BEST_EFFORT_DEADLINE_RATIO:
             return None
-        detail = f"the stages would take {expected_ms:.0f} ms of {remaining_ms} ms"
-        retry_after_ms = expected_ms - remaining_ms * const.BEST_EFFORT_DEADLINE_RATIO
-        retry_after_ms = min(
-            const.MAX_RETRY_AFTER_MS, max(const.MIN_RETRY_AFTER_MS, retry_after_ms)
-        )
-        return not_run(Reason.DEADLINE_UNREACHABLE, detail, round(retry_after_ms))
+        return _refuse_late(request, expected_ms, now_ms)
+
+    def _predicted_rerun_ms(self, request: StageRequest, now_ms: int) -> float:
+        """Return the expected time until the first token of a rerun, which goes first.
+
+        A rerun that would miss its deadline although no piece is ahead of it isn't sent
+        again.
+        """
+        return self._predict_ms(request, now_ms, {})
 
     def predicted_first_token_ms(
         self, request: StageRequest, now_ms: int, include_best_effort: bool
@@ -168,8 +179,23 @@
         all_pieces = (
             self._outstanding_pieces(include_best_effort=True)
             if include_best_effort
-            else on_time_pieces
+            else None
         )
+        return self._predict_ms(request, now_ms, on_time_pieces, all_pieces)
+
+    def _predict_ms(
+        self,
+        request: StageRequest,
+        now_ms: int,
+        on_time_pieces: Mapping[str, int],
+        all_pieces: Mapping[str, int] | None = None,
+    ) -> float:
+        """Return the expected time until the first token behind queued pieces.
+
+        :param on_time_pieces: pieces of on-time requests that are ahead, by service
+        :param all_pieces: these and the best-effort ones that are ahead, ``None`` if
+            the request is on time itself
+        """
         ready_ms: dict[int, float] = {}
         for index, stage in enumerate(request.stages):
             inputs_ready_ms = max((ready_ms[n] for n in stage.after), default=0.0)
@@ -181,7 +207,7 @@
             servers = self._servers(stage.service)
             pieces_ahead = on_time_pieces.get(stage.service, 0)
             delay_ms = queue.queueing_delay_ms(pieces_ahead, servers, now_ms)
-            if include_best_effort:
+            if all_pieces is not None:
                 # Best-effort pieces get the throughput that on-time requests don't use.
                 best_effort_pieces = (
                     all_pieces.get(stage.service, 0) - pieces_ahead + count
@@ -488,6 +514,7 @@
             queued_ms=now_ms,
             best_effort=execution.best_effort,
             digest=request.digest,
+            is_rerun=request.is_rerun,
         )
         execution.job_ids[index] = job.id
         self._stage_of_job[job.id] = (execution.id, index)
@@ -542,3 +569,14 @@
                 own_ms + self._downstream_ms(execution, follower, now_ms)
             )
         return max(durations_ms, default=float(request.engine_ms))
+
+
+def _refuse_late(request: StageRequest, expected_ms: float, now_ms: int) -> Refusal:
+    """Return the refusal of a request that is likely to miss its deadline."""
+    remaining_ms = request.deadline_ms - now_ms
+    detail = f"the stages would take {expected_ms:.0f} ms of {remaining_ms} ms"
+    retry_after_ms = expected_ms - remaining_ms * const.BEST_EFFORT_DEADLINE_RATIO
+    retry_after_ms = min(
+        const.MAX_RETRY_AFTER_MS, max(const.MIN_RETRY_AFTER_MS, retry_after_ms)
+    )
+    return not_run(Reason.DEADLINE_UNREACHABLE, detail, round(retry_after_ms))
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -518,7 +518,8 @@
         """Return the sort key of a job; the smallest is the most urgent.
 
         Jobs that can still meet their objective come before those that can't, and
-        started jobs before others.
+        started jobs before others.  A rerun counts as on time: its objective is nearly
+        over because its results were lost, and it would wait for all other jobs.
 
         :param domain: failure domain of the server that is being filled
         """
@@ -531,8 +532,16 @@
             and domain != job.preferred_domain
             and waited_ms < const.PREFERRED_DOMAIN_WAIT_MS
         )
-        is_late = job.best_effort or slack_ms < 0
-        return (is_late, not is_started, job.priority, is_remote, slack_ms, job.id)
+        is_late = (job.best_effort or slack_ms < 0) and not job.is_rerun
+        return (
+            is_late,
+            not is_started,
+            job.priority,
+            not job.is_rerun,
+            is_remote,
+            slack_ms,
+            job.id,
+        )
 
     def _usable_servers(self, servers: tuple[Server, ...], now_ms: int) -> list[Server]:
         reachable = [
--- a/packages/core/src/cowsliphitch/core/batching/requests.py
+++ b/packages/core/src/cowsliphitch/core/batching/requests.py
@@ -20,6 +20,8 @@
     :param priority: 0 is the most urgent
     :param engine_domain: failure domain of the engine that reads the final results
     :param digest: digest of the request's content, empty if unknown
+    :param is_rerun: its stages have run before, and its engine refused it because
+        their results were gone
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     team: str
     engine_domain: str
     digest: str = ""
+    is_rerun: bool = False
 
     def piece_count(self, stage: int) -> int:
         """Return the number of pieces of a stage, 0 if it is skipped."""
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -243,7 +243,8 @@
     ) -> Refusal | None:
         """Run a request, after its stages if it has any.
 
-        If the stage results are lost before the request ran, the stages run once more.
+        If the stage results are lost before the request ran, the stages run once more
+        and the request keeps its place at their owner.
         """
         if ctx.route.kind is RouteKind.STREAM and ctx.request.last_event_id:
             refusal = await self._streams.bind(ctx)
@@ -273,7 +274,8 @@
         is_result_lost = refusal is not None and refusal.reason is Reason.RESULT_LOST
         if is_result_lost and ctx.attempts.verdict is Verdict.NOT_RUN:
             event(_LOGGER, "stages.again", request=ctx.request.id)
-            refusal = await self._run_at_engine(ctx, params, log_fields, reply)
+            rerun = attrs.evolve(params, is_rerun=True)
+            refusal = await self._run_at_engine(ctx, rerun, log_fields, reply)
         return refusal
 
     async def _run_at_engine(
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -155,7 +155,8 @@
         """
         now = self._last_request_ms = self._state.clock.now_ms()
         self._engine_service = request.engine_service
-        if self._state.loop_delay.is_overloaded(now) and not request.excluded_engines:
+        is_new = not request.excluded_engines and not request.is_rerun
+        if self._state.loop_delay.is_overloaded(now) and is_new:
             return self._refuse_overload(request, now)
         self._apply_settings()
         self._acquire_duty(request, now)
@@ -212,7 +213,11 @@
         )
         wait_ms = min(self._permits.wait_ms(engine, now_ms) for engine in engines)
         wait_ms += ahead / total_per_s * MS_PER_SECOND
-        late_ms = wait_ms - max(0, request.objective_remaining_ms)
+        # The objective of a rerun is nearly over, and it still keeps its place.
+        left_ms = (
+            request.remaining_ms if request.is_rerun else request.objective_remaining_ms
+        )
+        late_ms = wait_ms - max(0, left_ms)
         if late_ms <= 0:
             return None
         detail = (
@@ -592,6 +597,7 @@
         request=request.request_id,
         pieces=request.piece_counts,
         late=admitted.best_effort,
+        rerun=request.is_rerun,
         expected_ms=admitted.expected_ms,
         objective_left_ms=request.objective_remaining_ms,
         left_ms=request.remaining_ms,
@@ -619,4 +625,5 @@
         team=request.team,
         engine_domain=choice.server.failure_domain,
         digest=request.digest,
+        is_rerun=request.is_rerun,
     )
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -71,6 +71,7 @@
     :param engine_only: choose an engine without running the stages
     :param excluded_engines: identifiers of engines that already failed the request
     :param version: software version that the engine must have, ``None`` for any
+    :param is_rerun: the results of its stages were lost before it ran
     """
 
     request: CallerRequest
@@ -83,6 +84,7 @@
     engine_only: bool = False
     excluded_engines: tuple[str, ...] = ()
     version: str | None = None
+    is_rerun: bool = False
 
 
 class StageRunner:
@@ -200,6 +202,7 @@
             paused_engines=tuple(self._state.servers.paused(params.engine_service)),
             version=params.version,
             digest=params.request.digest,
+            is_rerun=params.is_rerun,
         )
 
     def _group_of(self, route: Route) -> str:
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -360,6 +360,7 @@
         version=request.version,
         cell=request.cell,
         digest=request.digest,
+        again=request.is_rerun,
     )
 
 
@@ -400,18 +401,20 @@
         version=message.version if message.HasField("version") else None,
         cell=tuple(message.cell),
         digest=message.digest,
+        is_rerun=message.again,
     )
 
 
 def reply_to_wire(reply: RunStagesReply) -> pb.StagesReply:
     """Encode the reply to a request to run stages."""
     match reply:
-        case StagesCompleted(results, engine_id, permit_wait_ms):
+        case StagesCompleted(results, engine_id, permit_wait_ms, retention_ms):
             return pb.StagesReply(
                 results=_results_to_wire(results),
                 engine=engine_id,
                 permitted=permit_wait_ms is not None,
                 permit_wait_ms=permit_wait_ms or 0,
+                keep_ms=retention_ms,
             )
         case StagesRefused(refusal):
             return pb.StagesReply(
@@ -432,6 +435,7 @@
             _results_from_wire(message.results),
             message.engine,
             message.permit_wait_ms if message.permitted else None,
+            message.keep_ms,
         )
     return StagesRefused(
         Refusal(
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -150,6 +150,7 @@
     :param cell: failure domains whose servers run it, empty for all
     :param digest: digest of its content, under which it is suspected of crashing
         servers, empty if unknown
+    :param is_rerun: its stages have run, and their results were lost before it ran
     """
 
     request_id: str
@@ -168,6 +169,7 @@
     version: str | None = None
     cell: tuple[str, ...] = ()
     digest: str = ""
+    is_rerun: bool = False
 
 
 # Service and result handles of each final stage.
@@ -182,11 +184,14 @@
     :param engine_id: identifier of the engine that was chosen for the request
     :param permit_wait_ms: time until the request may be sent to a limited engine,
         ``None`` if no permit was given since the engine is not limited
+    :param retention_ms: time from sending for which the results are kept unless the
+        engine begins to answer, 0 for the usual time
     """
 
     results: StageResults
     engine_id: str
     permit_wait_ms: int | None = None
+    retention_ms: int = 0
 
     @property
     def handles(self) -> tuple[str, ...]:
