Keep stage results while an engine queues their request

A daemon freed a request's stage results 100 ms after it sent the request. An engine fetches them just before it prefills the prompt, so with a full batch or memory they were gone by then, the engine answered 409 and all stages ran again.

core/batching/retention.py decides: if the first token is expected later than 1.5 times the request's own prefill plus 100 ms, the results are kept until the engine begins, at most until the first of them expires. If less than half of the memory of a server that stores them is free, they are freed after 100 ms as before. The daemon counts it from the receipt of the reply, so a wait for a permit does not extend it, and cancels the timer when the engine begins, fails or ends.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -21,3 +21,38 @@
   Scenario: The owner learns that results were lost, and the sender how long they are kept
     When stages run again and their results are kept for 900 ms
     Then both daemons receive the same messages, and an older one the usual ones
+
+  # Guards against results that are freed before an engine with a queue fetches them, and
+  # against results that are kept so long that other requests find no memory.
+
+  Scenario Outline: Results are kept while the engine queues the request
+    Given a request of <tokens> tokens with its first token expected in <first> ms, <queue> ms of it queueing
+    When its results expire in <expiry> ms, and <free> of the memory is free
+    Then they are kept for <kept> ms
+
+    Examples:
+      | tokens | first | queue | expiry | free | kept |
+      | 17000  | 430   | 0     | 3900   | 0.9  | 0    |
+      | 17000  | 1900  | 1500  | 3900   | 0.9  | 3900 |
+      | 17000  | 1900  | 0     | 3900   | 0.9  | 3900 |
+      | 17000  | 1900  | 1500  | 3900   | 0.4  | 0    |
+      | 17000  | 1900  | 1500  | 40     | 0.9  | 40   |
+      | 500    | 130   | 60    | 3900   | 0.9  | 0    |
+
+  Scenario: The owner keeps results until they expire, and not if its servers' memory is short
+    Given a request whose result was made 1000 ms ago
+    Then the owner keeps it for 3000 ms at an engine with a queue
+    When further results take up 600 of the 1000 bytes
+    Then the owner keeps it for 0 ms at an engine with a queue
+
+  Scenario Outline: A daemon releases results when the engine begins, or else in time
+    Given results that the owner wants kept for <kept> ms
+    When the request is sent <wait> ms later
+    Then they are released <release> ms after that, and at once when the engine begins
+
+    Examples:
+      | kept | wait | release |
+      | 0    | 0    | 100     |
+      | 3000 | 0    | 3000    |
+      | 3000 | 500  | 2500    |
+      | 3000 | 4000 | 100     |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -2,16 +2,21 @@
 
 from typing import Any
 
+import anyio
 import attrs
 from behave import given, then, when
 
+from cowsliphitch.core.batching import retention
 from cowsliphitch.core.batching.models import PieceDone
 from cowsliphitch.core.batching.pipeline import StagePlanner
 from cowsliphitch.core.batching.requests import Admission, StageRequest
+from cowsliphitch.core.clock import ManualClock
 from cowsliphitch.core.deployment.models import StagePool, StageSpec
 from cowsliphitch.core.requests.models import Generation
 from cowsliphitch.core.servers.models import Server, ServerState
 from cowsliphitch.core.verdict import Refusal, Verdict
+from cowsliphitch.gateway.handler import EngineProgressReporter
+from cowsliphitch.gateway.stage_runner import StageRunResult
 from cowsliphitch.peers.fleet import convert
 from cowsliphitch.peers.fleet.models import RunStagesRequest, StagesCompleted
 from cowsliphitch.peers.wire import fleet_pb2 as pb
@@ -106,3 +111,87 @@
         pb.StagesReply.FromString(reply.SerializeToString())
     )
     assert received == attrs.evolve(context.reply, retention_ms=0), received
+
+
+@given(
+    "a request of {tokens:d} tokens with its first token expected in {first:d} ms, "
+    "{queue:d} ms of it queueing"
+)
+def queued_request(context: Any, tokens: int, first: int, queue: int) -> None:
+    generation = Generation("m", tokens, 1, ())
+    context.first_ms = first
+    context.prefill_ms = retention.prefill_ms(generation, first, queue)
+
+
+@when("its results expire in {expiry:d} ms, and {free:g} of the memory is free")
+def results_expire(context: Any, expiry: int, free: float) -> None:
+    context.kept_ms = retention.retention_ms(
+        context.first_ms, context.prefill_ms, expiry, free
+    )
+
+
+@then("they are kept for {ms:d} ms")
+def kept_for(context: Any, ms: int) -> None:
+    assert context.kept_ms == ms, context.kept_ms
+
+
+@given("a request whose result was made {ms:d} ms ago")
+def made_result(context: Any, ms: int) -> None:
+    context.planner, context.now_ms = make_planner(), ms
+    admit(context)
+    (call,) = context.planner.plan_calls(0)
+    context.planner.complete_call(call, (PieceDone("s0:1/1"),), 0)
+
+
+@when("further results take up {used:d} of the 1000 bytes")
+def use_memory(context: Any, used: int) -> None:
+    context.planner.queues["s"].memory.reserve(99, "s0", used)
+
+
+@then("the owner keeps it for {ms:d} ms at an engine with a queue")
+def owner_keeps(context: Any, ms: int) -> None:
+    results = (("s", ("s0:1/1",)),)
+    kept_ms = context.planner.retention_ms(results, 2_000, 300, context.now_ms)
+    assert kept_ms == ms, kept_ms
+
+
+class RecordingRunner:
+    """Stand-in of the stage runner that records reports and timers."""
+
+    def __init__(self) -> None:
+        self.delays_ms: list[int] = []
+        self.reports: list[Any] = []
+
+    def schedule(self, delay_ms: int, _scope: Any, _callback: Any) -> None:
+        self.delays_ms.append(delay_ms)
+
+    def report_progress(self, _owner: str, report: Any) -> None:
+        self.reports.append(report)
+
+
+@given("results that the owner wants kept for {ms:d} ms")
+def wants_results_kept(context: Any, ms: int) -> None:
+    context.clock, context.runner = ManualClock(), RecordingRunner()
+    completed = StagesCompleted((("s", ("s0:1/1",)),), "e1", None, ms)
+    result = StageRunResult("owner", completed)
+    context.reporter = EngineProgressReporter(
+        context.runner, "r1", result, context.clock
+    )
+
+
+@when("the request is sent {ms:d} ms later")
+def sent_later(context: Any, ms: int) -> None:
+    async def send() -> None:
+        context.clock.advance(ms)
+        context.reporter.start_release_timer()
+        assert not context.runner.reports
+        context.reporter.report_began()
+
+    anyio.run(send)
+
+
+@then("they are released {ms:d} ms after that, and at once when the engine begins")
+def released_after(context: Any, ms: int) -> None:
+    assert context.runner.delays_ms == [ms], context.runner.delays_ms
+    (report,) = context.runner.reports
+    assert report.released_results, report
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -82,3 +82,18 @@
 # twice the expected time.
 MIN_STEADY_CALLS: Final = 3
 STEADY_MAX_SLOWDOWN: Final = 1.15
+
+# Time of an idle engine to the first token: its first step, and the prefill of a prompt
+# of which nothing is cached at the rate of the engines in use (38 to 57 tokens per ms).
+FIRST_STEP_MS: Final = 30.0
+NOMINAL_PREFILL_TOKENS_PER_MS: Final = 45.0
+
+# An engine is expected to queue a request if its first token takes longer than the
+# request's own prefill by this factor and margin.  The margin is the time in which an
+# engine without a queue fetches its inputs.
+QUEUED_FIRST_TOKEN_FACTOR: Final = 1.5
+QUEUED_MARGIN_MS: Final = 100.0
+
+# Results are kept for a queueing engine only while this share of their servers' memory
+# is free, so that kept results alone never stop new calls.
+MIN_RETENTION_FREE_SHARE: Final = 0.5
--- a/packages/core/src/cowsliphitch/core/batching/memory.py
+++ b/packages/core/src/cowsliphitch/core/batching/memory.py
@@ -41,6 +41,21 @@
         """Return the unused memory of a server."""
         return self._capacity_bytes - self._used_bytes.get(server_id, 0)
 
+    def free_share(self, handle: str) -> float:
+        """Return the unused share of the memory of the server that stores a result.
+
+        :returns: 0 if the result is not tracked
+        """
+        result = self._results.get(handle)
+        if result is None or self._capacity_bytes <= 0:
+            return 0.0
+        return max(0.0, self.free_bytes(result.server_id) / self._capacity_bytes)
+
+    def lifetime_ms(self, handle: str, now_ms: int) -> int:
+        """Return the time until a result's server evicts it, 0 if it isn't tracked."""
+        result = self._results.get(handle)
+        return max(0, result.expires_ms - now_ms) if result is not None else 0
+
     def reserve(self, call_id: int, server_id: str, size_bytes: int) -> None:
         """Reserve memory for the results of a call that starts."""
         self._reservations[call_id] = (server_id, size_bytes)
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -20,7 +20,7 @@
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
-from . import const
+from . import const, retention
 from .models import Call, Job, JobDone, JobFailed, JobOutcome, PieceOutcome
 from .queue import StageQueue
 from .requests import (
@@ -340,6 +340,34 @@
                 commands.extend(self._free_inputs(execution, stage))
         return commands
 
+    def retention_ms(
+        self,
+        results: tuple[tuple[str, tuple[str, ...]], ...],
+        first_token_ms: float,
+        own_prefill_ms: float,
+        now_ms: int,
+    ) -> int:
+        """Return how long to keep a request's results for its engine.
+
+        :param results: service and handles of each final stage
+        :param first_token_ms: expected time to the first token at the chosen engine
+        :param own_prefill_ms: part of it that the request's own prompt takes
+        :returns: 0 for the usual time
+        """
+        stored = [
+            (self._queues[service].memory, handle)
+            for service, handles in results
+            for handle in handles
+        ]
+        if not stored:
+            return 0
+        return retention.retention_ms(
+            first_token_ms,
+            own_prefill_ms,
+            min(memory.lifetime_ms(handle, now_ms) for memory, handle in stored),
+            min(memory.free_share(handle) for memory, handle in stored),
+        )
+
     def record_freed(self, service: str, handles: Iterable[str]) -> None:
         """Record that results were freed at the servers that stored them."""
         queue = self._queues.get(service)
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from cowsliphitch.callers.edge.models import EdgeRequest, Reply
+from cowsliphitch.core.clock import Clock
 from cowsliphitch.core.deployment.models import Deployment, Route, RouteKind, Team
 from cowsliphitch.core.requests.models import CallerRequest
 from cowsliphitch.core.servers.models import Server
@@ -64,17 +65,23 @@
     """
 
     def __init__(
-        self, stage_runner: StageRunner, request_id: str, result: StageRunResult
+        self,
+        stage_runner: StageRunner,
+        request_id: str,
+        result: StageRunResult,
+        clock: Clock,
     ) -> None:
         """Initialize with the results of the stages, none of which is released yet.
 
         :param request_id: identifier of the request
-        :param result: the completed stages
+        :param result: the completed stages, which have just been received
         """
+        self._clock = clock
         self._stage_runner = stage_runner
         self._request_id = request_id
         self._owner = result.owner
         self._results = result.completed.results
+        self._kept_until_ms = self._end_of_retention_ms(result)
         self._has_reported = False
         self._timer: anyio.CancelScope | None = None
 
@@ -87,12 +94,22 @@
         """Replace the owner, and the results if the stages ran again."""
         self._owner = assigned.owner
         self._results = assigned.completed.results or self._results
+        self._kept_until_ms = self._end_of_retention_ms(assigned)
+
+    def _end_of_retention_ms(self, result: StageRunResult) -> int:
+        """Return the monotonic time until which the owner wants the results kept."""
+        return self._clock.now_ms() + result.completed.retention_ms
 
     def start_release_timer(self) -> None:
-        """Release the results after the time in which an engine fetches them."""
+        """Release the results after the time in which an engine fetches them.
+
+        Where the owner expects the engine to queue the request, they are kept until
+        the engine begins, but not longer than the owner says.
+        """
         self._timer = anyio.CancelScope()
+        left_ms = self._kept_until_ms - self._clock.now_ms()
         self._stage_runner.schedule(
-            const.RESULT_FETCH_TIME_MS, self._timer, self._release_results
+            max(const.RESULT_FETCH_TIME_MS, left_ms), self._timer, self._release_results
         )
 
     def _release_results(self) -> None:
@@ -101,12 +118,12 @@
 
     def report_began(self) -> None:
         """Report that the engine has begun to answer; it needs no results any more."""
+        self._cancel_timer()
         self._report(EngineProgress.BEGAN, keep_results=False)
 
     def report_failed(self) -> None:
         """Report that the engine failed; the next one may need the results."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._cancel_timer()
         self._report(EngineProgress.FAILED, keep_results=True)
 
     def close(self) -> None:
@@ -114,9 +131,14 @@
 
         Nothing is sent if a report was sent before and no results are held.
         """
+        self._cancel_timer()
         if self._results or not self._has_reported:
             self._report(EngineProgress.ENDED, keep_results=False)
 
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
     def _report(self, progress: EngineProgress, keep_results: bool) -> None:
         results = () if keep_results else self._results
         if not keep_results:
@@ -295,7 +317,9 @@
         ctx.stage_results = result.completed.handles
         ctx.preferred_server = self._state.servers.get(result.completed.engine_id)
         ctx.permit = self._permit_of(result.completed)
-        reporter = EngineProgressReporter(self._stage_runner, ctx.request.id, result)
+        reporter = EngineProgressReporter(
+            self._stage_runner, ctx.request.id, result, self._state.clock
+        )
 
         async def choose_engine() -> Server | None:
             # The stages run again if their results were freed, since a resumed stream
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -12,6 +12,7 @@
 import anyio
 import attrs
 
+from cowsliphitch.core.batching import retention
 from cowsliphitch.core.batching.models import (
     Call,
     PieceFailed,
@@ -331,10 +332,38 @@
             parts=tuple(part.id for part in request.generation.shared_parts),
             engine=self.engine_selector.load(choice.server),
         )
+        retention_ms = self._retention_ms(request, choice, results)
         self.engine_selector.record_dispatch(
             request.request_id, choice.server, request.generation, now
         )
-        return StagesCompleted(results, choice.server.id, permit_wait_ms)
+        return StagesCompleted(results, choice.server.id, permit_wait_ms, retention_ms)
+
+    def _retention_ms(
+        self, request: RunStagesRequest, choice: EngineChoice, results: StageResults
+    ) -> int:
+        """Return how long a request's results are kept, 0 for the usual time.
+
+        Call this before the request counts as dispatched to the engine.
+        """
+        own_prefill_ms = retention.prefill_ms(
+            request.generation,
+            choice.first_token_ms,
+            self.engine_selector.backlog_ms((choice.server,)),
+        )
+        retention_ms = self.planner.retention_ms(
+            results, choice.first_token_ms, own_prefill_ms, self._state.clock.now_ms()
+        )
+        if retention_ms:
+            event(
+                _LOGGER,
+                "stages.results_kept",
+                request=request.request_id,
+                server=choice.server.id,
+                keep_ms=retention_ms,
+                expected_ms=round(choice.first_token_ms),
+                prefill_ms=round(own_prefill_ms),
+            )
+        return retention_ms
 
     def _max_engine_wait_ms(
         self, request: RunStagesRequest, results: StageResults
