Refuse late requests that are in the way of more urgent ones

All requests that would miss their objective were admitted as best effort.

The owner now refuses such a request (429, with the expected backlog as Retry-After) while more urgent requests need its servers, unless one of a less urgent class would be admitted at that moment. A priority that is admitted less than 0.36 times as often as all together gets its next request ahead of all others. Requests without stages pass the same check with their engine's wait; a request that was admitted before passes none. While result memory is short, late jobs start only if all their results fit, and a final stage waits while the engine would begin after its results are deleted. `stages.refused` is logged for each refusal.

The emulator gets priorities and engines with a queue. Without a burst all outcomes are equal.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -56,3 +56,63 @@
       | 3000 | 0    | 3000    |
       | 3000 | 500  | 2500    |
       | 3000 | 4000 | 100     |
+
+  # Guards against late requests that delay more urgent ones: without the rule they are
+  # all admitted as best effort, and take calls, result memory and engine time.
+
+  Scenario Outline: In a burst of one class, more requests are in time than without the rule
+    When a burst of 2.6 times the usual rate of "<class>" is replayed with and without the rule
+    Then no fewer requests are in time with the rule, and none of the most urgent class is lost
+    And no class is served less than a quarter as often as all together
+
+    Examples:
+      | class   |
+      | consult |
+      | report  |
+      | chat    |
+
+  Scenario: Without a burst, every request is admitted as without the rule
+    When no burst is replayed with and without the rule
+    Then both replays have the same outcomes
+
+  Scenario: A late request is refused while more urgent ones wait, and served best effort otherwise
+    Given a stage server that is busy, and 6 queued requests of priority 0
+    When a late request of priority 2 comes
+    Then it is refused as not run, with a time to retry
+    Given a stage server that is busy, and 6 queued requests of priority 2
+    When a late request of priority 2 comes
+    Then it is admitted as best effort
+
+  Scenario: A request is not refused where one of a less urgent class would be admitted
+    Given a stage server that is busy, and 6 queued requests of priority 0
+    And requests of priority 4 that still meet their objective
+    When a late request of priority 2 comes
+    Then it is admitted as best effort
+
+  Scenario: A priority that is always late still gets its minimum share
+    Given a stage server that is busy, and 6 queued requests of priority 0
+    When 20 late requests of priority 2 and as many of priority 0 come
+    Then priority 2 is admitted a quarter as often as all together, and ahead of 0
+
+  Scenario Outline: A request without stages is refused by its engine's wait only
+    Given a stage server that is busy, and 6 queued requests of priority 0
+    When a request without stages comes whose engine waits <wait> ms of <objective> ms
+    Then the request without stages is <outcome>
+
+    Examples:
+      | wait | objective | outcome  |
+      | 5000 | 1000      | refused  |
+      | 500  | 1000      | admitted |
+
+  # Guards against stages that run for results which can't be kept.
+
+  Scenario: A final stage waits while the engine would begin after its results are deleted
+    Given a request whose engines begin in 6000 ms
+    Then its stage is not called
+    When its engines begin in 300 ms
+    Then its stage is called
+
+  Scenario: Late jobs start only with memory for all their results, and jobs on time at once
+    Given a server with memory for 6 results, and a started job that needs 4 of them
+    When a late job and a job on time of 3 pieces are queued
+    Then only the job on time is started
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from cowsliphitch.core.batching import retention
-from cowsliphitch.core.batching.models import PieceDone
+from cowsliphitch.core.batching.models import Call, PieceDone
 from cowsliphitch.core.batching.pipeline import StagePlanner
 from cowsliphitch.core.batching.requests import Admission, StageRequest
 from cowsliphitch.core.clock import ManualClock
@@ -20,6 +20,8 @@
 from cowsliphitch.peers.fleet import convert
 from cowsliphitch.peers.fleet.models import RunStagesRequest, StagesCompleted
 from cowsliphitch.peers.wire import fleet_pb2 as pb
+from cowsliphitch.standins.emulator.loads import shared_engines, with_bursts
+from cowsliphitch.standins.emulator.stages import Burst, Report, StageEmulator
 
 POOL = StagePool(1, 2, 2, 150.0, 10.0, 1_000, 4_000)
 REQUEST = StageRequest(
@@ -67,6 +69,12 @@
     admit(context, priority=rank, deadline_ms=ms, objective_ms=-1, is_rerun=True)
 
 
+def next_calls(context: Any) -> list[Call]:
+    outcomes = tuple(PieceDone("s0:1/0") for _ in context.running.pieces)
+    context.planner.complete_call(context.running, outcomes, 170)
+    return context.planner.plan_calls(170)  # type: ignore[no-any-return]
+
+
 @then("it is admitted, not as best effort, and is in the {which} call")
 def runs_in_call(context: Any, which: str) -> None:
     assert isinstance(context.admitted, Admission), context.admitted
@@ -195,3 +203,172 @@
     assert context.runner.delays_ms == [ms], context.runner.delays_ms
     (report,) = context.runner.reports
     assert report.released_results, report
+
+
+def replay(burst: Burst | None, with_rule: bool) -> list[Report]:
+    scenario = shared_engines(20_000)
+    if burst is not None:
+        scenario = with_bursts(scenario, burst)
+    emulators = [StageEmulator(scenario, seed) for seed in range(2)]
+    for emulator in emulators:
+        emulator.planner.refuses_late = with_rule
+    return [emulator.run() for emulator in emulators]
+
+
+def total(reports: list[Report], name: str, kind: str = "") -> int:
+    return sum(
+        getattr(outcome, name)
+        for report in reports
+        for outcome_kind, outcome in report.outcomes.items()
+        if kind in ("", outcome_kind)
+    )
+
+
+@when(
+    'a burst of {factor:g} times the usual rate of "{kind}" is replayed with and '
+    "without the rule"
+)
+def replay_burst(context: Any, factor: float, kind: str) -> None:
+    burst = Burst(kind, factor, 4_000, 16_000)
+    context.with_rule, context.without = replay(burst, True), replay(burst, False)
+
+
+@when("no burst is replayed with and without the rule")
+def replay_no_burst(context: Any) -> None:
+    context.with_rule, context.without = replay(None, True), replay(None, False)
+
+
+@then(
+    "no fewer requests are in time with the rule, and none of the most urgent class is "
+    "lost"
+)
+def more_in_time(context: Any) -> None:
+    reports = context.with_rule
+    on_time = total(reports, "on_time"), total(context.without, "on_time")
+    print("in time with and without the rule:", on_time)
+    assert on_time[0] >= on_time[1], on_time
+    assert total(reports, "refused", "consult") == 0
+    assert total(reports, "failed", "consult") == 0
+
+
+@then("no class is served less than a quarter as often as all together")
+def none_starved(context: Any) -> None:
+    reports = context.with_rule
+    ratio = total(reports, "served") / total(reports, "sent")
+    for kind in reports[0].outcomes:
+        served = total(reports, "served", kind) / total(reports, "sent", kind)
+        assert served >= ratio / 4, (kind, served, ratio)
+
+
+@then("both replays have the same outcomes")
+def same_outcomes(context: Any) -> None:
+    for report, other in zip(context.with_rule, context.without, strict=True):
+        assert report.outcomes == other.outcomes
+
+
+@given("requests of priority {rank:d} that still meet their objective")
+def on_time_class(context: Any, rank: int) -> None:
+    assert isinstance(admit(context, priority=rank), Admission)
+
+
+@when("a late request of priority {rank:d} comes")
+def late_comes(context: Any, rank: int) -> None:
+    admit(context, priority=rank, objective_ms=300)
+
+
+@then("it is admitted as best effort")
+def admitted_best_effort(context: Any) -> None:
+    assert isinstance(context.admitted, Admission), context.admitted
+    assert context.admitted.best_effort
+
+
+@when("{count:d} late requests of priority {rank:d} and as many of priority 0 come")
+def many_late_come(context: Any, count: int, rank: int) -> None:
+    context.shares = []
+    for number in range(count):
+        admit(context, request_id=f"more-{number}", priority=0)
+        admitted = admit(
+            context, request_id="reserved", priority=rank, objective_ms=300
+        )
+        context.shares.append(admitted)
+
+
+@then("priority 2 is admitted a quarter as often as all together, and ahead of 0")
+def minimum_share(context: Any) -> None:
+    admitted = [a for a in context.shares if isinstance(a, Admission)]
+    count, ratio = len(admitted), len(admitted) / len(context.shares)
+    assert ratio >= (count + len(context.shares)) / 2 / len(context.shares) / 4, count
+    assert count < len(context.shares) / 2, count
+    assert all(a.is_reserved and not a.best_effort for a in admitted), admitted
+    names = [p.job.request_id for p in next(iter(next_calls(context))).pieces]
+    assert "reserved" in names, names
+
+
+@when(
+    "a request without stages comes whose engine waits {wait:d} ms of {objective:d} ms"
+)
+def without_stages(context: Any, wait: int, objective: int) -> None:
+    request = attrs.evolve(
+        REQUEST,
+        stages=(),
+        piece_counts=(),
+        engine_ms=wait + 100,
+        engine_wait_ms=wait,
+        objective_ms=objective,
+    )
+    context.refusal = context.planner.check_engine_only(request, 0)
+
+
+@then("the request without stages is {outcome:w}")
+def stageless_outcome(context: Any, outcome: str) -> None:
+    assert (context.refusal is not None) == (outcome == "refused"), context.refusal
+
+
+@given("a request whose engines begin in {ms:d} ms")
+def engines_busy(context: Any, ms: int) -> None:
+    context.planner = make_planner()
+    context.planner.set_engine_wait("", ms)
+    admit(context)
+
+
+@when("its engines begin in {ms:d} ms")
+def engines_free(context: Any, ms: int) -> None:
+    context.planner.set_engine_wait("", ms)
+
+
+@then("its stage is not called")
+def not_called(context: Any) -> None:
+    assert not context.planner.plan_calls(0)
+
+
+@then("its stage is called")
+def is_called(context: Any) -> None:
+    assert context.planner.plan_calls(0)
+
+
+@given("a server with memory for 6 results, and a started job that needs 4 of them")
+def started_job(context: Any) -> None:
+    context.planner = make_planner(attrs.evolve(POOL, result_memory_bytes=600))
+    admit(context, request_id="started", piece_counts=(4,))
+    (call,) = context.planner.plan_calls(0)
+    outcomes = tuple(PieceDone(f"s0:1/{piece.number}") for piece in call.pieces)
+    context.planner.complete_call(call, outcomes, 170)
+
+
+@when("a late job and a job on time of 3 pieces are queued")
+def queue_both(context: Any) -> None:
+    # The remaining pieces of the started job are in a call.
+    (context.call,) = context.planner.plan_calls(170)
+    admit(context, 170, request_id="late", piece_counts=(3,), objective_ms=200)
+    assert isinstance(context.admitted, Admission) and context.admitted.best_effort
+    context.planner.complete_call(
+        context.call, (PieceDone("s0:1/2"), PieceDone("s0:1/3")), 340
+    )
+    context.first = context.planner.plan_calls(340)
+    admit(context, 340, request_id="on time", piece_counts=(3,))
+
+
+@then("only the job on time is started")
+def only_on_time(context: Any) -> None:
+    (call,) = context.first or context.planner.plan_calls(340)
+    assert {p.job.request_id for p in call.pieces} == {"on time"}, call
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -97,3 +97,41 @@
 # Results are kept for a queueing engine only while this share of their servers' memory
 # is free, so that kept results alone never stop new calls.
 MIN_RETENTION_FREE_SHARE: Final = 0.5
+
+# Time constant of the counters of arrived and admitted requests by priority: some
+# seconds of a class at a few requests per second, and less than a burst.
+SHARE_TIME_CONSTANT_MS: Final = 5_000.0
+
+# A priority is admitted at least this fraction as often as all together.  The required
+# minimum is a quarter of the served requests, and some of the admitted ones fail.
+MIN_SERVED_RATIO: Final = 0.36
+
+# The share of a priority with fewer arrivals than this is not known.
+MIN_SHARE_REQUESTS: Final = 3.0
+
+# Request classes of which a sample is kept, the age up to which it is used, and the
+# resolution at which time limits are compared.
+MAX_SAMPLES: Final = 16
+MAX_SAMPLE_AGE_MS: Final = 3_000
+SAMPLE_OBJECTIVE_MS: Final = 250
+
+# More urgent requests need a pool if their pieces, with those of later stages, exceed
+# this multiple of one full call per server.  With less, a replayed burst of the least
+# urgent class had fewer requests in time: they were refused and nobody gained.
+MAX_URGENT_QUEUE_RATIO: Final = 2.0
+
+# More urgent requests are expected to need a pool if their demand exceeds this fraction
+# of its throughput: the remaining calls are spare.  They are expected to need an engine
+# if so many of them arrive during a request's wait and the wait exceeds the fraction
+# below of the time to the request's objective.
+MAX_ENGINE_WAIT_RATIO: Final = 0.5
+MIN_URGENT_DEMAND_RATIO: Final = 0.75
+MIN_URGENT_ARRIVALS: Final = 0.5
+
+# A final stage is deferred if the engine would begin less than this before the results
+# are deleted: the engine fetches some megabytes, and its wait is an estimate.
+EXPIRY_MARGIN_MS: Final = 500
+
+# A job whose results take at most this fraction of one server's memory starts also
+# while memory is short: it fits beside the large results that memory is short of.
+SMALL_RESULT_RATIO: Final = 0.05
--- a/packages/core/src/cowsliphitch/core/batching/models.py
+++ b/packages/core/src/cowsliphitch/core/batching/models.py
@@ -33,8 +33,8 @@
     :param best_effort: the request was admitted although it is expected to miss its
         objective
     :param digest: digest of the request's content, empty if unknown
-    :param is_rerun: the results of an earlier run were lost; the job goes ahead of new
-        jobs of its priority, also when it is late
+    :param keeps_place: the job goes ahead of others of its priority, also when it is
+        late
     """
 
     id: int
@@ -55,7 +55,7 @@
     queued_ms: int
     best_effort: bool = False
     digest: str = ""
-    is_rerun: bool = False
+    keeps_place: bool = False
 
 
 @attrs.frozen
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -21,6 +21,7 @@
 from cowsliphitch.core.verdict import Reason, Refusal, not_run
 
 from . import const, retention
+from .admission import PriorityDemand
 from .models import Call, Job, JobDone, JobFailed, JobOutcome, PieceOutcome
 from .queue import StageQueue
 from .requests import (
@@ -41,13 +42,16 @@
     """Counters of a planner, for metrics.
 
     :param admitted: admitted requests, best-effort ones included
-    :param refused: requests that were refused because of their deadline
+    :param refused: requests that were refused because of their deadline, or for more
+        urgent ones
+    :param refused_for_priority: those of them that were refused for more urgent ones
     :param done: requests whose stages are all done
     """
 
     admitted: int = 0
     admitted_best_effort: int = 0
     refused: int = 0
+    refused_for_priority: int = 0
     done: int = 0
     failed: int = 0
 
@@ -61,6 +65,8 @@
     :param servers: returns the servers of a pool that accept new work
     :param rates: limits of the servers, ``None`` without any
     :param runs_apart: returns whether requests with a digest are kept apart from others
+    :ivar refuses_late: late requests that delay more urgent ones are refused; only
+        replays that compare with all of them admitted turn it off
     """
 
     def __init__(
@@ -78,8 +84,11 @@
         self._executions: dict[int, Execution] = {}
         self._stage_of_job: dict[int, tuple[int, int]] = {}
         self._demand: dict[str, tuple[float, int]] = {}
+        self._priorities = PriorityDemand()
+        self._engine_wait_ms: dict[str, int] = {}
         self._ids = itertools.count(1)
         self.diagnostics = Diagnostics()
+        self.refuses_late = True
 
     @property
     def queues(self) -> Mapping[str, StageQueue]:
@@ -120,32 +129,153 @@
         if unknown:
             detail = f"{unknown[0]} is no stage pool in force"
             return not_run(Reason.NOT_CONFIGURED, detail, const.MIN_RETRY_AFTER_MS)
-        expected_ms = self.predicted_first_token_ms(
-            request, now_ms, include_best_effort=False
+        decision = self._decide(request, now_ms)
+        if isinstance(decision, Refusal):
+            self.diagnostics.refused += 1
+            return decision
+        execution = Execution(
+            next(self._ids),
+            request,
+            best_effort=decision.best_effort,
+            is_reserved=decision.is_reserved,
         )
-        best_effort = (
-            not request.is_rerun and expected_ms > request.objective_ms - now_ms
-        )
-        self._record_demand(request, best_effort, now_ms)
+        self._executions[execution.id] = execution
+        self._submit_ready(execution, now_ms)
+        return attrs.evolve(decision, execution_id=execution.id)
+
+    def set_engine_wait(self, service: str, wait_ms: int) -> None:
+        """Set how long a service's engines need before they begin another request."""
+        self._engine_wait_ms[service] = wait_ms
+
+    def check_engine_only(self, request: StageRequest, now_ms: int) -> Refusal | None:
+        """Return the refusal of a request without stages, by its engine's wait."""
+        decision = self._decide(request, now_ms)
+        if isinstance(decision, Refusal):
+            self.diagnostics.refused += 1
+            return decision
+        return None
+
+    def _decide(self, request: StageRequest, now_ms: int) -> Admission | Refusal:
+        """Return how a request is admitted, or why it is refused, and count it."""
         if request.is_rerun:
             expected_ms = self._predicted_rerun_ms(request, now_ms)
-            if expected_ms > request.deadline_ms - now_ms:
-                self.diagnostics.refused += 1
+            if any(request.piece_counts) and expected_ms > request.deadline_ms - now_ms:
                 return _refuse_late(request, expected_ms, now_ms)
-        if best_effort:
+            self.diagnostics.admitted += 1
+            return Admission(0, best_effort=False, expected_ms=round(expected_ms))
+        self._priorities.record_arrival(request, now_ms)
+        expected_ms = self.predicted_first_token_ms(
+            request, now_ms, include_best_effort=False
+        )
+        best_effort = expected_ms > request.objective_ms - now_ms
+        self._record_demand(request, best_effort, now_ms)
+        refusal: Refusal | None = None
+        if self.refuses_late and self._misses_objective(request, now_ms):
+            refusal = self._check_overload(request, now_ms)
+        if refusal is None and best_effort and any(request.piece_counts):
             expected_ms = self.predicted_first_token_ms(
                 request, now_ms, include_best_effort=True
             )
             refusal = self._check_best_effort(request, expected_ms, now_ms)
-            if refusal is not None:
-                self.diagnostics.refused += 1
-                return refusal
-            self.diagnostics.admitted_best_effort += 1
+        is_reserved = refusal is not None and self._may_reserve(request, now_ms)
+        if refusal is not None and not is_reserved:
+            self.diagnostics.refused_for_priority += refusal.reason is Reason.QUEUE_FULL
+            return refusal
+        if is_reserved:
+            best_effort = False
+            expected_ms = self._predict_ms(request, now_ms, {})
+        self._priorities.record_admitted(request, now_ms)
         self.diagnostics.admitted += 1
-        execution = Execution(next(self._ids), request, best_effort=best_effort)
-        self._executions[execution.id] = execution
-        self._submit_ready(execution, now_ms)
-        return Admission(execution.id, best_effort, round(expected_ms))
+        self.diagnostics.admitted_best_effort += best_effort
+        return Admission(0, best_effort, round(expected_ms), is_reserved)
+
+    def _misses_objective(self, request: StageRequest, now_ms: int) -> bool:
+        """Return whether a request misses its objective behind requests as urgent.
+
+        Unlike the choice of best effort, this includes the wait for result memory, and
+        leaves out less urgent requests, which would go ahead of it only by accident.
+        """
+        ahead = self._outstanding_pieces(False, request.priority)
+        expected_ms = self._predict_ms(request, now_ms, ahead, with_memory=True)
+        return expected_ms > request.objective_ms - now_ms
+
+    def _check_overload(self, request: StageRequest, now_ms: int) -> Refusal | None:
+        """Return the refusal of a late request that would delay more urgent ones.
+
+        A request is not refused where one of a less urgent class would be admitted.
+        """
+        if not self._delays_more_urgent(request, now_ms):
+            return None
+        if any(
+            self._would_admit(sample, now_ms)
+            for sample in self._priorities.less_urgent_samples(request.priority, now_ms)
+        ):
+            return None
+        ahead = self._outstanding_pieces(False)
+        expected_ms = self._predict_ms(request, now_ms, ahead, with_memory=True)
+        idle_ms = self._predict_ms(request, now_ms, {}) - request.engine_wait_ms
+        detail = (
+            f"the first token would take {expected_ms:.0f} ms of "
+            f"{request.objective_ms - now_ms} ms, and more urgent requests come first"
+        )
+        return not_run(
+            Reason.QUEUE_FULL, detail, _bound_retry_after_ms(expected_ms - idle_ms)
+        )
+
+    def _may_reserve(self, request: StageRequest, now_ms: int) -> bool:
+        """Return whether a request is admitted for the minimum share of its priority.
+
+        It goes ahead of all others then, and has to meet its deadline so.
+        """
+        return (
+            self.refuses_late
+            and self._priorities.is_underserved(request.priority, now_ms)
+            and self._predict_ms(request, now_ms, {}) <= request.deadline_ms - now_ms
+        )
+
+    def _would_admit(self, request: StageRequest, now_ms: int) -> bool:
+        """Return whether a request that arrives now would be admitted."""
+        return (
+            not self._misses_objective(request, now_ms)
+            or self._priorities.is_underserved(request.priority, now_ms)
+            or not self._delays_more_urgent(request, now_ms)
+        )
+
+    def _delays_more_urgent(self, request: StageRequest, now_ms: int) -> bool:
+        """Return whether more urgent requests need the servers of a late request.
+
+        Many of their pieces wait at one of its pools, their demand takes up much of the
+        pool, or engines are behind and some of them are expected during the wait.
+        """
+        priority = request.priority
+        urgent_requests_per_ms = self._priorities.urgent_requests_per_ms(
+            priority, now_ms
+        )
+        recent_requests = urgent_requests_per_ms * const.SHARE_TIME_CONSTANT_MS
+        if recent_requests < const.MIN_URGENT_ARRIVALS:
+            return False
+        urgent_pieces = self._outstanding_pieces(False, priority - 1)
+        for index, stage in enumerate(request.stages):
+            if not request.piece_count(index):
+                continue
+            servers = self._servers(stage.service)
+            full_calls = self._pools[stage.service].batch * len(servers)
+            max_pieces = full_calls * const.MAX_URGENT_QUEUE_RATIO
+            if urgent_pieces.get(stage.service, 0) > max_pieces:
+                return True
+            throughput_per_ms = self._queues[stage.service].throughput_per_ms(
+                servers, now_ms
+            )
+            urgent_per_ms = self._priorities.urgent_pieces_per_ms(
+                priority, stage.service, now_ms
+            )
+            if urgent_per_ms > throughput_per_ms * const.MIN_URGENT_DEMAND_RATIO:
+                return True
+        max_wait_ms = (request.objective_ms - now_ms) * const.MAX_ENGINE_WAIT_RATIO
+        if request.engine_wait_ms <= max_wait_ms:
+            return False
+        urgent_arrivals = request.engine_wait_ms * urgent_requests_per_ms
+        return urgent_arrivals >= const.MIN_URGENT_ARRIVALS
 
     def _check_best_effort(
         self, request: StageRequest, expected_ms: float, now_ms: int
@@ -189,12 +319,14 @@
         now_ms: int,
         on_time_pieces: Mapping[str, int],
         all_pieces: Mapping[str, int] | None = None,
+        with_memory: bool = False,
     ) -> float:
         """Return the expected time until the first token behind queued pieces.
 
         :param on_time_pieces: pieces of on-time requests that are ahead, by service
         :param all_pieces: these and the best-effort ones that are ahead, ``None`` if
             the request is on time itself
+        :param with_memory: whether to include the wait for result memory
         """
         ready_ms: dict[int, float] = {}
         for index, stage in enumerate(request.stages):
@@ -221,11 +353,29 @@
                 delay_ms += best_effort_pieces / max(
                     spare_per_ms, const.MIN_SPARE_PIECES_PER_MS
                 )
+            if with_memory:
+                memory_ms = self._memory_delay_ms(request, index, servers, now_ms)
+                delay_ms = max(delay_ms, memory_ms)
             start_ms = max(inputs_ready_ms, delay_ms)
             ready_ms[index] = start_ms + queue.job_duration_ms(count, servers, now_ms)
         stages_done_ms = max((ready_ms[n] for n in request.final_stages), default=0.0)
         return stages_done_ms + request.engine_ms
 
+    def _memory_delay_ms(
+        self,
+        request: StageRequest,
+        index: int,
+        servers: tuple[Server, ...],
+        now_ms: int,
+    ) -> float:
+        """Return how long a stage waits for result memory, 0 unless it is short."""
+        stage = request.stages[index]
+        queue = self._queues[stage.service]
+        size_bytes = queue.waiting_bytes()
+        size_bytes += stage.result_bytes * request.piece_count(index)
+        hold_ms = queue.job_duration_ms(1, servers, now_ms) + request.engine_ms
+        return queue.memory_delay_ms(size_bytes, hold_ms, servers, now_ms)
+
     def backlog_ms(self, now_ms: int) -> int:
         """Return how long the pool that is most behind needs for what is admitted."""
         if not self._executions:
@@ -260,15 +410,21 @@
             * math.exp((updated_ms - now_ms) / const.DEMAND_TIME_CONSTANT_MS)
         )
 
-    def _outstanding_pieces(self, include_best_effort: bool) -> dict[str, int]:
+    def _outstanding_pieces(
+        self, include_best_effort: bool, max_priority: int | None = None
+    ) -> dict[str, int]:
         """Return the number of pieces to run for admitted requests, by service.
 
         Pieces of calls in flight are not counted.
+
+        :param max_priority: least urgent priority that is counted, ``None`` for all
         """
         outstanding: dict[str, int] = {}
         for execution in self._executions.values():
             if execution.best_effort and not include_best_effort:
                 continue
+            if max_priority is not None and execution.priority > max_priority:
+                continue
             for index, stage in enumerate(execution.request.stages):
                 if execution.is_pending(index):
                     count = execution.request.piece_count(index)
@@ -276,7 +432,7 @@
                         outstanding.get(stage.service, 0) + count
                     )
         for service, queue in self._queues.items():
-            waiting = queue.count_waiting_pieces(include_best_effort)
+            waiting = queue.count_waiting_pieces(include_best_effort, max_priority)
             if waiting:
                 outstanding[service] = outstanding.get(service, 0) + waiting
         return outstanding
@@ -413,6 +569,7 @@
                     execution.handles[stage] = handles
                     del self._executions[execution_id]
                     self.diagnostics.failed += 1
+                    self._priorities.record_failed(execution.request, now_ms)
                     commands.append(StagesFailed(execution_id, stage, refusal))
                     commands.extend(self._discard_work(execution))
         return commands
@@ -479,14 +636,18 @@
                 self._submit_stage(execution, index, now_ms)
 
     def _should_defer(self, execution: Execution, index: int, now_ms: int) -> bool:
-        """Return whether to defer a final stage that is shorter than another branch.
+        """Return whether to defer a final stage.
 
-        Its results would otherwise occupy a server's scarce memory until the longer
-        branch ends.
+        Its results would otherwise occupy a server's scarce memory until a longer
+        branch ends, or be deleted before the engine begins.
         """
         request = execution.request
         stage = request.stages[index]
-        if index not in request.final_stages or len(request.final_stages) == 1:
+        if index not in request.final_stages:
+            return False
+        if self._outlasts_results(execution, index, now_ms):
+            return True
+        if len(request.final_stages) == 1:
             return False
         others = [
             n for n in request.final_stages if n != index and not execution.is_done(n)
@@ -502,6 +663,25 @@
         own_ms += queue.job_duration_ms(request.piece_count(index), servers, now_ms)
         return own_ms * const.DEFER_FACTOR + const.DEFER_MARGIN_MS < others_ms
 
+    def _outlasts_results(self, execution: Execution, index: int, now_ms: int) -> bool:
+        """Return whether the engine's wait is longer than a final stage's results live.
+
+        A request that has no time for this wait is not deferred, so that its stage ends
+        by its deadline.
+        """
+        request = execution.request
+        wait_ms = self._engine_wait_ms.get(request.engine_service, 0)
+        service = request.stages[index].service
+        own_ms = self._queues[service].job_duration_ms(
+            request.piece_count(index), self._servers(service), now_ms
+        )
+        max_wait_ms = self._pools[service].result_ttl_ms - const.EXPIRY_MARGIN_MS
+        idle_engine_ms = request.engine_ms - request.engine_wait_ms
+        needed_ms = max(wait_ms, own_ms) + idle_engine_ms
+        return (
+            wait_ms > max_wait_ms + own_ms and now_ms + needed_ms < request.deadline_ms
+        )
+
     def _remaining_ms(self, execution: Execution, index: int, now_ms: int) -> float:
         """Return the expected time until a pending stage is done, without queueing."""
         stage = execution.request.stages[index]
@@ -535,14 +715,14 @@
             deadline_ms=request.deadline_ms,
             objective_ms=request.objective_ms,
             downstream_ms=round(self._downstream_ms(execution, index, now_ms)),
-            priority=request.priority,
+            priority=execution.priority,
             team=request.team,
             preferred_domain=self._preferred_domain(execution, index),
             cross_domain_bytes=self._cross_domain_bytes(execution, index),
             queued_ms=now_ms,
             best_effort=execution.best_effort,
             digest=request.digest,
-            is_rerun=request.is_rerun,
+            keeps_place=request.is_rerun or execution.is_reserved,
         )
         execution.job_ids[index] = job.id
         self._stage_of_job[job.id] = (execution.id, index)
@@ -604,7 +784,11 @@
     remaining_ms = request.deadline_ms - now_ms
     detail = f"the stages would take {expected_ms:.0f} ms of {remaining_ms} ms"
     retry_after_ms = expected_ms - remaining_ms * const.BEST_EFFORT_DEADLINE_RATIO
-    retry_after_ms = min(
-        const.MAX_RETRY_AFTER_MS, max(const.MIN_RETRY_AFTER_MS, retry_after_ms)
+    return not_run(
+        Reason.DEADLINE_UNREACHABLE, detail, _bound_retry_after_ms(retry_after_ms)
     )
-    return not_run(Reason.DEADLINE_UNREACHABLE, detail, round(retry_after_ms))
+
+
+def _bound_retry_after_ms(retry_after_ms: float) -> int:
+    bounded_ms = max(const.MIN_RETRY_AFTER_MS, retry_after_ms)
+    return round(min(const.MAX_RETRY_AFTER_MS, bounded_ms))
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -97,17 +97,43 @@
         """Queue all pieces of an admitted job."""
         self._jobs[job.id] = JobProgress(job, list(range(job.piece_count)))
 
-    def count_waiting_pieces(self, include_best_effort: bool) -> int:
+    def count_waiting_pieces(
+        self, include_best_effort: bool, max_priority: int | None = None
+    ) -> int:
         """Return the number of pieces that are in no call.
 
         :param include_best_effort: whether to count best-effort jobs too
+        :param max_priority: least urgent priority that is counted, ``None`` for all
         """
         return sum(
             len(progress.waiting_pieces)
             for progress in self._jobs.values()
-            if include_best_effort or not progress.job.best_effort
+            if (include_best_effort or not progress.job.best_effort)
+            and (max_priority is None or progress.job.priority <= max_priority)
         )
 
+    def waiting_bytes(self) -> int:
+        """Return the size of the results of all pieces that are in no call."""
+        return sum(
+            len(progress.waiting_pieces) * progress.job.result_bytes
+            for progress in self._jobs.values()
+        )
+
+    def memory_delay_ms(
+        self, size_bytes: int, hold_ms: float, servers: tuple[Server, ...], now_ms: int
+    ) -> float:
+        """Return the expected delay until results fit into the servers' memory.
+
+        :param size_bytes: size of these results and of all that come before them
+        :param hold_ms: time for which a result is stored
+        """
+        capacity_bytes = self._pool.result_memory_bytes * len(servers)
+        free_bytes = sum(max(0, self.memory.free_bytes(s.id)) for s in servers)
+        if size_bytes <= free_bytes or capacity_bytes <= 0:
+            return 0.0
+        hold_ms = min(hold_ms, self._pool.result_ttl_ms)
+        return (size_bytes - free_bytes) / capacity_bytes * hold_ms
+
     def queueing_delay_ms(
         self, pieces_ahead: int, servers: tuple[Server, ...], now_ms: int
     ) -> float:
@@ -281,10 +307,19 @@
             and self._is_eligible(progress, server, servers, now_ms)
         ]
         eligible.sort(key=lambda p: self._sort_key(p, now_ms, server.failure_domain))
+        is_short = self.is_memory_short(servers)
+        if is_short:
+            # Of the started jobs, those nearest to completion come first, since they
+            # release their memory soonest.
+            eligible.sort(key=lambda p: self._completion_key(p, now_ms))
         for progress in eligible:
             job = progress.job
             if not self._may_join(job, chosen):
                 continue
+            is_late = self._sort_key(progress, now_ms)[0]
+            if is_short and is_late and not self._may_start(progress, chosen, servers):
+                self.diagnostics.out_of_memory += 1
+                continue
             while progress.waiting_pieces and len(chosen) < self._pool.batch:
                 if free_bytes < job.result_bytes:
                     self.diagnostics.out_of_memory += 1
@@ -294,6 +329,47 @@
                 progress.last_called_ms = now_ms
         return tuple(chosen)
 
+    def is_memory_short(self, servers: tuple[Server, ...]) -> bool:
+        """Return whether the results of the waiting pieces exceed the free memory."""
+        free_bytes = sum(max(0, self.memory.free_bytes(s.id)) for s in servers)
+        return self.waiting_bytes() > free_bytes
+
+    def _may_start(
+        self,
+        progress: JobProgress,
+        chosen: Sequence[Piece],
+        servers: tuple[Server, ...],
+    ) -> bool:
+        """Return whether a late job starts while memory is short.
+
+        It needs memory for the results of all its pieces besides those of started jobs,
+        since jobs with only a part of their results would block each other.  A job that
+        never fits starts nevertheless.
+        Jobs that are on time start at once: to hold them back made more of them late in
+        a replay without a burst.
+
+        :param chosen: pieces of the call that is being filled
+        """
+        job = progress.job
+        size_bytes = job.result_bytes * job.piece_count
+        server_bytes = self._pool.result_memory_bytes
+        if progress.is_started or size_bytes <= server_bytes * const.SMALL_RESULT_RATIO:
+            return True
+        if job.piece_count > len(servers) * (server_bytes // job.result_bytes):
+            return True
+        # Memory that is too little for one result of the job is of no use to it.
+        free_bytes = job.result_bytes * sum(
+            max(0, self.memory.free_bytes(server.id)) // job.result_bytes
+            for server in servers
+        )
+        claimed_bytes = sum(
+            len(other.waiting_pieces) * other.job.result_bytes
+            for other in self._jobs.values()
+            if other.is_started
+        )
+        claimed_bytes += sum(piece.job.result_bytes for piece in chosen)
+        return size_bytes <= free_bytes - claimed_bytes
+
     def _may_join(self, job: Job, chosen: Sequence[Piece]) -> bool:
         """Return whether a job's pieces may be in a call with those chosen so far."""
         if chosen and chosen[0].job.request_id == job.request_id:
@@ -518,8 +594,9 @@
         """Return the sort key of a job; the smallest is the most urgent.
 
         Jobs that can still meet their objective come before those that can't, and
-        started jobs before others.  A rerun counts as on time: its objective is nearly
-        over because its results were lost, and it would wait for all other jobs.
+        started jobs before others.  A job that keeps its place counts as on time: the
+        objective of a rerun is nearly over because its results were lost, and it would
+        wait for all other jobs.
 
         :param domain: failure domain of the server that is being filled
         """
@@ -532,17 +609,22 @@
             and domain != job.preferred_domain
             and waited_ms < const.PREFERRED_DOMAIN_WAIT_MS
         )
-        is_late = (job.best_effort or slack_ms < 0) and not job.is_rerun
+        is_late = (job.best_effort or slack_ms < 0) and not job.keeps_place
         return (
             is_late,
             not is_started,
             job.priority,
-            not job.is_rerun,
+            not job.keeps_place,
             is_remote,
             slack_ms,
             job.id,
         )
 
+    def _completion_key(self, progress: JobProgress, now_ms: int) -> tuple[object, ...]:
+        """Return the sort key of a job while memory is short, for a stable sort."""
+        is_late, not_started, *_ = self._sort_key(progress, now_ms)
+        return is_late, not_started, 0 if not_started else len(progress.waiting_pieces)
+
     def _usable_servers(self, servers: tuple[Server, ...], now_ms: int) -> list[Server]:
         reachable = [
             s for s in servers if self._health(s).unreachable_until_ms <= now_ms
--- a/packages/core/src/cowsliphitch/core/batching/requests.py
+++ b/packages/core/src/cowsliphitch/core/batching/requests.py
@@ -20,8 +20,10 @@
     :param priority: 0 is the most urgent
     :param engine_domain: failure domain of the engine that reads the final results
     :param digest: digest of the request's content, empty if unknown
-    :param is_rerun: its stages have run before, and its engine refused it because
-        their results were gone
+    :param engine_service: name of the service whose engines read the final results
+    :param engine_wait_ms: part of ``engine_ms`` that is spent on other requests
+    :param is_rerun: it was admitted before, and its engine failed or refused it because
+        its stage results were gone
     """
 
     request_id: str
@@ -36,6 +38,8 @@
     engine_domain: str
     digest: str = ""
     is_rerun: bool = False
+    engine_wait_ms: int = 0
+    engine_service: str = ""
 
     def piece_count(self, stage: int) -> int:
         """Return the number of pieces of a stage, 0 if it is skipped."""
@@ -55,11 +59,14 @@
     :param execution_id: identifies the execution in commands and cancellations
     :param best_effort: it is expected to miss its objective
     :param expected_ms: expected duration until its first token
+    :param is_reserved: it is expected to miss its objective and was admitted because
+        its priority was served less than its minimum share
     """
 
     execution_id: int
     best_effort: bool
     expected_ms: int
+    is_reserved: bool = False
 
 
 @attrs.frozen
@@ -103,6 +110,8 @@
     :param job_ids: job identifier of each stage that is queued or running
     :param handles: results of each stage that is done, empty once they were freed
     :param domains: failure domains of these results, by stage
+    :param is_reserved: it goes ahead of all others, for the minimum share of its
+        priority
     :param restarts: number of restarts after lost results
     :param inputs_fetched: running stages whose servers have fetched their inputs
     """
@@ -113,9 +122,15 @@
     handles: dict[int, tuple[str, ...]] = attrs.Factory(dict)
     domains: dict[int, tuple[str, ...]] = attrs.Factory(dict)
     best_effort: bool = False
+    is_reserved: bool = False
     restarts: int = 0
     inputs_fetched: set[int] = attrs.Factory(set)
 
+    @property
+    def priority(self) -> int:
+        """Return the priority in the queues; a reserved request goes ahead of all."""
+        return 0 if self.is_reserved else self.request.priority
+
     def restart(self) -> None:
         """Discard the progress of all stages and count a restart."""
         self.restarts += 1
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -331,6 +331,7 @@
                 excluded_engines=tuple(ctx.attempts.tried_servers),
                 deadline_ms=ctx.deadline_ms,
                 version=ctx.version,
+                is_rerun=True,
             )
             try:
                 chosen = await self._stage_runner.run(engine_params)
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -169,13 +169,20 @@
                 Reason.NO_UPSTREAM, detail, const.NO_ENGINE_RETRY_AFTER_MS
             )
             return StagesRefused(refusal)
+        stage_request = self._stage_request(request, choice, now)
         if not any(request.piece_counts):
+            if not request.is_rerun and not request.excluded_engines:
+                engine_refusal = self.planner.check_engine_only(stage_request, now)
+                if engine_refusal is not None:
+                    _log_refusal(request, stage_request, engine_refusal)
+                    return StagesRefused(engine_refusal)
             return self._assign_engine(request, choice, ())
         limit_refusal = self._check_engine_limits(request, now)
         if limit_refusal is not None:
             return StagesRefused(limit_refusal)
-        admitted = self.planner.admit(_stage_request(request, choice, now), now)
+        admitted = self.planner.admit(stage_request, now)
         if isinstance(admitted, Refusal):
+            _log_refusal(request, stage_request, admitted)
             return StagesRefused(admitted)
         _log_admission(request, admitted)
         pending = self._pending[admitted.execution_id] = _PendingRequest(
@@ -345,11 +352,7 @@
 
         Call this before the request counts as dispatched to the engine.
         """
-        own_prefill_ms = retention.prefill_ms(
-            request.generation,
-            choice.first_token_ms,
-            self.engine_selector.backlog_ms((choice.server,)),
-        )
+        own_prefill_ms = self._own_prefill_ms(request, choice)
         retention_ms = self.planner.retention_ms(
             results, choice.first_token_ms, own_prefill_ms, self._state.clock.now_ms()
         )
@@ -365,6 +368,35 @@
             )
         return retention_ms
 
+    def _own_prefill_ms(self, request: RunStagesRequest, choice: EngineChoice) -> float:
+        """Return the part of the time to the first token that is not queueing."""
+        return retention.prefill_ms(
+            request.generation,
+            choice.first_token_ms,
+            self.engine_selector.backlog_ms((choice.server,)),
+        )
+
+    def _stage_request(
+        self, request: RunStagesRequest, choice: EngineChoice, now_ms: int
+    ) -> StageRequest:
+        engine_wait_ms = choice.first_token_ms - self._own_prefill_ms(request, choice)
+        return StageRequest(
+            request_id=request.request_id,
+            stages=request.stages,
+            piece_counts=request.piece_counts,
+            piece_key=request.piece_key,
+            deadline_ms=now_ms + request.remaining_ms,
+            objective_ms=now_ms + request.objective_remaining_ms,
+            engine_ms=round(choice.first_token_ms),
+            priority=request.priority,
+            team=request.team,
+            engine_domain=choice.server.failure_domain,
+            digest=request.digest,
+            is_rerun=request.is_rerun,
+            engine_wait_ms=round(engine_wait_ms),
+            engine_service=request.engine_service,
+        )
+
     def _max_engine_wait_ms(
         self, request: RunStagesRequest, results: StageResults
     ) -> float:
@@ -402,6 +434,9 @@
             self.planner.prune_servers(servers)
         self.engine_selector.remove_stale(servers, now)
         self._execute_commands(self.planner.tick(now))
+        for service in {pending.engine_service for pending in self._pending.values()}:
+            wait_ms = self.engine_selector.backlog_ms(self._ready(service))
+            self.planner.set_engine_wait(service, wait_ms)
         self.delay_ms = self.planner.backlog_ms(now) + self._engine_backlog_ms()
         self._start_calls()
 
@@ -627,32 +662,34 @@
         pieces=request.piece_counts,
         late=admitted.best_effort,
         rerun=request.is_rerun,
+        reserved=admitted.is_reserved,
         expected_ms=admitted.expected_ms,
         objective_left_ms=request.objective_remaining_ms,
         left_ms=request.remaining_ms,
     )
 
 
+def _log_refusal(
+    request: RunStagesRequest, stage_request: StageRequest, refusal: Refusal
+) -> None:
+    event(
+        _LOGGER,
+        "stages.refused",
+        request=request.request_id,
+        reason=refusal.reason.value,
+        cause=refusal.detail,
+        pieces=request.piece_counts,
+        rank=request.priority,
+        rerun=request.is_rerun,
+        engine_ms=stage_request.engine_ms,
+        engine_wait_ms=stage_request.engine_wait_ms,
+        objective_left_ms=request.objective_remaining_ms,
+        left_ms=request.remaining_ms,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def _may_have_run(exc: UpstreamError | TimeoutError) -> bool:
     if isinstance(exc, TimeoutError):
         return True
     return exc.refusal.verdict is not Verdict.NOT_RUN
-
-
-def _stage_request(
-    request: RunStagesRequest, choice: EngineChoice, now_ms: int
-) -> StageRequest:
-    return StageRequest(
-        request_id=request.request_id,
-        stages=request.stages,
-        piece_counts=request.piece_counts,
-        piece_key=request.piece_key,
-        deadline_ms=now_ms + request.remaining_ms,
-        objective_ms=now_ms + request.objective_remaining_ms,
-        engine_ms=round(choice.first_token_ms),
-        priority=request.priority,
-        team=request.team,
-        engine_domain=choice.server.failure_domain,
-        digest=request.digest,
-        is_rerun=request.is_rerun,
-    )
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -71,7 +71,8 @@
     :param engine_only: choose an engine without running the stages
     :param excluded_engines: identifiers of engines that already failed the request
     :param version: software version that the engine must have, ``None`` for any
-    :param is_rerun: the results of its stages were lost before it ran
+    :param is_rerun: it was admitted before: its engine failed, or its stage results
+        were lost
     """
 
     request: CallerRequest
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -150,7 +150,7 @@
     :param cell: failure domains whose servers run it, empty for all
     :param digest: digest of its content, under which it is suspected of crashing
         servers, empty if unknown
-    :param is_rerun: its stages have run, and their results were lost before it ran
+    :param is_rerun: it was admitted before, and keeps its place
     """
 
     request_id: str
--- a/packages/standins/src/cowsliphitch/standins/emulator/loads.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/loads.py
@@ -142,6 +142,61 @@
     )
 
 
+def shared_engines(duration_ms: int = 40_000) -> Scenario:
+    """Return classes of three priorities that share pools and engines, near capacity.
+
+    A server of the first pool has memory for 14 large results.
+    """
+    return Scenario(
+        pools={
+            "encode": _pool(5, 25.6, 43.0),
+            "retrieve": _pool(18, 7.09, 3.027),
+            "rerank": _pool(35, 3.72, 0.625),
+        },
+        server_counts={"encode": 5, "retrieve": 5, "rerank": 5},
+        kinds=(
+            RequestKind(
+                "consult",
+                (_LARGE_STAGE,),
+                9.0,
+                lambda rng: (_draw_optional_pieces(rng),),
+                1_263,
+                5_000,
+                250,
+                2.8,
+                0.42,
+                priority=0,
+            ),
+            RequestKind(
+                "report",
+                _chain_with_large_branch(),
+                10.0,
+                lambda rng: (rng.choice((0, 0, 1, 1, 2)), 1, 8, rng.randrange(8, 25)),
+                3_045,
+                12_000,
+                160,
+                1.0,
+                0.15,
+                priority=2,
+            ),
+            RequestKind(
+                "chat",
+                _CHAIN_STAGES,
+                12.0,
+                lambda rng: (1, 8, rng.randrange(8, 25)),
+                1_526,
+                6_000,
+                90,
+                0.4,
+                0.06,
+                priority=4,
+            ),
+        ),
+        duration_ms=duration_ms,
+        engine_count=7,
+    )
+
+
 def with_bursts(scenario: Scenario, *bursts: Burst) -> Scenario:
     """Return a copy of a scenario with bursts of its arrival rate."""
     return attrs.evolve(scenario, bursts=bursts)
--- a/packages/standins/src/cowsliphitch/standins/emulator/stages.py
+++ b/packages/standins/src/cowsliphitch/standins/emulator/stages.py
@@ -28,6 +28,7 @@
 TICK_MS: Final = 100
 CALL_TIMEOUT_MS: Final = 2_000
 RESULT_FETCH_MS: Final = 100
+LEAST_URGENT: Final = 1_000
 
 
 @attrs.frozen
@@ -40,6 +41,7 @@
     :param engine_ms: time from the last stage result to the first token
     :param credit: credit of an answer within the objective
     :param late_credit: credit of a later answer
+    :param priority: 0 is the most urgent
     """
 
     name: str
@@ -51,6 +53,7 @@
     engine_ms: int
     credit: float
     late_credit: float
+    priority: int = 1
 
 
 @attrs.frozen
@@ -87,6 +90,8 @@
     :param domain_count: failure domains over which servers and engines are spread
     :param slowdown_range: bounds of the ratio of a server's actual to expected call
         duration
+    :param engine_count: engines that each prefill one request at a time, the most
+        urgent first, and then fetch its results; 0 if engines never queue requests
     """
 
     pools: dict[str, StagePool]
@@ -97,6 +102,7 @@
     faults: tuple[ServerFault, ...] = ()
     domain_count: int = 3
     slowdown_range: tuple[float, float] = (0.9, 1.25)
+    engine_count: int = 0
 
 
 @attrs.define
@@ -107,6 +113,7 @@
     :param refused: requests that were refused at admission
     :param failed: requests that were admitted and refused later
     :param failed_after_ms: total time between admission and failure
+    :param rerun: requests whose results were deleted before their engine fetched them
     """
 
     sent: int = 0
@@ -115,6 +122,27 @@
     refused: int = 0
     failed: int = 0
     failed_after_ms: int = 0
+    rerun: int = 0
+
+    @property
+    def served(self) -> int:
+        """Return the requests that were answered."""
+        return self.on_time + self.late
+
+
+@attrs.frozen
+class _AtEngine:
+    """A request whose stages are done and that waits for an engine.
+
+    :param results: service and handles of each final stage
+    :param done_ms: time at which its stages were done
+    """
+
+    kind: RequestKind
+    request: StageRequest
+    arrival_ms: int
+    results: tuple[tuple[str, tuple[str, ...]], ...]
+    done_ms: int
 
 
 @attrs.define
@@ -167,6 +195,9 @@
         self._event_ids = itertools.count()
         self._ids = itertools.count()
         self._arrivals: dict[int, tuple[RequestKind, int]] = {}
+        self._requests: dict[int, StageRequest] = {}
+        self._engine_queue: list[tuple[int, int, _AtEngine]] = []
+        self._busy_engines = 0
         self._engine_domains: dict[int, str] = {}
         self._stored_results: dict[str, tuple[str, int]] = {}
         self._possible_credit = 0.0
@@ -211,7 +242,8 @@
             outcome = self.report.outcomes[kind.name]
             outcome.sent += 1
             self._possible_credit += kind.credit
-            if not any(pieces):
+            engine_wait_ms = self._engine_wait_ms(kind.priority)
+            if not any(pieces) and not self._scenario.engine_count:
                 self._record_first_token(kind, kind.engine_ms)
                 return
             request = StageRequest(
@@ -221,21 +253,87 @@
                 piece_key="key",
                 deadline_ms=now_ms + kind.timeout_ms,
                 objective_ms=now_ms + kind.objective_ms,
-                engine_ms=kind.engine_ms,
-                priority=1,
+                engine_ms=kind.engine_ms + engine_wait_ms,
+                priority=kind.priority,
                 team="team",
                 engine_domain=domain,
+                engine_wait_ms=engine_wait_ms,
             )
-            admission = self.planner.admit(request, now_ms)
-            if isinstance(admission, Refusal):
-                outcome.refused += 1
+            if not any(pieces):
+                if self.planner.check_engine_only(request, now_ms) is not None:
+                    outcome.refused += 1
+                    return
+                self._queue_at_engine(_AtEngine(kind, request, now_ms, (), now_ms))
                 return
-            self._arrivals[admission.execution_id] = (kind, now_ms)
-            self._engine_domains[admission.execution_id] = domain
-            self._start_calls(now_ms)
+            if not self._admit(kind, request, now_ms, now_ms):
+                outcome.refused += 1
 
         return arrive
 
+    def _admit(
+        self, kind: RequestKind, request: StageRequest, arrival_ms: int, now_ms: int
+    ) -> bool:
+        """Return whether the planner admits a request, and start its calls then."""
+        admission = self.planner.admit(request, now_ms)
+        if isinstance(admission, Refusal):
+            return False
+        self._arrivals[admission.execution_id] = (kind, arrival_ms)
+        self._requests[admission.execution_id] = request
+        self._engine_domains[admission.execution_id] = request.engine_domain
+        self._start_calls(now_ms)
+        return True
+
+    def _engine_wait_ms(self, priority: int) -> int:
+        """Return the expected wait for an engine behind requests as urgent."""
+        if not self._scenario.engine_count:
+            return 0
+        work_ms = sum(
+            waiting.kind.engine_ms
+            for rank, _, waiting in self._engine_queue
+            if rank <= priority
+        )
+        return round(work_ms / self._scenario.engine_count)
+
+    def _queue_at_engine(self, waiting: _AtEngine) -> None:
+        rank = waiting.kind.priority
+        heapq.heappush(self._engine_queue, (rank, next(self._ids), waiting))
+        self._start_engines(waiting.done_ms)
+
+    def _start_engines(self, now_ms: int) -> None:
+        """Begin the most urgent waiting requests at the engines that are idle."""
+        while self._engine_queue and self._busy_engines < self._scenario.engine_count:
+            _, _, waiting = heapq.heappop(self._engine_queue)
+            ttl_ms = min(
+                (self._scenario.pools[s].result_ttl_ms for s, _ in waiting.results),
+                default=now_ms,
+            )
+            if waiting.results and now_ms - waiting.done_ms >= ttl_ms:
+                self._run_again(waiting, now_ms)
+                continue
+            self._busy_engines += 1
+            for service, handles in waiting.results:
+                free = self._free_handler(service, handles)
+                self._schedule(now_ms + RESULT_FETCH_MS, free)
+            end_ms = now_ms + waiting.kind.engine_ms
+            self._schedule(end_ms, self._first_token_handler(waiting))
+
+    def _run_again(self, waiting: _AtEngine, now_ms: int) -> None:
+        """Run the stages of a request again, since its results were deleted."""
+        outcome = self.report.outcomes[waiting.kind.name]
+        outcome.rerun += 1
+        request = attrs.evolve(waiting.request, is_rerun=True)
+        if not self._admit(waiting.kind, request, waiting.arrival_ms, now_ms):
+            outcome.failed += 1
+            outcome.failed_after_ms += now_ms - waiting.arrival_ms
+
+    def _first_token_handler(self, waiting: _AtEngine) -> Callable[[int], None]:
+        def answer(now_ms: int) -> None:
+            self._busy_engines -= 1
+            self._record_first_token(waiting.kind, now_ms - waiting.arrival_ms)
+            self._start_engines(now_ms)
+
+        return answer
+
     def _start_calls(self, now_ms: int) -> None:
         for call in self.planner.plan_calls(now_ms):
             self.report.calls += 1
@@ -291,6 +389,8 @@
         return time_out
 
     def _tick(self, now_ms: int) -> None:
+        if self._scenario.engine_count:
+            self.planner.set_engine_wait("", self._engine_wait_ms(LEAST_URGENT))
         self._apply_commands(self.planner.tick(now_ms), now_ms)
         self._start_calls(now_ms)
 
@@ -299,6 +399,12 @@
             match command:
                 case StagesDone(execution_id, results):
                     kind, arrival_ms = self._arrivals.pop(execution_id)
+                    request = self._requests.pop(execution_id)
+                    if self._scenario.engine_count:
+                        self._queue_at_engine(
+                            _AtEngine(kind, request, arrival_ms, results, now_ms)
+                        )
+                        continue
                     first_token_ms = now_ms + kind.engine_ms
                     self._record_first_token(kind, first_token_ms - arrival_ms)
                     for service, handles in results:
@@ -312,6 +418,7 @@
                         )
                 case StagesFailed(execution_id):
                     kind, arrival_ms = self._arrivals.pop(execution_id)
+                    del self._requests[execution_id]
                     outcome = self.report.outcomes[kind.name]
                     outcome.failed += 1
                     outcome.failed_after_ms += now_ms - arrival_ms
@@ -329,7 +436,9 @@
 
     def _record_first_token(self, kind: RequestKind, latency_ms: int) -> None:
         outcome = self.report.outcomes[kind.name]
-        if latency_ms <= kind.objective_ms:
+        if self._scenario.engine_count and latency_ms > kind.timeout_ms:
+            outcome.failed += 1
+        elif latency_ms <= kind.objective_ms:
             outcome.on_time += 1
             self._earned_credit += kind.credit
         else:
