--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -12,6 +12,7 @@
 import anyio
 import attrs
 
+from cowsliphitch.core.batching import retention
 from cowsliphitch.core.batching.models import (
     Call,
     PieceFailed,
@@ -156,7 +157,8 @@
         """
         now = self._last_request_ms = self._state.clock.now_ms()
         self._engine_service = request.engine_service
-        if self._state.loop_delay.is_overloaded(now) and not request.excluded_engines:
+        is_new = not request.excluded_engines and not request.is_rerun
+        if self._state.loop_delay.is_overloaded(now) and is_new:
             return self._refuse_overload(request, now)
         self._apply_settings()
         self._acquire_duty(request, now)
@@ -168,7 +170,13 @@
                 Reason.NO_UPSTREAM, detail, const.NO_ENGINE_RETRY_AFTER_MS
             )
             return StagesRefused(refusal)
+        stage_request = self._stage_request(request, choice, now)
         if not any(request.piece_counts):
+            if not request.is_rerun and not request.excluded_engines:
+                engine_refusal = self.planner.check_engine_only(stage_request, now)
+                if engine_refusal is not None:
+                    _log_refusal(request, stage_request, engine_refusal)
+                    return StagesRefused(engine_refusal)
             return self._assign_engine(request, choice, ())
         evacuation_refusal = self._check_evacuated(request)
         if evacuation_refusal is not None:
@@ -176,8 +184,9 @@
         limit_refusal = self._check_engine_limits(request, now)
         if limit_refusal is not None:
             return StagesRefused(limit_refusal)
-        admitted = self.planner.admit(_stage_request(request, choice, now), now)
+        admitted = self.planner.admit(stage_request, now)
         if isinstance(admitted, Refusal):
+            _log_refusal(request, stage_request, admitted)
             return StagesRefused(admitted)
         _log_admission(request, admitted)
         pending = self._pending[admitted.execution_id] = _PendingRequest(
@@ -228,7 +237,11 @@
         )
         wait_ms = min(self._permits.wait_ms(engine, now_ms) for engine in engines)
         wait_ms += ahead / total_per_s * MS_PER_SECOND
-        late_ms = wait_ms - max(0, request.objective_remaining_ms)
+        # The objective of a rerun is nearly over, and it still keeps its place.
+        left_ms = (
+            request.remaining_ms if request.is_rerun else request.objective_remaining_ms
+        )
+        late_ms = wait_ms - max(0, left_ms)
         if late_ms <= 0:
             return None
         detail = (
@@ -347,10 +360,63 @@
             parts=tuple(part.id for part in request.generation.shared_parts),
             engine=self.engine_selector.load(choice.server),
         )
+        retention_ms = self._retention_ms(request, choice, results)
         self.engine_selector.record_dispatch(
             request.request_id, choice.server, request.generation, now
         )
-        return StagesCompleted(results, choice.server.id, permit_wait_ms)
+        return StagesCompleted(results, choice.server.id, permit_wait_ms, retention_ms)
+
+    def _retention_ms(
+        self, request: RunStagesRequest, choice: EngineChoice, results: StageResults
+    ) -> int:
+        """Return how long a request's results are kept, 0 for the usual time.
+
+        Call this before the request counts as dispatched to the engine.
+        """
+        own_prefill_ms = self._own_prefill_ms(request, choice)
+        retention_ms = self.planner.retention_ms(
+            results, choice.first_token_ms, own_prefill_ms, self._state.clock.now_ms()
+        )
+        if retention_ms:
+            event(
+                _LOGGER,
+                "stages.results_kept",
+                request=request.request_id,
+                server=choice.server.id,
+                keep_ms=retention_ms,
+                expected_ms=round(choice.first_token_ms),
+                prefill_ms=round(own_prefill_ms),
+            )
+        return retention_ms
+
+    def _own_prefill_ms(self, request: RunStagesRequest, choice: EngineChoice) -> float:
+        """Return the part of the time to the first token that is not queueing."""
+        return retention.prefill_ms(
+            request.generation,
+            choice.first_token_ms,
+            self.engine_selector.backlog_ms((choice.server,)),
+        )
+
+    def _stage_request(
+        self, request: RunStagesRequest, choice: EngineChoice, now_ms: int
+    ) -> StageRequest:
+        engine_wait_ms = choice.first_token_ms - self._own_prefill_ms(request, choice)
+        return StageRequest(
+            request_id=request.request_id,
+            stages=request.stages,
+            piece_counts=request.piece_counts,
+            piece_key=request.piece_key,
+            deadline_ms=now_ms + request.remaining_ms,
+            objective_ms=now_ms + request.objective_remaining_ms,
+            engine_ms=round(choice.first_token_ms),
+            priority=request.priority,
+            team=request.team,
+            engine_domain=choice.server.failure_domain,
+            digest=request.digest,
+            is_rerun=request.is_rerun,
+            engine_wait_ms=round(engine_wait_ms),
+            engine_service=request.engine_service,
+        )
 
     def _max_engine_wait_ms(
         self, request: RunStagesRequest, results: StageResults
@@ -391,6 +457,9 @@
         self._execute_commands(self.planner.tick(now))
         if self._state.servers.evacuated_domains:
             self._refuse_evacuated(now)
+        for service in {pending.engine_service for pending in self._pending.values()}:
+            wait_ms = self.engine_selector.backlog_ms(self._ready(service))
+            self.planner.set_engine_wait(service, wait_ms)
         self.delay_ms = self.planner.backlog_ms(now) + self._engine_backlog_ms()
         self._start_calls()
 
@@ -630,31 +699,35 @@
         request=request.request_id,
         pieces=request.piece_counts,
         late=admitted.best_effort,
+        rerun=request.is_rerun,
+        reserved=admitted.is_reserved,
         expected_ms=admitted.expected_ms,
         objective_left_ms=request.objective_remaining_ms,
         left_ms=request.remaining_ms,
     )
 
 
+def _log_refusal(
+    request: RunStagesRequest, stage_request: StageRequest, refusal: Refusal
+) -> None:
+    event(
+        _LOGGER,
+        "stages.refused",
+        request=request.request_id,
+        reason=refusal.reason.value,
+        cause=refusal.detail,
+        pieces=request.piece_counts,
+        rank=request.priority,
+        rerun=request.is_rerun,
+        engine_ms=stage_request.engine_ms,
+        engine_wait_ms=stage_request.engine_wait_ms,
+        objective_left_ms=request.objective_remaining_ms,
+        left_ms=request.remaining_ms,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def _may_have_run(exc: UpstreamError | TimeoutError) -> bool:
     if isinstance(exc, TimeoutError):
         return True
     return exc.refusal.verdict is not Verdict.NOT_RUN
-
-
-def _stage_request(
-    request: RunStagesRequest, choice: EngineChoice, now_ms: int
-) -> StageRequest:
-    return StageRequest(
-        request_id=request.request_id,
-        stages=request.stages,
-        piece_counts=request.piece_counts,
-        piece_key=request.piece_key,
-        deadline_ms=now_ms + request.remaining_ms,
-        objective_ms=now_ms + request.objective_remaining_ms,
-        engine_ms=round(choice.first_token_ms),
-        priority=request.priority,
-        team=request.team,
-        engine_domain=choice.server.failure_domain,
-        digest=request.digest,
-    )
--- a/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_runner.py
@@ -71,6 +71,8 @@
     :param engine_only: choose an engine without running the stages
     :param excluded_engines: identifiers of engines that already failed the request
     :param version: software version that the engine must have, ``None`` for any
+    :param is_rerun: it was admitted before: its engine failed, or its stage results
+        were lost
     """
 
     request: CallerRequest
@@ -83,6 +85,7 @@
     engine_only: bool = False
     excluded_engines: tuple[str, ...] = ()
     version: str | None = None
+    is_rerun: bool = False
 
 
 class StageRunner:
@@ -204,6 +207,7 @@
             ),
             version=params.version,
             digest=params.request.digest,
+            is_rerun=params.is_rerun,
         )
 
     def _group_of(self, route: Route) -> str:
