Keep stage results until the engine begins while their servers have memory

Change: the time begins when the request is written. Results are kept until the engine begins unless less than half of the memory is free; then for as long as the engine is expected to queue the request.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -32,18 +32,19 @@
 
     Examples:
       | tokens | first | queue | expiry | free | kept |
-      | 17000  | 430   | 0     | 3900   | 0.9  | 0    |
+      | 17000  | 430   | 0     | 3900   | 0.9  | 3900 |
+      | 17000  | 430   | 0     | 3900   | 0.4  | 0    |
       | 17000  | 1900  | 1500  | 3900   | 0.9  | 3900 |
       | 17000  | 1900  | 0     | 3900   | 0.9  | 3900 |
-      | 17000  | 1900  | 1500  | 3900   | 0.4  | 0    |
+      | 17000  | 1900  | 1500  | 3900   | 0.4  | 2375 |
       | 17000  | 1900  | 1500  | 40     | 0.9  | 40   |
-      | 500    | 130   | 60    | 3900   | 0.9  | 0    |
+      | 500    | 130   | 60    | 3900   | 0.4  | 0    |
 
-  Scenario: The owner keeps results until they expire, and not if its servers' memory is short
+  Scenario: The owner keeps results until they expire, and for the queue if memory is short
     Given a request whose result was made 1000 ms ago
     Then the owner keeps it for 3000 ms at an engine with a queue
     When further results take up 600 of the 1000 bytes
-    Then the owner keeps it for 0 ms at an engine with a queue
+    Then the owner keeps it for 2500 ms at an engine with a queue
 
   Scenario Outline: A daemon releases results when the engine begins, or else in time
     Given results that the owner wants kept for <kept> ms
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -94,10 +94,14 @@
 QUEUED_FIRST_TOKEN_FACTOR: Final = 1.5
 QUEUED_MARGIN_MS: Final = 100.0
 
-# Results are kept for a queueing engine only while this share of their servers' memory
-# is free, so that kept results alone never stop new calls.
+# While this share of their servers' memory is free, results are kept until the engine
+# begins.
 MIN_RETENTION_FREE_SHARE: Final = 0.5
 
+# While memory is short, results are kept for the expected time to the first token times
+# this factor, at engines that queue requests.
+RETENTION_SAFETY_FACTOR: Final = 1.25
+
 # Time constant of the counters of arrived and admitted requests by priority: some
 # seconds of a class at a few requests per second, and less than a burst.
 SHARE_TIME_CONSTANT_MS: Final = 5_000.0
--- a/packages/gateway/src/cowsliphitch/gateway/forwarding.py
+++ b/packages/gateway/src/cowsliphitch/gateway/forwarding.py
@@ -98,7 +98,7 @@
         stream, ``None`` for any
     :param choose_server: chooses the server of an attempt instead of the forwarder,
         ``None`` if the forwarder chooses
-    :param on_sent: called before the request is sent to a server
+    :param on_sent: called on the open connection, before the request is sent
     :param on_head: called when the head of an answer was received and accepted
     :param on_failure: called when an attempt failed, except for lost stage results
     :param is_trial: the request is suspect, and no other copy of it is at a server
@@ -323,11 +323,11 @@
                 connected_ms,
             )
             sent.append(ctx.exposure)
+            ctx.on_sent()
 
         # From here on the request may have run, even if it is cancelled.
         ctx.attempts.may_have_run_on.add(server.id)
         placement.record_sent(server.id, now)
-        ctx.on_sent()
         try:
             with self._quarantine.observe(sent):
                 async with self._exchange(
