Pass settings documents on as differences

Cause: a document of 480 KB fits in no datagram, so every daemon of a large fleet read it from the store at every change, which takes up to a second on a link of 5 Mbit/s.

Change: the reader of a failure domain sends the difference to the document before, with digests of base and result. A follower that lacks the base, or a difference above 4 KB, is fetched from the reader over gRPC, as a difference up to 64 KB and else in zlib format, and the store is read after 300 ms without it. The known revision stays before a document that is not applied yet; other changes are applied at once. The reader repeats the news after 15 ms without differences, and sends no beacon in between. Fetches from peers use the compressed forms too. A document equal to the active one is not decoded again. Older daemons see a gap in the revisions and read the store.

Decoding takes 10 to 12 ms.

Steps of existing features: coordinators get a DocumentExchange, and apply_news the address of the sender; no check was changed.

--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -1,5 +1,7 @@
 """Steps on daemons of which one reads the store for the others."""
 
+import hashlib
+import json
 import random
 from collections.abc import Callable
 from functools import partial
@@ -21,10 +23,15 @@
     Unavailable,
 )
 from cowsliphitch.core.revisions import Revision
+from cowsliphitch.gateway.document_exchange import DocumentExchange
 from cowsliphitch.gateway.state import GatewayState
 from cowsliphitch.gateway.store_coordinator import StoreCoordinator
-from cowsliphitch.peers.fleet.models import StoreNews
-from cowsliphitch.standins.site import SiteServer
+from cowsliphitch.peers.fleet.const import MAX_DATAGRAM_BYTES
+from cowsliphitch.peers.fleet.convert import exchange_from_wire, exchange_to_wire
+from cowsliphitch.peers.fleet.models import Exchange, StoreNews
+from cowsliphitch.peers.wire import fleet_pb2 as pb
+from cowsliphitch.platform.operator_document import KEY
+from cowsliphitch.standins.site import SiteServer, document
 
 SERVERS = 3
 
@@ -40,6 +47,7 @@
         self.calls_ms: list[int] = []
         self.refused: set[str] = set()
         self.away = False
+        self.documents_read: list[str] = []
         self.servers = [SiteServer(f"s{n}", "desk") for n in range(SERVERS)]
         for server in self.servers:
             self.add(Entry(f"servers/{server.id}", server.entry(), self.next_revision))
@@ -83,8 +91,13 @@
             return Err(Unavailable("refused"))
         latest = {event.key: event for event in self.store.events}
         entries = tuple(e for e in latest.values() if isinstance(e, Entry))
+        self.note_documents(entries)
         return Ok(Listing(entries, self.store.at))
 
+    def note_documents(self, events: tuple[Any, ...]) -> None:
+        if any(event.key == KEY for event in events):
+            self.store.documents_read.append(self.address)
+
     async def get(self, _key: str) -> Result[Any, Any]:
         await anyio.sleep(0.002)
         if self.store.is_refusing(self.address):
@@ -103,6 +116,7 @@
         if store.era != after.era:
             return Err(Restored(store.era))
         events = tuple(e for e in store.events if e.revision > after)
+        self.note_documents(events)
         return Ok(Changes(events, store.at))
 
 
@@ -114,25 +128,53 @@
         members = MemberTable(member, domain.clock.now_ms())
         self.state = GatewayState(domain.clock, 1, members)
         client: Any = Client(domain.store, member.address)
+        self.documents = DocumentExchange(self.state)
         self.coordinator = StoreCoordinator(
             client,
             self.state,
             lambda: None,
             is_large_fleet=lambda: True,
             send_news=self.send_news,
+            documents=self.documents,
+            fetch_document=self.fetch_document,
         )
         self.knew_ms: dict[int, int] = {}
         self.stands_still = self.sends_old = False
 
+    @property
+    def document(self) -> bytes:
+        current = self.state.versions.current
+        return current.document if current is not None else b""
+
+    async def fetch_document(self, address: str, _timeout_s: float) -> bytes | None:
+        if self.domain.fetch_fault == "is silent":
+            await anyio.sleep_forever()
+        await anyio.sleep(seconds(self.domain.fetch_ms))
+        reader = next(d for d in self.domain.daemons if d.member.address == address)
+        reply = reader.documents.reply(self.documents.query())
+        content = self.documents.decode(reply).unwrap_or(None)
+        if content and self.domain.fetch_fault == "sends another document":
+            content = content.replace(b'"routes"', b' "routes"')
+        return content
+
     async def send_news(self, news: StoreNews) -> None:
         if self.stands_still:
             await anyio.sleep_forever()
         if self.sends_old:
             return
+        encoded = exchange_to_wire(Exchange(store_news=news))
+        assert len(encoded) < MAX_DATAGRAM_BYTES, len(encoded)
+        # The heartbeat that is part of the datagram.
+        heartbeat = pb.Heartbeat(name="vm", lifetime=1).SerializeToString()
+        decoded = exchange_from_wire(heartbeat + encoded).store_news
+        assert decoded == news, (decoded, news)
+        if self.domain.loses_documents and news.has_digests:
+            self.domain.loses_documents = False
+            return
         for other in self.domain.daemons:
             is_lost = self.domain.rng.random() < self.domain.loss
             if other is not self and not other.stands_still and not is_lost:
-                other.coordinator.apply_news(news)
+                other.coordinator.apply_news(news, self.member.address)
 
     def note(self) -> None:
         known = self.coordinator._known_at
@@ -145,6 +187,7 @@
 
     def __init__(self, count: int, interval_ms: int) -> None:
         self.clock, self.rng, self.loss = Clock(), random.Random(1), 0.0
+        self.fetch_fault, self.fetch_ms, self.loses_documents = "", 5, False
         self.store = SharedStore(self.clock, interval_ms)
         members = [
             Member(f"10.0.0.{n}:1", f"vm-{n}", "domain", 1) for n in range(count)
@@ -177,6 +220,7 @@
                 for daemon in self.daemons:
                     group.start_soon(daemon.coordinator.run)
                     group.start_soon(daemon.coordinator.run_beacon)
+                    group.start_soon(daemon.coordinator.run_document_fetches)
                 for action in self.script:
                     await action()
                 self.end_ms = self.clock.now_ms()
@@ -335,3 +379,106 @@
     domain = ensure_run(context)
     delays = domain.delays_ms(domain.daemons, domain.end_ms - last)
     assert delays and max(delays) <= ms, max(delays)
+
+
+def large_document(version: int, changed: int) -> str:
+    """Return a document with many routes, of which the first ones change."""
+    content = json.loads(document(version, {"key": "team"}))
+    lookup = content["routes"][1]
+    for number in range(600):
+        text = f"{number}-{version if number < changed else 0}"
+        name = hashlib.sha256(text.encode()).hexdigest()
+        content["routes"].append(lookup | {"name": name, "prefix": f"/{name}/"})
+    return json.dumps(content)
+
+
+def write_document(domain: Domain, version: int, changed: int) -> None:
+    store = domain.store
+    store.document = large_document(version, changed)
+    store.add(Entry(KEY, store.document, store.next_revision))
+
+
+@given("the store has a document of 600 routes")
+def has_document(context: Any) -> None:
+    write_document(context.domain, 1, 0)
+
+
+@given("a peer that is asked for its document {fault}")
+def fetch_fails(context: Any, fault: str) -> None:
+    context.domain.fetch_fault = fault
+
+
+@given("it takes {ms:d} ms to fetch a document")
+def slow_fetch(context: Any, ms: int) -> None:
+    context.domain.fetch_ms = ms
+
+
+@when("the operator writes version {version:d} with {changed:d} other routes")
+def operator_writes(context: Any, version: int, changed: int) -> None:
+    def act() -> None:
+        domain = context.domain
+        domain.store.documents_read.clear()
+        write_document(domain, version, changed)
+
+    add_action(context, act)
+
+
+@when("the next news of a document are lost")
+def lose_documents(context: Any) -> None:
+    add_action(context, lambda: setattr(context.domain, "loses_documents", True))
+
+
+@when("half of the followers have another document of version {version:d}")
+def other_base(context: Any, version: int) -> None:
+    def act() -> None:
+        domain = context.domain
+        for daemon in [d for d in domain.daemons if d is not domain.reader][::2]:
+            other = large_document(version, 5).encode()
+            assert daemon.coordinator.activate_document(other, "a peer")
+
+    add_action(context, act)
+
+
+@when("all servers are removed at once with it")
+def remove_servers(context: Any) -> None:
+    add_action(context, context.domain.store.expire_servers)
+
+
+@then("{ms:d} ms later no daemon has a server, and followers know no later revision")
+def removed_meanwhile(context: Any, ms: int) -> None:
+    run_for(context, ms)
+
+    def check() -> None:
+        domain = context.domain
+        written = max(e.revision for e in domain.store.events if e.key == KEY)
+        for daemon in domain.daemons:
+            removed = {s.id for s in domain.store.servers} - {
+                s.id for s in daemon.state.servers.ready("desk")
+            }
+            assert len(removed) == SERVERS, (daemon.member, removed)
+            if daemon is not domain.reader:
+                assert daemon.coordinator._known_at < written
+
+    add_action(context, check)
+
+
+@then("after {ms:d} ms all daemons have the operator's document")
+def have_document(context: Any, ms: int) -> None:
+    run_for(context, ms)
+    domain = context.domain
+    domain.run()
+    expected = domain.store.document.encode()
+    lacking = [d.member.name for d in domain.daemons if d.document != expected]
+    assert not lacking, lacking
+
+
+@then("only the reader has read it from the store")
+def only_reader(context: Any) -> None:
+    read = set(context.domain.store.documents_read)
+    assert read == {context.domain.reader.member.address}, read
+
+
+@then("all daemons have read it from the store")
+def all_read(context: Any) -> None:
+    read = set(context.domain.store.documents_read)
+    assert len(read) == len(context.domain.daemons), read
--- a/features/steps/store_steps.py
+++ b/features/steps/store_steps.py
@@ -24,6 +24,7 @@
     Unavailable,
 )
 from cowsliphitch.core.revisions import NO_REVISION, Revision
+from cowsliphitch.gateway.document_exchange import DocumentExchange
 from cowsliphitch.gateway.engine_quarantine import EngineQuarantine
 from cowsliphitch.gateway.fleet_coordinator import FleetCoordinator
 from cowsliphitch.gateway.state import GatewayState
@@ -219,7 +220,9 @@
             members = MemberTable(Member(address, address, "domain"), clock.now_ms())
             state = GatewayState(clock, 1, members)
             quarantine = EngineQuarantine(state, group)
-            fleet = FleetCoordinator(state, PeerConnections(), quarantine, group)
+            fleet = FleetCoordinator(
+                state, PeerConnections(), quarantine, group, DocumentExchange(state)
+            )
             fleet.store = StoreCoordinator(store, state, lambda: None)
             coordinators.append(fleet.store)
             fleets.append(fleet)
--- a/packages/core/src/cowsliphitch/core/fleet/following.py
+++ b/packages/core/src/cowsliphitch/core/fleet/following.py
@@ -86,6 +86,10 @@
         self._missed = at
         return False
 
+    def miss(self, at: Revision) -> None:
+        """Record that changes up to a revision have to be read from the store."""
+        self._missed = at
+
     def is_following(self, known: Revision, now_ms: int) -> bool:
         """Return whether a reader tells this daemon of all changes.
 
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -32,6 +32,7 @@
 from . import const
 from .cold_servers import update_cold_servers
 from .diagnostics import collect_diagnostics
+from .document_exchange import DocumentExchange
 from .engine_quarantine import EngineQuarantine
 from .fleet_coordinator import FleetCoordinator
 from .forwarding import Forwarder
@@ -130,7 +131,10 @@
             ),
             tasks,
         )
-        self._fleet = FleetCoordinator(state, self._peer_connections, quarantine, tasks)
+        self._documents = documents = DocumentExchange(state)
+        self._fleet = FleetCoordinator(
+            state, self._peer_connections, quarantine, tasks, documents
+        )
         self._store = StoreCoordinator(
             self._kv,
             state,
@@ -141,6 +145,8 @@
             ),
             lambda: self._fleet.is_probing,
             self._fleet.send_store_news,
+            documents,
+            self._fleet.fetch_document,
         )
         suspects = SuspectCoordinator(state, self._kv, quarantine)
         self._fleet.store = self._store
@@ -176,6 +182,7 @@
             self._store.run,
             self._store.register,
             self._store.run_beacon,
+            self._store.run_document_fetches,
             self._fleet.run,
             streams.run,
             suspects.run,
@@ -196,7 +203,7 @@
             self._permits.grant,
             self._trials.begin,
             self._trials.end,
-            self._newer_document,
+            self._documents.reply,
         )
         host, _, port = cfg.listen.peers.rpartition(":")
         self._peer_server = make_server(handlers)
@@ -305,13 +312,6 @@
             log_lines_dropped=self._log_handler.dropped,
         )
 
-    def _newer_document(self, above_version: int) -> tuple[int, bytes]:
-        """Return version and content of the operator's document if it is newer."""
-        current = self._state.versions.current
-        if current is None or current.deployment.version <= above_version:
-            return 0, b""
-        return current.deployment.version, current.document
-
     async def _handle_readiness(self, req: EdgeRequest, reply: Reply) -> None:
         is_ready_path = req.path == READY_PATH
         status = 404 if not is_ready_path else (200 if self._state.is_ready() else 503)
@@ -339,6 +339,15 @@
             "cowsliphitch_prompt_parts_quarantined",
             lambda: [(len(state.prompt_parts.quarantined), {})],
         )
+        documents = self._documents.diagnostics
+        observe(
+            "cowsliphitch_settings_bytes_sent",
+            lambda: [(n, {"form": form}) for form, n in documents.sent.items()],
+        )
+        observe(
+            "cowsliphitch_settings_received",
+            lambda: [(n, {"form": form}) for form, n in documents.received.items()],
+        )
         observe("cowsliphitch_server_limit", self._read_limits)
         observe("cowsliphitch_server_limit_used", self._read_limit_use)
         observe(
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -12,6 +12,26 @@
 FOLLOWING_CHECK_MS: Final = 400
 STORE_TIMEOUT_MS: Final = 700
 
+# A larger document is passed on as a difference, which leaves room in the datagram for
+# the heartbeat and other changes.  A larger difference is fetched; up to the last limit
+# that is still the difference, later the compressed document.
+MAX_WHOLE_DOCUMENT_BYTES: Final = 2_048
+MAX_DIFFERENCE_BYTES: Final = 4_096
+MAX_KEPT_DIFFERENCE_BYTES: Final = 65_536
+
+# Time over which followers spread their fetches from the reader, and after which they
+# read the store instead: that takes a second, and settings have to be in force after 3.
+DOCUMENT_FETCH_SPREAD_MS: Final = 40
+DOCUMENT_FETCH_TIMEOUT_MS: Final = 300
+
+# Time after which the reader repeats news of a document, with digests only, before it
+# sends others: who lost the first datagram would else read the store.
+DOCUMENT_REPEAT_MS: Final = 15
+
+# A daemon of a large fleet waits for its reader's news before it fetches a version that
+# a heartbeat names.
+SETTINGS_NEWS_WAIT_MS: Final = 250
+
 # Pause between two watches, for each daemon of the fleet: it bounds the watches of all
 # daemons together.  Its upper bound delays news by a tenth of the time in which a
 # leaving server still takes requests.
--- a/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/fleet_coordinator.py
@@ -14,6 +14,7 @@
 
 import anyio
 import attrs
+from result import Err, Ok
 
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.fleet.detector import (
@@ -43,6 +44,7 @@
 )
 from cowsliphitch.peers.fleet.heartbeats import HeartbeatSocket
 from cowsliphitch.peers.fleet.models import (
+    DocumentReply,
     Exchange,
     Heartbeat,
     PeerCallFailed,
@@ -53,6 +55,7 @@
 from cowsliphitch.telemetry.tasks import BackgroundTasks
 
 from . import const
+from .document_exchange import DocumentExchange
 from .engine_quarantine import EngineQuarantine
 from .server_client import log_limit_change
 from .state import GatewayState
@@ -85,16 +88,19 @@
         connections: PeerConnections,
         quarantine: EngineQuarantine,
         tasks: BackgroundTasks,
+        documents: DocumentExchange,
     ) -> None:
         """Initialize without live peers.
 
         :param quarantine: gets the prompt parts that the peers report
+        :param documents: decodes the settings that are fetched from peers
         """
         self._state = state
         self._quarantine = quarantine
         quarantine.add_crash_listener(self._announce_crash)
         self._connections = connections
         self._tasks = tasks
+        self._documents = documents
         self._sequence_number = 0
         self._schedule = HeartbeatSchedule()
         self._detector = FailureDetector(
@@ -212,7 +218,8 @@
     async def send_store_news(self, news: StoreNews) -> None:
         """Pass changes of the store on to the other daemons of this domain.
 
-        If they don't fit in a datagram, the others are told that there are some.
+        If they don't fit in a datagram, differences are left to be fetched, or the
+        others are told only that there are changes.
         """
         members, now = self._state.members, self._state.clock.now_ms()
         addresses = [
@@ -222,10 +229,11 @@
             and member.address != members.own.address
         ]
         content = self._recent()
-        encoded = exchange_to_wire(Exchange(store_news=news))
-        if len(content) + len(encoded) > MAX_DATAGRAM_BYTES:
-            cut = attrs.evolve(news, after=news.at, changes=())
-            encoded = exchange_to_wire(Exchange(store_news=cut))
+        cut = attrs.evolve(news, after=news.at, changes=())
+        for candidate in (news, news.without_differences(), cut):
+            encoded = exchange_to_wire(Exchange(store_news=candidate))
+            if len(content) + len(encoded) <= MAX_DATAGRAM_BYTES:
+                break
         await self.socket.send_encoded(content + encoded, addresses)
 
     async def _send_exchange(self, address: str, exchange: Exchange) -> None:
@@ -317,7 +325,7 @@
             and heartbeat.failure_domain == own_domain
             and self.store is not None
         ):
-            self.store.apply_news(exchange.store_news)
+            self.store.apply_news(exchange.store_news, heartbeat.address)
         if exchange.answer:
             probed_ms = self._detector.record_answer(exchange.answer, now)
             if probed_ms is not None:
@@ -435,8 +443,12 @@
 
     async def _fetch_newer_settings(self, address: str) -> None:
         """Fetch the settings of a peer whose heartbeat names a newer version."""
+        version = self._state.versions.version
         try:
-            await self._fetch_document(address, FETCH_DOCUMENT_TIMEOUT_S)
+            if self.is_probing and version:
+                await anyio.sleep(seconds(const.SETTINGS_NEWS_WAIT_MS))
+            if self._state.versions.version == version:
+                await self._fetch_document(address, FETCH_DOCUMENT_TIMEOUT_S)
         finally:
             self._is_fetching = False
 
@@ -452,16 +464,43 @@
 
     async def _fetch_document(self, address: str, timeout_s: float) -> None:
         """Fetch the operator's document from a peer if its version is newer."""
+        content = await self.fetch_document(address, timeout_s)
+        if content is not None and self.store is not None:
+            self.store.activate_document(content, address)
+
+    async def fetch_document(self, address: str, timeout_s: float) -> bytes | None:
+        """Return the operator's document of a peer if its version is newer."""
         reply = await self._connections.fetch_document(
-            address, self._state.versions.version, timeout_s
+            address, self._documents.query(), timeout_s
         )
         match reply:
             case PeerCallFailed(detail):
-                event(_LOGGER, "settings.fetch_failed", peer=address, cause=detail)
+                cause = detail
             case None:
-                pass
-            case content if self.store is not None:
-                self.store.activate_document(content, address)
+                return None
+            case _:
+                match self._documents.decode(reply):
+                    case Ok(content):
+                        self._record_fetch(reply, address, len(content))
+                        return content
+                    case Err(cause):
+                        pass
+        event(_LOGGER, "settings.fetch_failed", peer=address, cause=cause)
+        return None
+
+    def _record_fetch(self, reply: DocumentReply, address: str, size: int) -> None:
+        forms = ("difference", reply.difference), ("compressed", reply.compressed)
+        form, content = next((f for f in forms if f[1]), ("whole", reply.content))
+        self._documents.record_received(form)
+        event(
+            _LOGGER,
+            "settings.fetched",
+            peer=address,
+            version=reply.version,
+            form=form,
+            bytes=len(content),
+            of=size,
+        )
 
     def _update_live_members(self, now_ms: int) -> None:
         """Log members that became live or failed, and disconnect from failed ones.
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -11,10 +11,16 @@
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import anyio
+import attrs
 from result import Err, Ok
 
 from cowsliphitch.core.clock import seconds
 from cowsliphitch.core.deployment.versions import ActiveDeployment
+from cowsliphitch.core.documents.difference import (
+    apply_difference,
+    digest_of,
+    result_digest,
+)
 from cowsliphitch.core.fleet.following import (
     BEACON_INTERVAL_MS,
     StoreFollowing,
@@ -40,16 +46,22 @@
     Restored,
     Unavailable,
 )
-from cowsliphitch.core.revisions import FIRST_ERA, LeaseRef, Revision
+from cowsliphitch.core.revisions import (
+    FIRST_ERA,
+    NO_REVISION,
+    LeaseRef,
+    Revision,
+)
 from cowsliphitch.core.servers.models import Server
 from cowsliphitch.core.servers.registry import STORE_SOURCE
-from cowsliphitch.peers.fleet.models import StoreChange, StoreNews
+from cowsliphitch.peers.fleet.models import StoreChange, StoreNews, ValueChange
 from cowsliphitch.platform import evacuations, operator_document, server_entries
 from cowsliphitch.platform.store.client import KeyValueClient
 from cowsliphitch.telemetry.logs import event
 
 from . import const, stream_records, suspect_records
 from .cold_servers import update_cold_servers
+from .document_exchange import DocumentExchange
 from .state import GatewayState
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,6 +69,7 @@
 LearnSuspects = Callable[[suspect_records.Suspects], None]
 FetchSettings = Callable[[Sequence[str]], Awaitable[None]]
 SendNews = Callable[[StoreNews], Awaitable[None]]
+FetchDocument = Callable[[str, float], Awaitable[bytes | None]]
 
 
 async def _send_nothing(_news: StoreNews) -> None:
@@ -67,6 +80,22 @@
     """Return without settings, in a daemon without connections to peers."""
 
 
+async def _no_document(_address: str, _timeout_s: float) -> None:
+    """Return no document, in a daemon without connections to peers."""
+
+
+@attrs.frozen
+class _PendingDocument:
+    """Document of which the reader passed on a digest.
+
+    :param source: address of the reader
+    """
+
+    revision: Revision
+    change: ValueChange
+    source: str
+
+
 class StoreCoordinator:
     """Update this daemon's view from the store and register the daemon in it.
 
@@ -78,6 +107,8 @@
     :param learn_suspects: adds what other daemons wrote of suspect requests
     :param is_large_fleet: returns whether one daemon reads the store for several
     :param send_news: passes changes on to the other daemons of this domain
+    :param documents: encodes the document for other daemons
+    :param fetch_document: returns the document of the peer at an address if it is newer
     """
 
     def __init__(
@@ -89,6 +120,8 @@
         learn_suspects: LearnSuspects = lambda _suspects: None,
         is_large_fleet: Callable[[], bool] = lambda: False,
         send_news: SendNews = _send_nothing,
+        documents: DocumentExchange | None = None,
+        fetch_document: FetchDocument = _no_document,
     ) -> None:
         """Initialize without a lease or any listed member."""
         self._kv = kv
@@ -98,9 +131,16 @@
         self._learn_suspects = learn_suspects
         self._is_large_fleet = is_large_fleet
         self._send_news = send_news
+        self._documents = documents or DocumentExchange(state)
+        self._fetch_document = fetch_document
         self._following = StoreFollowing()
         # Revision up to which all changes are known.
         self._known_at: Revision | None = None
+        # Revision up to which all changes but the pending documents are applied.
+        self._applied_at: Revision | None = None
+        self._pending: list[_PendingDocument] = []
+        self._has_pending = anyio.Event()
+        self._is_repeating = False
         self._rng = random.Random(state.members.own.address)
         self._members: dict[str, Member] = {}
         self._outage_since_ms: int | None = None
@@ -137,7 +177,8 @@
                     if self._listed_at is None and listing.at.era > FIRST_ERA:
                         await self._ask_peers_for_settings(listing)
                     self._apply_listing(listing)
-                    self._known_at = listing.at
+                    self._known_at = self._applied_at = listing.at
+                    self._pending.clear()
                     await self._watch_until_incomplete()
                 case Err(unavailable):
                     await self._wait_until_back(unavailable)
@@ -177,12 +218,13 @@
             if after is None:
                 return
             is_reader = self._is_reader()
+            base = self._document
             match await self._kv.watch("", after, const.WATCH_WAIT_MS):
                 case Ok(Changes(events, at)):
                     self._record_store_answer(self._state.clock.now_ms())
                     self._apply_changes(events, at)
                     if is_reader:
-                        await self._pass_on(after, at, events)
+                        await self._pass_on(after, at, events, base)
                     if events:
                         pause_ms = self._watch_pause_ms(events, is_reader)
                         await anyio.sleep(seconds(pause_ms))
@@ -239,28 +281,58 @@
 
         :param at: revision that they lead to
         """
-        known = self._known_at
-        news = [e for e in events if known is None or e.revision > known]
-        self._known_at = at if known is None else max(at, known)
+        known = self._known_at or NO_REVISION
+        applied = self._applied_at or NO_REVISION
+        news = [
+            e
+            for e in events
+            if e.revision > (known if e.key == operator_document.KEY else applied)
+        ]
+        self._known_at, self._applied_at = max(at, known), max(at, applied)
+        self._pending = [p for p in self._pending if p.revision > self._known_at]
         self._apply_events(news)
 
+    @property
+    def _document(self) -> bytes:
+        """Return the active document, empty if there is none."""
+        current = self._state.versions.current
+        return current.document if current is not None else b""
+
     async def _pass_on(
-        self, after: Revision, at: Revision, events: Sequence[Event]
+        self,
+        after: Revision,
+        at: Revision,
+        events: Sequence[Event],
+        base: bytes = b"",
     ) -> None:
-        """Pass changes on to the other daemons of this failure domain."""
+        """Pass changes on to the other daemons of this failure domain.
+
+        :param base: the document that was active before the changes
+        """
         servers, now = self._state.servers, self._state.clock.now_ms()
-        changes = tuple(
-            StoreChange(
-                change.key,
-                change.revision,
-                change.value if isinstance(change, Entry) else None,
-            )
-            for change in events
-        )
+        changes = []
+        for change in events:
+            value: str | ValueChange | None = None
+            if isinstance(change, Entry):
+                value = change.value
+                if change.key == operator_document.KEY:
+                    content = value.encode()
+                    if len(content) > const.MAX_WHOLE_DOCUMENT_BYTES:
+                        value = self._documents.make_change(base, content)
+                    base = content
+            changes.append(StoreChange(change.key, change.revision, value))
         view_age_ms = servers.view_age_ms(now) or 0
-        await self._send_news(
-            StoreNews(after, at, changes, view_age_ms, servers.is_unsettled(now))
-        )
+        unsettled = servers.is_unsettled(now)
+        news = StoreNews(after, at, tuple(changes), view_age_ms, unsettled)
+        await self._send_news(news)
+        if news.has_digests:
+            # A beacon in between would tell who lost the news to read the store.
+            self._is_repeating = True
+            try:
+                await anyio.sleep(seconds(const.DOCUMENT_REPEAT_MS))
+                await self._send_news(news.without_differences())
+            finally:
+                self._is_repeating = False
 
     async def run_beacon(self) -> None:
         """Tell the followers of this daemon that it reads the store for them."""
@@ -268,16 +340,22 @@
             await anyio.sleep(seconds(BEACON_INTERVAL_MS))
             if self._outage_since_ms is not None or self._known_at is None:
                 continue
-            if self._is_reader():
+            if self._is_reader() and not self._is_repeating:
                 await self._pass_on(self._known_at, self._known_at, ())
 
-    def apply_news(self, news: StoreNews) -> None:
-        """Apply changes that a daemon of the same domain passed on."""
-        known, now = self._known_at, self._state.clock.now_ms()
-        if known is None:
+    def apply_news(self, news: StoreNews, source: str) -> None:
+        """Apply changes that a daemon of the same domain passed on.
+
+        The known revision stays before a document that has to be fetched; the other
+        changes, also later ones, are applied meanwhile.
+
+        :param source: address of the daemon
+        """
+        applied, now = self._applied_at, self._state.clock.now_ms()
+        if applied is None:
             return
         is_next = self._following.hear(
-            news.after, news.at, news.view_age_ms, known, now
+            news.after, news.at, news.view_age_ms, applied, now
         )
         if news.is_unsettled and not self._is_reader():
             self._state.servers.mark_store_unsettled(now)
@@ -286,13 +364,104 @@
         self._record_store_answer(now - news.view_age_ms)
         if not is_next:
             return
-        events = [
-            Deleted(change.key, change.revision)
-            if change.value is None
-            else Entry(change.key, change.value, change.revision)
-            for change in news.changes
-        ]
-        self._apply_changes(events, news.at)
+        events: list[Event] = []
+        for change in news.changes:
+            if change.revision <= applied:
+                continue
+            match change.value:
+                case None:
+                    events.append(Deleted(change.key, change.revision))
+                case ValueChange() as value:
+                    pending = _PendingDocument(change.revision, value, source)
+                    self._pending.append(pending)
+                case value:
+                    events.append(Entry(change.key, value, change.revision))
+        self._applied_at = news.at
+        self._apply_pending(self._document, source)
+        self._apply_events(events)
+        if self._pending:
+            self._has_pending.set()
+
+    def _apply_pending(self, content: bytes, source: str) -> bool:
+        """Apply the pending documents that follow from one that this daemon has.
+
+        :param content: the active document, or one that was fetched
+        :returns: whether at least one of them was applied
+        """
+        count = len(self._pending)
+        while self._pending:
+            change = self._pending[0].change
+            if digest_of(content) != change.digest:
+                if result_digest(change.difference) != change.digest:
+                    break
+                match apply_difference(content, change.difference):
+                    case Ok(result):
+                        content = result
+                        self._documents.record_received("difference")
+                    case _:
+                        break
+            self.activate_document(content, source)
+            self._pending.pop(0)
+        if not self._pending:
+            self._known_at = self._applied_at
+        return len(self._pending) < count
+
+    async def run_document_fetches(self) -> None:
+        """Fetch the documents that the reader did not send, until cancelled.
+
+        If that fails or takes too long, they are read from the store.
+        """
+        while True:
+            await self._has_pending.wait()
+            self._has_pending = anyio.Event()
+            try:
+                with anyio.move_on_after(seconds(const.DOCUMENT_FETCH_TIMEOUT_MS)):
+                    spread_ms = self._rng.uniform(0, const.DOCUMENT_FETCH_SPREAD_MS)
+                    await anyio.sleep(spread_ms / 1_000)
+                    await self._fetch_pending()
+            finally:
+                self._leave_pending_to_store()
+
+    async def _fetch_pending(self) -> None:
+        """Fetch the pending documents until there are none, or one is not found."""
+        timeout_s = seconds(const.DOCUMENT_FETCH_TIMEOUT_MS)
+        while self._pending:
+            source = self._pending[0].source
+            content = await self._fetch_document(source, timeout_s)
+            if content is None:
+                # Another peer may have sent it meanwhile.
+                content = self._document
+            if not self._apply_fetched(content, source):
+                return
+
+    def _apply_fetched(self, content: bytes, source: str) -> bool:
+        """Apply a document that was fetched from the reader.
+
+        :returns: whether it was one of the pending ones
+        """
+        digest = digest_of(content)
+        digests = [pending.change.digest for pending in self._pending]
+        if digest not in digests:
+            return not digests
+        if not self.activate_document(content, source) and digest != digests[0]:
+            # Only a newer version makes the pending ones before it needless.
+            return False
+        del self._pending[: digests.index(digest)]
+        return self._apply_pending(content, source)
+
+    def _leave_pending_to_store(self) -> None:
+        """Have the store read for the documents that are still pending."""
+        if not self._pending or self._applied_at is None:
+            return
+        event(
+            _LOGGER,
+            "settings.left_to_store",
+            logging.WARNING,
+            result=self._pending[-1].change.digest.hex(),
+            source=self._pending[-1].source,
+        )
+        self._pending.clear()
+        self._following.miss(self._applied_at)
 
     async def _ask_peers_for_settings(self, listing: Listing) -> None:
         """Activate the settings of some peers before those of the first listing.
@@ -595,7 +764,8 @@
         self._state.members.set_listed(self._members.values(), now_ms)
 
     def _activate_entry(self, entry: Entry) -> None:
-        self.activate_document(entry.value.encode(), "store")
+        if self.activate_document(entry.value.encode(), "store"):
+            self._documents.record_received("store")
 
     def activate_document(self, content: bytes, source: str) -> bool:
         """Activate a version of the operator's document if it is newer.
@@ -605,6 +775,9 @@
         :returns: whether it was activated; a document that can't be decoded is logged
             and ignored
         """
+        if content == self._document:
+            # Peers and the store send the same version; decoding it takes 10 ms.
+            return False
         match operator_document.decode_document(content):
             case Err(detail):
                 event(_LOGGER, "settings.unreadable", source=source, cause=detail)
--- a/packages/peers/src/cowsliphitch/peers/fleet/convert.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/convert.py
@@ -44,6 +44,7 @@
     StoreChange,
     StoreNews,
     TrialReply,
+    ValueChange,
 )
 
 
@@ -161,36 +162,46 @@
         return None
     return pb.StoreNews(
         era=news.at.era,
-        after=news.after.number,
+        after=(news.at if news.has_digests else news.after).number,
+        continues=news.after.number if news.has_digests else None,
         at=news.at.number,
-        changes=[
-            pb.StoreChange(
-                key=change.key,
-                revision=change.revision.number,
-                deleted=change.value is None,
-                value=change.value or "",
-            )
-            for change in news.changes
-        ],
+        changes=[_change_to_wire(change) for change in news.changes],
         view_age_ms=news.view_age_ms,
         unsettled=news.is_unsettled,
     )
 
 
+def _change_to_wire(change: StoreChange) -> pb.StoreChange:
+    row = pb.StoreChange(key=change.key, revision=change.revision.number)
+    match change.value:
+        case None:
+            row.deleted = True
+        case ValueChange(digest, difference):
+            row.digest, row.difference = digest, difference
+        case value:
+            row.value = value
+    return row
+
+
+def _change_from_wire(row: pb.StoreChange, era: int) -> StoreChange:
+    value: str | ValueChange | None = row.value
+    if row.digest:
+        value = ValueChange(row.digest, row.difference)
+    elif row.deleted:
+        value = None
+    return StoreChange(row.key, Revision(era, row.revision), value)
+
+
 def _news_from_wire(message: pb.StoreNews | None) -> StoreNews | None:
     if message is None:
         return None
     return StoreNews(
-        Revision(message.era, message.after),
-        Revision(message.era, message.at),
-        tuple(
-            StoreChange(
-                row.key,
-                Revision(message.era, row.revision),
-                None if row.deleted else row.value,
-            )
-            for row in message.changes
+        Revision(
+            message.era,
+            message.continues if message.HasField("continues") else message.after,
         ),
+        Revision(message.era, message.at),
+        tuple(_change_from_wire(row, message.era) for row in message.changes),
         message.view_age_ms,
         message.unsettled,
     )
--- a/packages/peers/src/cowsliphitch/peers/fleet/models.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/models.py
@@ -19,6 +19,18 @@
 from cowsliphitch.core.verdict import Refusal
 
 
+@attrs.frozen
+class ValueChange:
+    """What is sent of a value that is too large for a datagram.
+
+    :param digest: digest of the new value
+    :param difference: its difference to the value before, empty if it has to be fetched
+    """
+
+    digest: bytes
+    difference: bytes = b""
+
+
 @attrs.frozen
 class StoreChange:
     """Change of one key of the store.
@@ -28,7 +40,7 @@
 
     key: str
     revision: Revision
-    value: str | None
+    value: str | ValueChange | None
 
 
 @attrs.frozen
@@ -47,6 +59,51 @@
     view_age_ms: int
     is_unsettled: bool = False
 
+    @property
+    def has_digests(self) -> bool:
+        """Return whether some values are too large to be sent."""
+        return any(isinstance(c.value, ValueChange) for c in self.changes)
+
+    def without_differences(self) -> "StoreNews":
+        """Return these news with digests of all values that are too large."""
+        changes = (
+            attrs.evolve(change, value=ValueChange(change.value.digest))
+            if isinstance(change.value, ValueChange)
+            else change
+            for change in self.changes
+        )
+        return attrs.evolve(self, changes=tuple(changes))
+
+
+@attrs.frozen
+class DocumentQuery:
+    """Request for the operator's document if it is newer than the sender's.
+
+    :param above_version: version of the sender's document
+    :param is_compressed: the sender can read the compressed forms
+    :param base: digest of the sender's document, empty if it has none
+    """
+
+    above_version: int
+    is_compressed: bool = True
+    base: bytes = b""
+
+
+@attrs.frozen
+class DocumentReply:
+    """Operator's document, in one of three forms.
+
+    :param version: 0 if there is no newer document
+    :param content: the document as it is
+    :param compressed: the document in zlib format
+    :param difference: its difference to the document that the sender named
+    """
+
+    version: int = 0
+    content: bytes = b""
+    compressed: bytes = b""
+    difference: bytes = b""
+
 
 @attrs.frozen
 class Exchange:
@@ -287,8 +344,7 @@
     :param grant_permit: grants or denies a request to a limited server
     :param begin_trial: decides whether a copy of a suspect request may be sent
     :param end_trial: records that such a copy was judged
-    :param get_document: returns version and content of the operator's document if it
-        is newer than the given version, otherwise version 0 and no content
+    :param get_document: returns the operator's document if it is newer
     """
 
     run_stages: Callable[[RunStagesRequest], Awaitable[RunStagesReply]]
@@ -296,4 +352,4 @@
     grant_permit: Callable[[PermitRequest], Decision]
     begin_trial: Callable[[BeginTrial], TrialReply]
     end_trial: Callable[[EndTrial], None]
-    get_document: Callable[[int], tuple[int, bytes]]
+    get_document: Callable[[DocumentQuery], DocumentReply]
--- a/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
@@ -18,6 +18,8 @@
 from . import const, convert
 from .models import (
     BeginTrial,
+    DocumentQuery,
+    DocumentReply,
     EndTrial,
     EngineProgressReport,
     PeerCallFailed,
@@ -96,8 +98,17 @@
     async def FetchDocument(self, stream: Any) -> None:
         """Return the operator's document if it is newer than the peer's."""
         message = await _receive(stream)
-        version, content = self._handlers.get_document(message.above_version)
-        await stream.send_message(pb.Document(version=version, content=content))
+        reply = self._handlers.get_document(
+            DocumentQuery(message.above_version, message.compressed, message.base)
+        )
+        await stream.send_message(
+            pb.Document(
+                version=reply.version,
+                content=reply.content,
+                compressed=reply.compressed,
+                difference=reply.difference,
+            )
+        )
 
 
 def make_server(handlers: PeerRequestHandlers) -> Server:
@@ -220,23 +231,31 @@
     async def fetch_document(
         self,
         address: str,
-        above_version: int,
+        query: DocumentQuery,
         timeout_s: float = const.FETCH_DOCUMENT_TIMEOUT_S,
-    ) -> bytes | PeerCallFailed | None:
+    ) -> DocumentReply | PeerCallFailed | None:
         """Fetch the operator's document from a peer.
 
         :param timeout_s: time in seconds after which the call fails
-        :returns: the document, ``None`` if the peer has none above ``above_version``,
-            or why the call failed
+        :returns: the document, ``None`` if the peer has none that is newer, or why the
+            call failed
         """
-        message = pb.DocumentRequest(above_version=above_version)
+        message = pb.DocumentRequest(
+            above_version=query.above_version,
+            compressed=query.is_compressed,
+            base=query.base,
+        )
         try:
             reply = await _run_in_own_task(
                 self._stub(address).FetchDocument(message, timeout=timeout_s)
             )
         except _CALL_ERRORS as exc:
             return PeerCallFailed(f"{address} gave no answer: {type(exc).__name__}")
-        return reply.content if reply.version > above_version else None
+        if reply.version <= query.above_version:
+            return None
+        return DocumentReply(
+            reply.version, reply.content, reply.compressed, reply.difference
+        )
 
     def _stub(self, address: str) -> FleetStub:
         channel = self._channels.get(address)
