--- a/features/gateway/readers.feature
+++ b/features/gateway/readers.feature
@@ -84,6 +84,7 @@
 
   Scenario: A follower that lost the news of a document fetches it from the reader
     Given the store has a document of 600 routes
+    And the reader sends a message every 10 ms
     When they run for 2000 ms
     And the next news of a document are lost
     And the operator writes version 2 with 1 other routes
@@ -119,3 +120,7 @@
     And the operator writes version 2 with 500 other routes
     Then after 2000 ms all daemons have the operator's document
     And all daemons have read it from the store
+
+  Scenario: Daemons of the version before still get all documents
+    Then an older daemon gets news with a gap instead of a digest
+    And an older daemon gets the document as it is
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from cowsliphitch.core.clock import Clock, seconds
+from cowsliphitch.core.documents.difference import digest_of
 from cowsliphitch.core.fleet.following import reader_of
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.kv.models import (
@@ -28,7 +29,13 @@
 from cowsliphitch.gateway.store_coordinator import StoreCoordinator
 from cowsliphitch.peers.fleet.const import MAX_DATAGRAM_BYTES
 from cowsliphitch.peers.fleet.convert import exchange_from_wire, exchange_to_wire
-from cowsliphitch.peers.fleet.models import Exchange, StoreNews
+from cowsliphitch.peers.fleet.models import (
+    DocumentQuery,
+    DocumentReply,
+    Exchange,
+    StoreChange,
+    StoreNews,
+)
 from cowsliphitch.peers.wire import fleet_pb2 as pb
 from cowsliphitch.platform.operator_document import KEY
 from cowsliphitch.standins.site import SiteServer, document
@@ -187,6 +194,7 @@
 
     def __init__(self, count: int, interval_ms: int) -> None:
         self.clock, self.rng, self.loss = Clock(), random.Random(1), 0.0
+        self.beacons = 1
         self.fetch_fault, self.fetch_ms, self.loses_documents = "", 5, False
         self.store = SharedStore(self.clock, interval_ms)
         members = [
@@ -212,6 +220,10 @@
                 daemon.note()
             await anyio.sleep(0.01)
 
+    async def run_beacon(self, daemon: Follower, after_ms: int) -> None:
+        await anyio.sleep(seconds(after_ms))
+        await daemon.coordinator.run_beacon()
+
     def run(self) -> None:
         async def main() -> None:
             async with anyio.create_task_group() as group:
@@ -219,7 +231,8 @@
                 group.start_soon(self.note_all)
                 for daemon in self.daemons:
                     group.start_soon(daemon.coordinator.run)
-                    group.start_soon(daemon.coordinator.run_beacon)
+                    for number in range(self.beacons):
+                        group.start_soon(self.run_beacon, daemon, number * 10)
                     group.start_soon(daemon.coordinator.run_document_fetches)
                 for action in self.script:
                     await action()
@@ -482,3 +495,28 @@
 def all_read(context: Any) -> None:
     read = set(context.domain.store.documents_read)
     assert len(read) == len(context.domain.daemons), read
+
+
+@given("the reader sends a message every 10 ms")
+def many_beacons(context: Any) -> None:
+    context.domain.beacons = 50
+
+
+@then("an older daemon gets {what}")
+def older_daemon(context: Any, what: str) -> None:
+    base = large_document(1, 0).encode()
+    content = large_document(2, 500).encode()
+    state = context.domain.daemons[0].state
+    exchange = DocumentExchange(state)
+    change = StoreChange(KEY, Revision(1, 7), exchange.make_change(base, content))
+    news = StoreNews(Revision(1, 6), Revision(1, 7), (change,), 0)
+    if what == "news with a gap instead of a digest":
+        read = pb.Heartbeat.FromString(exchange_to_wire(Exchange(store_news=news)))
+        assert (read.store_news.after, read.store_news.at) == (7, 7), read
+        return
+    assert context.domain.daemons[0].coordinator.activate_document(content, "store")
+    assert exchange.reply(DocumentQuery(1, False)) == DocumentReply(2, content)
+    forms = [exchange.reply(DocumentQuery(1, True, b)) for b in (digest_of(base), b"")]
+    assert [bool(f.difference) for f in forms] == [True, False]
+    assert [bool(f.compressed) for f in forms] == [False, True]
+    assert exchange.reply(DocumentQuery(2)) == DocumentReply()
--- a/packages/gateway/src/cowsliphitch/gateway/document_exchange.py
+++ b/packages/gateway/src/cowsliphitch/gateway/document_exchange.py
@@ -119,6 +119,18 @@
             return decompress(reply.compressed)
         return Ok(reply.content) if reply.content else Err("the reply is empty")
 
+    def record_applied(self, difference: bytes, source: str) -> None:
+        """Log and count a difference that came with the reader's news."""
+        self.record_received("difference")
+        event(
+            _LOGGER,
+            "settings.applied",
+            base=base_digest(difference).hex(),
+            result=result_digest(difference).hex(),
+            bytes=len(difference),
+            source=source,
+        )
+
     def record_received(self, form: str) -> None:
         """Count a document that this daemon received from a peer or the store."""
         received = self.diagnostics.received
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -140,7 +140,7 @@
         self._applied_at: Revision | None = None
         self._pending: list[_PendingDocument] = []
         self._has_pending = anyio.Event()
-        self._is_repeating = False
+        self._is_passing_on = False
         self._rng = random.Random(state.members.own.address)
         self._members: dict[str, Member] = {}
         self._outage_since_ms: int | None = None
@@ -224,7 +224,13 @@
                     self._record_store_answer(self._state.clock.now_ms())
                     self._apply_changes(events, at)
                     if is_reader:
-                        await self._pass_on(after, at, events, base)
+                        # A beacon in between would tell who lost these news to read
+                        # the store, before they are repeated.
+                        self._is_passing_on = True
+                        try:
+                            await self._pass_on(after, at, events, base)
+                        finally:
+                            self._is_passing_on = False
                     if events:
                         pause_ms = self._watch_pause_ms(events, is_reader)
                         await anyio.sleep(seconds(pause_ms))
@@ -326,13 +332,8 @@
         news = StoreNews(after, at, tuple(changes), view_age_ms, unsettled)
         await self._send_news(news)
         if news.has_digests:
-            # A beacon in between would tell who lost the news to read the store.
-            self._is_repeating = True
-            try:
-                await anyio.sleep(seconds(const.DOCUMENT_REPEAT_MS))
-                await self._send_news(news.without_differences())
-            finally:
-                self._is_repeating = False
+            await anyio.sleep(seconds(const.DOCUMENT_REPEAT_MS))
+            await self._send_news(news.without_differences())
 
     async def run_beacon(self) -> None:
         """Tell the followers of this daemon that it reads the store for them."""
@@ -340,7 +341,7 @@
             await anyio.sleep(seconds(BEACON_INTERVAL_MS))
             if self._outage_since_ms is not None or self._known_at is None:
                 continue
-            if self._is_reader() and not self._is_repeating:
+            if self._is_reader() and not self._is_passing_on:
                 await self._pass_on(self._known_at, self._known_at, ())
 
     def apply_news(self, news: StoreNews, source: str) -> None:
@@ -397,7 +398,7 @@
                 match apply_difference(content, change.difference):
                     case Ok(result):
                         content = result
-                        self._documents.record_received("difference")
+                        self._documents.record_applied(change.difference, source)
                     case _:
                         break
             self.activate_document(content, source)
