Plan calls in linear time while result memory is short

For each late job that could not start, a plan summed the memory claimed by all started jobs, so its cost grew with the square of the queue. With 1,000 late jobs of 4 pieces and 7 servers without free memory for them, one plan took 545 ms of the owner's event loop; with 300 it took 52 ms.

The claimed memory is now summed once for each call and updated when a job starts, and a call that is full ends the search. The calls that are chosen stay the same.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -117,3 +117,11 @@
     Given a server with memory for 6 results, and a started job that needs 4 of them
     When a late job and a job on time of 3 pieces are queued
     Then only the job on time is started
+
+  # Guards against a plan whose cost grows with the square of the queue: with 1,000 late
+  # jobs it took over half a second, in which the owner answered nobody.
+
+  Scenario: The cost of a plan grows in proportion to the late jobs while memory is short
+    Given a server with memory for 6 results, and a started job that needs 4 of them
+    When 400 late jobs of 3 pieces are queued
+    Then a plan looks at most 20 times at each job
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps of admission by priority and of stage results under memory pressure."""
 
 from typing import Any
+from unittest import mock
 
 import anyio
 import attrs
@@ -10,6 +11,7 @@
 from cowsliphitch.core.batching.models import Call, PieceDone
 from cowsliphitch.core.batching.pipeline import StagePlanner
 from cowsliphitch.core.batching.requests import Admission, StageRequest
+from cowsliphitch.core.batching.state import JobProgress
 from cowsliphitch.core.clock import ManualClock
 from cowsliphitch.core.deployment.models import StagePool, StageSpec
 from cowsliphitch.core.requests.models import Generation
@@ -372,3 +374,22 @@
 def only_on_time(context: Any) -> None:
     (call,) = context.first or context.planner.plan_calls(340)
     assert {p.job.request_id for p in call.pieces} == {"on time"}, call
+
+
+@when("{count:d} late jobs of 3 pieces are queued")
+def queue_late(context: Any, count: int) -> None:
+    context.count = count
+    for number in range(count):
+        changes = {"objective_ms": 180, "deadline_ms": 10_000_000}
+        admit(context, 170, request_id=f"late-{number}", piece_counts=(3,), **changes)
+        assert isinstance(context.admitted, Admission), context.admitted
+
+
+@then("a plan looks at most {times:d} times at each job")
+def plan_cost(context: Any, times: int) -> None:
+    is_started = JobProgress.is_started.fget  # type: ignore[attr-defined]
+    with mock.patch.object(
+        JobProgress, "is_started", property(counted := mock.Mock(wraps=is_started))
+    ):
+        context.planner.plan_calls(170)
+    assert counted.call_count <= times * context.count, counted.call_count
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -312,14 +312,21 @@
             # Of the started jobs, those nearest to completion come first, since they
             # release their memory soonest.
             eligible.sort(key=lambda p: self._completion_key(p, now_ms))
+        claimed_bytes = self._claimed_bytes() if is_short else 0
         for progress in eligible:
+            if len(chosen) >= self._pool.batch:
+                break
             job = progress.job
             if not self._may_join(job, chosen):
                 continue
-            is_late = self._sort_key(progress, now_ms)[0]
-            if is_short and is_late and not self._may_start(progress, chosen, servers):
+            if (
+                is_short
+                and self._sort_key(progress, now_ms)[0]
+                and not self._may_start(progress, claimed_bytes, servers)
+            ):
                 self.diagnostics.out_of_memory += 1
                 continue
+            was_started = progress.is_started
             while progress.waiting_pieces and len(chosen) < self._pool.batch:
                 if free_bytes < job.result_bytes:
                     self.diagnostics.out_of_memory += 1
@@ -327,6 +334,8 @@
                 free_bytes -= job.result_bytes
                 chosen.append(Piece(job, progress.waiting_pieces.pop(0)))
                 progress.last_called_ms = now_ms
+            if progress.is_started and not was_started:
+                claimed_bytes += job.result_bytes * job.piece_count
         return tuple(chosen)
 
     def is_memory_short(self, servers: tuple[Server, ...]) -> bool:
@@ -337,7 +346,7 @@
     def _may_start(
         self,
         progress: JobProgress,
-        chosen: Sequence[Piece],
+        claimed_bytes: int,
         servers: tuple[Server, ...],
     ) -> bool:
         """Return whether a late job starts while memory is short.
@@ -348,7 +357,7 @@
         Jobs that are on time start at once: to hold them back made more of them late in
         a replay without a burst.
 
-        :param chosen: pieces of the call that is being filled
+        :param claimed_bytes: memory that started jobs still need
         """
         job = progress.job
         size_bytes = job.result_bytes * job.piece_count
@@ -362,14 +371,16 @@
             max(0, self.memory.free_bytes(server.id)) // job.result_bytes
             for server in servers
         )
-        claimed_bytes = sum(
-            len(other.waiting_pieces) * other.job.result_bytes
-            for other in self._jobs.values()
-            if other.is_started
-        )
-        claimed_bytes += sum(piece.job.result_bytes for piece in chosen)
         return size_bytes <= free_bytes - claimed_bytes
 
+    def _claimed_bytes(self) -> int:
+        """Return the size of the results that started jobs still have to make."""
+        return sum(
+            len(progress.waiting_pieces) * progress.job.result_bytes
+            for progress in self._jobs.values()
+            if progress.is_started
+        )
+
     def _may_join(self, job: Job, chosen: Sequence[Piece]) -> bool:
         """Return whether a job's pieces may be in a call with those chosen so far."""
         if chosen and chosen[0].job.request_id == job.request_id:
