Count the outstanding pieces once for each admission

An admission walked through all admitted requests two to four times, once for each prediction, and again for each sample of a less urgent class. Deployments with a single priority paid for the prediction behind requests of their own priority as well, although the rule that needs it never refuses them. Requests without stages walked through all admitted ones for a prediction that is only their engine's time.

The pieces are now counted once by best effort and priority, the rule is evaluated only if more urgent requests arrived recently, and requests without stages count none. The decisions stay the same.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -125,3 +125,16 @@
     Given a server with memory for 6 results, and a started job that needs 4 of them
     When 400 late jobs of 3 pieces are queued
     Then a plan looks at most 20 times at each job
+
+  # Guards against admissions that count the pieces of all admitted requests many times,
+  # also where no class is more urgent than another.
+
+  Scenario Outline: An admission counts the pieces of each admitted request once
+    Given 300 admitted requests of four stages, with the priorities <admitted>
+    When a late request of four stages and priority <rank> comes
+    Then it looked once at each stage of each admitted request
+
+    Examples:
+      | admitted | rank |
+      | 0        | 0    |
+      | 0,2,4    | 2    |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -10,7 +10,7 @@
 from cowsliphitch.core.batching import retention
 from cowsliphitch.core.batching.models import Call, PieceDone
 from cowsliphitch.core.batching.pipeline import StagePlanner
-from cowsliphitch.core.batching.requests import Admission, StageRequest
+from cowsliphitch.core.batching.requests import Admission, Execution, StageRequest
 from cowsliphitch.core.batching.state import JobProgress
 from cowsliphitch.core.clock import ManualClock
 from cowsliphitch.core.deployment.models import StagePool, StageSpec
@@ -393,3 +393,34 @@
     ):
         context.planner.plan_calls(170)
     assert counted.call_count <= times * context.count, counted.call_count
+
+
+FOUR_STAGES = {
+    "stages": tuple(StageSpec("s", (n - 1,) if n else (), 1) for n in range(4)),
+    "piece_counts": (1, 1, 1, 1),
+}
+
+
+@given("{count:d} admitted requests of four stages, with the priorities {ranks}")
+def four_stages(context: Any, count: int, ranks: str) -> None:
+    context.planner = make_planner()
+    priorities = [int(rank) for rank in ranks.split(",")]
+    for number in range(count):
+        rank = priorities[number % len(priorities)]
+        times = {"deadline_ms": 10_000_000, "objective_ms": 9_000_000}
+        admit(context, request_id=f"r{number}", priority=rank, **times, **FOUR_STAGES)
+        assert isinstance(context.admitted, Admission), context.admitted
+
+
+@when("a late request of four stages and priority {rank:d} comes")
+def late_four_stages(context: Any, rank: int) -> None:
+    with mock.patch.object(
+        Execution, "is_pending", autospec=True, side_effect=Execution.is_pending
+    ) as context.counted:
+        admit(context, priority=rank, **FOUR_STAGES)
+
+
+@then("it looked once at each stage of each admitted request")
+def looked_once(context: Any) -> None:
+    # The request that comes may be admitted, and looks at its own stages then.
+    assert context.counted.call_count <= 300 * 4 + 4, context.counted.call_count
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -86,6 +86,8 @@
         self._demand: dict[str, tuple[float, int]] = {}
         self._priorities = PriorityDemand()
         self._engine_wait_ms: dict[str, int] = {}
+        # Pieces by best effort and priority, while a request is decided on.
+        self._outstanding: dict[tuple[bool, int], Counter[str]] | None = None
         self._ids = itertools.count(1)
         self.diagnostics = Diagnostics()
         self.refuses_late = True
@@ -129,7 +131,7 @@
         if unknown:
             detail = f"{unknown[0]} is no stage pool in force"
             return not_run(Reason.NOT_CONFIGURED, detail, const.MIN_RETRY_AFTER_MS)
-        decision = self._decide(request, now_ms)
+        decision = self._decide_once(request, now_ms)
         if isinstance(decision, Refusal):
             self.diagnostics.refused += 1
             return decision
@@ -149,12 +151,21 @@
 
     def check_engine_only(self, request: StageRequest, now_ms: int) -> Refusal | None:
         """Return the refusal of a request without stages, by its engine's wait."""
-        decision = self._decide(request, now_ms)
+        decision = self._decide_once(request, now_ms)
         if isinstance(decision, Refusal):
             self.diagnostics.refused += 1
             return decision
         return None
 
+    def _decide_once(self, request: StageRequest, now_ms: int) -> Admission | Refusal:
+        """Decide on a request, and count the outstanding pieces only once for that."""
+        try:
+            if any(request.piece_counts) and not request.is_rerun:
+                self._outstanding = self._count_outstanding()
+            return self._decide(request, now_ms)
+        finally:
+            self._outstanding = None
+
     def _decide(self, request: StageRequest, now_ms: int) -> Admission | Refusal:
         """Return how a request is admitted, or why it is refused, and count it."""
         if request.is_rerun:
@@ -170,7 +181,11 @@
         best_effort = expected_ms > request.objective_ms - now_ms
         self._record_demand(request, best_effort, now_ms)
         refusal: Refusal | None = None
-        if self.refuses_late and self._misses_objective(request, now_ms):
+        if (
+            self.refuses_late
+            and self._has_more_urgent(request.priority, now_ms)
+            and self._misses_objective(request, now_ms)
+        ):
             refusal = self._check_overload(request, now_ms)
         if refusal is None and best_effort and any(request.piece_counts):
             expected_ms = self.predicted_first_token_ms(
@@ -195,6 +210,8 @@
         Unlike the choice of best effort, this includes the wait for result memory, and
         leaves out less urgent requests, which would go ahead of it only by accident.
         """
+        if not any(request.piece_counts):
+            return request.engine_ms > request.objective_ms - now_ms
         ahead = self._outstanding_pieces(False, request.priority)
         expected_ms = self._predict_ms(request, now_ms, ahead, with_memory=True)
         return expected_ms > request.objective_ms - now_ms
@@ -248,13 +265,13 @@
         pool, or engines are behind and some of them are expected during the wait.
         """
         priority = request.priority
-        urgent_requests_per_ms = self._priorities.urgent_requests_per_ms(
-            priority, now_ms
-        )
-        recent_requests = urgent_requests_per_ms * const.SHARE_TIME_CONSTANT_MS
-        if recent_requests < const.MIN_URGENT_ARRIVALS:
+        if not self._has_more_urgent(priority, now_ms):
             return False
-        urgent_pieces = self._outstanding_pieces(False, priority - 1)
+        urgent_pieces = (
+            self._outstanding_pieces(False, priority - 1)
+            if any(request.piece_counts)
+            else {}
+        )
         for index, stage in enumerate(request.stages):
             if not request.piece_count(index):
                 continue
@@ -274,9 +291,18 @@
         max_wait_ms = (request.objective_ms - now_ms) * const.MAX_ENGINE_WAIT_RATIO
         if request.engine_wait_ms <= max_wait_ms:
             return False
+        urgent_requests_per_ms = self._priorities.urgent_requests_per_ms(
+            priority, now_ms
+        )
         urgent_arrivals = request.engine_wait_ms * urgent_requests_per_ms
         return urgent_arrivals >= const.MIN_URGENT_ARRIVALS
 
+    def _has_more_urgent(self, priority: int, now_ms: int) -> bool:
+        """Return whether more urgent requests arrived recently."""
+        requests_per_ms = self._priorities.urgent_requests_per_ms(priority, now_ms)
+        recent_requests = requests_per_ms * const.SHARE_TIME_CONSTANT_MS
+        return recent_requests >= const.MIN_URGENT_ARRIVALS
+
     def _check_best_effort(
         self, request: StageRequest, expected_ms: float, now_ms: int
     ) -> Refusal | None:
@@ -305,6 +331,8 @@
         :param include_best_effort: whether the request queues behind other
             best-effort requests too
         """
+        if not any(request.piece_counts):
+            return float(request.engine_ms)
         on_time_pieces = self._outstanding_pieces(include_best_effort=False)
         all_pieces = (
             self._outstanding_pieces(include_best_effort=True)
@@ -419,23 +447,30 @@
 
         :param max_priority: least urgent priority that is counted, ``None`` for all
         """
-        outstanding: dict[str, int] = {}
-        for execution in self._executions.values():
-            if execution.best_effort and not include_best_effort:
-                continue
-            if max_priority is not None and execution.priority > max_priority:
+        counts = self._outstanding
+        if counts is None:
+            counts = self._count_outstanding()
+        outstanding: Counter[str] = Counter()
+        for (best_effort, priority), pieces in counts.items():
+            if best_effort and not include_best_effort:
                 continue
+            if max_priority is None or priority <= max_priority:
+                outstanding.update(pieces)
+        return outstanding
+
+    def _count_outstanding(self) -> dict[tuple[bool, int], Counter[str]]:
+        """Return the pieces to run by service, by best effort and priority."""
+        counts: dict[tuple[bool, int], Counter[str]] = {}
+        for execution in self._executions.values():
+            key = execution.best_effort, execution.priority
+            pieces = counts.setdefault(key, Counter())
             for index, stage in enumerate(execution.request.stages):
                 if execution.is_pending(index):
-                    count = execution.request.piece_count(index)
-                    outstanding[stage.service] = (
-                        outstanding.get(stage.service, 0) + count
-                    )
+                    pieces[stage.service] += execution.request.piece_count(index)
         for service, queue in self._queues.items():
-            waiting = queue.count_waiting_pieces(include_best_effort, max_priority)
-            if waiting:
-                outstanding[service] = outstanding.get(service, 0) + waiting
-        return outstanding
+            for key, count in queue.waiting_by_priority().items():
+                counts.setdefault(key, Counter())[service] += count
+        return counts
 
     def plan_calls(self, now_ms: int) -> list[Call]:
         """Queue the stages that are ready and return the calls to send now.
--- a/packages/core/src/cowsliphitch/core/batching/queue.py
+++ b/packages/core/src/cowsliphitch/core/batching/queue.py
@@ -8,6 +8,7 @@
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
@@ -97,21 +98,26 @@
         """Queue all pieces of an admitted job."""
         self._jobs[job.id] = JobProgress(job, list(range(job.piece_count)))
 
-    def count_waiting_pieces(
-        self, include_best_effort: bool, max_priority: int | None = None
-    ) -> int:
+    def count_waiting_pieces(self, include_best_effort: bool) -> int:
         """Return the number of pieces that are in no call.
 
         :param include_best_effort: whether to count best-effort jobs too
-        :param max_priority: least urgent priority that is counted, ``None`` for all
         """
         return sum(
             len(progress.waiting_pieces)
             for progress in self._jobs.values()
-            if (include_best_effort or not progress.job.best_effort)
-            and (max_priority is None or progress.job.priority <= max_priority)
+            if include_best_effort or not progress.job.best_effort
         )
 
+    def waiting_by_priority(self) -> Counter[tuple[bool, int]]:
+        """Return the pieces that are in no call, by best effort and priority."""
+        counts: Counter[tuple[bool, int]] = Counter()
+        for progress in self._jobs.values():
+            if progress.waiting_pieces:
+                key = progress.job.best_effort, progress.job.priority
+                counts[key] += len(progress.waiting_pieces)
+        return counts
+
     def waiting_bytes(self) -> int:
         """Return the size of the results of all pieces that are in no call."""
         return sum(
