Keep stage results for the next engine if the first one refuses a request

An engine that answers that it wants no requests (429) is not recorded as failed, so the timer that releases the request's stage results went on while it was sent to another engine. That engine's own time for fetching them was also forgotten: the owner only chose an engine, without results, and the reply's retention of 0 ms replaced the one given before. The results were freed 100 ms after the second attempt was sent although the engine queued it, and all stages ran again.

The choice of the next engine now ends the timer, and keeps the earlier retention if the stages did not run again. The results are still released when the engine begins, after the retention, or when the request ends.

The new scenario of features/core/admission.feature failed before ([3000, 100] instead of 2500 ms) and passes; features/gateway/sending.feature (61 scenarios) and script/lint passed.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -58,6 +58,11 @@
       | 3000 | 500  | 2500    |
       | 3000 | 4000 | 100     |
 
+  Scenario: Results are kept for the next engine if the first one wants no requests
+    Given results that the owner wants kept for 3000 ms
+    When the first engine refuses the request, and the owner chooses another one 500 ms later
+    Then the results are kept for 2500 ms more, and not released for the first engine
+
   # Guards against late requests that delay more urgent ones: without the rule they are
   # all admitted as best effort, and take calls, result memory and engine time.
 
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -170,10 +170,12 @@
 
     def __init__(self) -> None:
         self.delays_ms: list[int] = []
+        self.scopes: list[anyio.CancelScope] = []
         self.reports: list[Any] = []
 
-    def schedule(self, delay_ms: int, _scope: Any, _callback: Any) -> None:
+    def schedule(self, delay_ms: int, scope: Any, _callback: Any) -> None:
         self.delays_ms.append(delay_ms)
+        self.scopes.append(scope)
 
     def report_progress(self, _owner: str, report: Any) -> None:
         self.reports.append(report)
@@ -207,6 +209,28 @@
     assert report.released_results, report
 
 
+@when(
+    "the first engine refuses the request, and the owner chooses another one {ms:d} ms "
+    "later"
+)
+def next_engine(context: Any, ms: int) -> None:
+    async def send_twice() -> None:
+        context.reporter.start_release_timer()
+        context.clock.advance(ms)
+        chosen = StagesCompleted((), "e2", None, 0)
+        context.reporter.set_assignment(StageRunResult("owner", chosen))
+        context.reporter.start_release_timer()
+
+    anyio.run(send_twice)
+
+
+@then("the results are kept for {ms:d} ms more, and not released for the first engine")
+def kept_for_next(context: Any, ms: int) -> None:
+    assert context.runner.delays_ms[1:] == [ms], context.runner.delays_ms
+    cancelled = [scope.cancel_called for scope in context.runner.scopes]
+    assert cancelled == [True, False], cancelled
+
+
 def replay(burst: Burst | None, with_rule: bool) -> list[Report]:
     scenario = shared_engines(20_000)
     if burst is not None:
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -91,10 +91,20 @@
         return bool(self._results)
 
     def set_assignment(self, assigned: StageRunResult) -> None:
-        """Replace the owner, and the results if the stages ran again."""
+        """Replace the owner, and the results if the stages ran again.
+
+        The first engine may have refused the request without a fault of its own, and
+        the next one needs the results until it has fetched them.  An owner that only
+        chose an engine does not say how long they are kept; what was said before holds.
+        """
+        self._cancel_timer()
         self._owner = assigned.owner
-        self._results = assigned.completed.results or self._results
-        self._kept_until_ms = self._end_of_retention_ms(assigned)
+        kept_until_ms = self._end_of_retention_ms(assigned)
+        if assigned.completed.results:
+            self._results = assigned.completed.results
+        else:
+            kept_until_ms = max(kept_until_ms, self._kept_until_ms)
+        self._kept_until_ms = kept_until_ms
 
     def _end_of_retention_ms(self, result: StageRunResult) -> int:
         """Return the monotonic time until which the owner wants the results kept."""
