Admit some requests of priorities that have few

A priority with less than 0.6 requests a second has less than the three arrivals from which its minimum share is computed, so it had none: if its requests are always late and in the way of more urgent ones, each of them was refused, without an end.

Such a priority now gets its next request admitted after three refusals in a row while other priorities are admitted, as long as it can meet its deadline. This is the required quarter. Deployments with a single priority are not affected.

The new scenario (a late request each 4 s for 48 s) had 0 of 12 admitted before and has every fourth one now.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -100,6 +100,11 @@
     When 20 late requests of priority 2 and as many of priority 0 come
     Then priority 2 is admitted a quarter as often as all together, and ahead of 0
 
+  Scenario: A priority with few requests that are always late is not refused each time
+    Given a stage server that is busy, and 6 queued requests of priority 0
+    When late requests of priority 2 come every 4 s while those of priority 0 are admitted
+    Then every fourth request of priority 2 is admitted
+
   Scenario Outline: A request without stages is refused by its engine's wait only
     Given a stage server that is busy, and 6 queued requests of priority 0
     When a request without stages comes whose engine waits <wait> ms of <objective> ms
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -330,6 +330,26 @@
     assert "reserved" in names, names
 
 
+@when(
+    "late requests of priority 2 come every 4 s while those of priority 0 are admitted"
+)
+def few_late_come(context: Any) -> None:
+    context.shares = []
+    for now_ms in range(0, 48_000, 4_000):
+        for number in range(6):
+            name, times = f"{now_ms}-{number}", {"deadline_ms": 10**7}
+            urgent = {"objective_ms": 10**7, **times}
+            admit(context, now_ms, request_id=name, priority=0, **urgent)
+            assert isinstance(context.admitted, Admission), context.admitted
+        late = admit(context, now_ms, objective_ms=now_ms + 60, **times)
+        context.shares.append(isinstance(late, Admission))
+
+
+@then("every fourth request of priority 2 is admitted")
+def every_fourth(context: Any) -> None:
+    assert context.shares == [False, False, False, True] * 3, context.shares
+
+
 @when(
     "a request without stages comes whose engine waits {wait:d} ms of {objective:d} ms"
 )
--- a/packages/core/src/cowsliphitch/core/batching/admission.py
+++ b/packages/core/src/cowsliphitch/core/batching/admission.py
@@ -24,11 +24,13 @@
     :param arrived: requests that arrived
     :param admitted: requests that were admitted, best-effort ones included
     :param demand: pieces that were requested, by service
+    :param refused: requests that were refused since one was admitted
     """
 
     arrived: float = 0.0
     admitted: float = 0.0
     demand: dict[str, float] = attrs.Factory(dict)
+    refused: int = 0
     updated_ms: int = 0
 
     def decay(self, now_ms: int) -> None:
@@ -84,6 +86,11 @@
         counters = self._counters[request.priority]
         counters.decay(now_ms)
         counters.admitted += 1
+        counters.refused = 0
+
+    def record_refused(self, request: StageRequest) -> None:
+        """Record that a request that has arrived was refused."""
+        self._counters[request.priority].refused += 1
 
     def record_failed(self, request: StageRequest, now_ms: int) -> None:
         """Record that an admitted request was not served after all."""
@@ -93,14 +100,21 @@
             counters.admitted = max(0.0, counters.admitted - 1)
 
     def is_underserved(self, priority: int, now_ms: int) -> bool:
-        """Return whether a priority is admitted less often than its minimum share."""
+        """Return whether a priority is admitted less often than its minimum share.
+
+        If its requests are too rare for a share, it is after some refusals in a row
+        while others are admitted.
+        """
         for counters in self._counters.values():
             counters.decay(now_ms)
         own = self._counters.get(priority)
-        if own is None or own.arrived < const.MIN_SHARE_REQUESTS:
+        if own is None:
             return False
         arrived = sum(c.arrived for c in self._counters.values())
         admitted = sum(c.admitted for c in self._counters.values())
+        if own.arrived < const.MIN_SHARE_REQUESTS:
+            has_others = admitted - own.admitted >= const.MIN_SHARE_REQUESTS
+            return has_others and own.refused >= const.MAX_REFUSED_IN_ROW
         min_share = const.MIN_SERVED_RATIO * admitted / arrived
         return own.admitted / own.arrived < min_share
 
--- a/packages/core/src/cowsliphitch/core/batching/const.py
+++ b/packages/core/src/cowsliphitch/core/batching/const.py
@@ -109,8 +109,10 @@
 # minimum is a quarter of the served requests, and some of the admitted ones fail.
 MIN_SERVED_RATIO: Final = 0.36
 
-# The share of a priority with fewer arrivals than this is not known.
+# The share of a priority with fewer arrivals than this is not known: it has less than
+# 0.6 requests a second.  Of these, every fourth is admitted, the required minimum.
 MIN_SHARE_REQUESTS: Final = 3.0
+MAX_REFUSED_IN_ROW: Final = 3
 
 # Request classes of which a sample is kept, the age up to which it is used, and the
 # resolution at which time limits are compared.
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -195,6 +195,7 @@
         is_reserved = refusal is not None and self._may_reserve(request, now_ms)
         if refusal is not None and not is_reserved:
             self.diagnostics.refused_for_priority += refusal.reason is Reason.QUEUE_FULL
+            self._priorities.record_refused(request)
             return refusal
         if is_reserved:
             best_effort = False
