Start final stages whose results live for less than the margin

A final stage is deferred if the engine would begin less than 500 ms before its results are deleted. With a lifetime of results of some 300 ms or less this held with an idle engine too, so that the stage of each request waited until shortly before its deadline.

The margin is at most half of the lifetime now; with 4 s it is 500 ms as before. The check also ends before it computes the stage's duration while the engines' queue is short, which is nearly always.

The new scenario (200 ms lifetime, engines begin in 50 ms) failed before and passes.

--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -123,6 +123,10 @@
     When its engines begin in 300 ms
     Then its stage is called
 
+  Scenario: A final stage whose results live shortly starts while engines have a short queue
+    Given a request whose engines begin in 50 ms and whose results are deleted after 200 ms
+    Then its stage is called
+
   Scenario: Late jobs start only with memory for all their results, and jobs on time at once
     Given a server with memory for 6 results, and a started job that needs 4 of them
     When a late job and a job on time of 3 pieces are queued
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -377,6 +377,16 @@
     admit(context)
 
 
+@given(
+    "a request whose engines begin in {ms:d} ms and whose results are deleted after "
+    "{ttl:d} ms"
+)
+def short_results(context: Any, ms: int, ttl: int) -> None:
+    context.planner = make_planner(attrs.evolve(POOL, result_ttl_ms=ttl))
+    context.planner.set_engine_wait("", ms)
+    admit(context)
+
+
 @when("its engines begin in {ms:d} ms")
 def engines_free(context: Any, ms: int) -> None:
     context.planner.set_engine_wait("", ms)
--- a/packages/core/src/cowsliphitch/core/batching/pipeline.py
+++ b/packages/core/src/cowsliphitch/core/batching/pipeline.py
@@ -716,10 +716,14 @@
         request = execution.request
         wait_ms = self._engine_wait_ms.get(request.engine_service, 0)
         service = request.stages[index].service
+        lifetime_ms = self._pools[service].result_ttl_ms
+        # The margin may be longer than the results live.
+        max_wait_ms = max(lifetime_ms - const.EXPIRY_MARGIN_MS, lifetime_ms / 2)
+        if wait_ms <= max_wait_ms:
+            return False
         own_ms = self._queues[service].job_duration_ms(
             request.piece_count(index), self._servers(service), now_ms
         )
-        max_wait_ms = self._pools[service].result_ttl_ms - const.EXPIRY_MARGIN_MS
         idle_engine_ms = request.engine_ms - request.engine_wait_ms
         needed_ms = max(wait_ms, own_ms) + idle_engine_ms
         return (
