--- a/features/core/admission.feature
+++ b/features/core/admission.feature
@@ -58,6 +58,11 @@
       | 3000 | 500  | 2500    |
       | 3000 | 4000 | 100     |
 
+  Scenario: Results are kept for the next engine if the first one wants no requests
+    Given results that the owner wants kept for 3000 ms
+    When the first engine refuses the request, and the owner chooses another one 500 ms later
+    Then the results are kept for 2500 ms more, and not released for the first engine
+
   # Guards against late requests that delay more urgent ones: without the rule they are
   # all admitted as best effort, and take calls, result memory and engine time.
 
@@ -95,6 +100,11 @@
     When 20 late requests of priority 2 and as many of priority 0 come
     Then priority 2 is admitted a quarter as often as all together, and ahead of 0
 
+  Scenario: A priority with few requests that are always late is not refused each time
+    Given a stage server that is busy, and 6 queued requests of priority 0
+    When late requests of priority 2 come every 4 s while those of priority 0 are admitted
+    Then every fourth request of priority 2 is admitted
+
   Scenario Outline: A request without stages is refused by its engine's wait only
     Given a stage server that is busy, and 6 queued requests of priority 0
     When a request without stages comes whose engine waits <wait> ms of <objective> ms
@@ -113,7 +123,32 @@
     When its engines begin in 300 ms
     Then its stage is called
 
+  Scenario: A final stage whose results live shortly starts while engines have a short queue
+    Given a request whose engines begin in 50 ms and whose results are deleted after 200 ms
+    Then its stage is called
+
   Scenario: Late jobs start only with memory for all their results, and jobs on time at once
     Given a server with memory for 6 results, and a started job that needs 4 of them
     When a late job and a job on time of 3 pieces are queued
     Then only the job on time is started
+
+  # Guards against a plan whose cost grows with the square of the queue: with 1,000 late
+  # jobs it took over half a second, in which the owner answered nobody.
+
+  Scenario: The cost of a plan grows in proportion to the late jobs while memory is short
+    Given a server with memory for 6 results, and a started job that needs 4 of them
+    When 400 late jobs of 3 pieces are queued
+    Then a plan looks at most 20 times at each job
+
+  # Guards against admissions that count the pieces of all admitted requests many times,
+  # also where no class is more urgent than another.
+
+  Scenario Outline: An admission counts the pieces of each admitted request once
+    Given 300 admitted requests of four stages, with the priorities <admitted>
+    When a late request of four stages and priority <rank> comes
+    Then it looked once at each stage of each admitted request
+
+    Examples:
+      | admitted | rank |
+      | 0        | 0    |
+      | 0,2,4    | 2    |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps of admission by priority and of stage results under memory pressure."""
 
 from typing import Any
+from unittest import mock
 
 import anyio
 import attrs
@@ -9,7 +10,8 @@
 from cowsliphitch.core.batching import retention
 from cowsliphitch.core.batching.models import Call, PieceDone
 from cowsliphitch.core.batching.pipeline import StagePlanner
-from cowsliphitch.core.batching.requests import Admission, StageRequest
+from cowsliphitch.core.batching.requests import Admission, Execution, StageRequest
+from cowsliphitch.core.batching.state import JobProgress
 from cowsliphitch.core.clock import ManualClock
 from cowsliphitch.core.deployment.models import StagePool, StageSpec
 from cowsliphitch.core.requests.models import Generation
@@ -168,10 +170,12 @@
 
     def __init__(self) -> None:
         self.delays_ms: list[int] = []
+        self.scopes: list[anyio.CancelScope] = []
         self.reports: list[Any] = []
 
-    def schedule(self, delay_ms: int, _scope: Any, _callback: Any) -> None:
+    def schedule(self, delay_ms: int, scope: Any, _callback: Any) -> None:
         self.delays_ms.append(delay_ms)
+        self.scopes.append(scope)
 
     def report_progress(self, _owner: str, report: Any) -> None:
         self.reports.append(report)
@@ -205,6 +209,28 @@
     assert report.released_results, report
 
 
+@when(
+    "the first engine refuses the request, and the owner chooses another one {ms:d} ms "
+    "later"
+)
+def next_engine(context: Any, ms: int) -> None:
+    async def send_twice() -> None:
+        context.reporter.start_release_timer()
+        context.clock.advance(ms)
+        chosen = StagesCompleted((), "e2", None, 0)
+        context.reporter.set_assignment(StageRunResult("owner", chosen))
+        context.reporter.start_release_timer()
+
+    anyio.run(send_twice)
+
+
+@then("the results are kept for {ms:d} ms more, and not released for the first engine")
+def kept_for_next(context: Any, ms: int) -> None:
+    assert context.runner.delays_ms[1:] == [ms], context.runner.delays_ms
+    cancelled = [scope.cancel_called for scope in context.runner.scopes]
+    assert cancelled == [True, False], cancelled
+
+
 def replay(burst: Burst | None, with_rule: bool) -> list[Report]:
     scenario = shared_engines(20_000)
     if burst is not None:
@@ -304,6 +330,26 @@
     assert "reserved" in names, names
 
 
+@when(
+    "late requests of priority 2 come every 4 s while those of priority 0 are admitted"
+)
+def few_late_come(context: Any) -> None:
+    context.shares = []
+    for now_ms in range(0, 48_000, 4_000):
+        for number in range(6):
+            name, times = f"{now_ms}-{number}", {"deadline_ms": 10**7}
+            urgent = {"objective_ms": 10**7, **times}
+            admit(context, now_ms, request_id=name, priority=0, **urgent)
+            assert isinstance(context.admitted, Admission), context.admitted
+        late = admit(context, now_ms, objective_ms=now_ms + 60, **times)
+        context.shares.append(isinstance(late, Admission))
+
+
+@then("every fourth request of priority 2 is admitted")
+def every_fourth(context: Any) -> None:
+    assert context.shares == [False, False, False, True] * 3, context.shares
+
+
 @when(
     "a request without stages comes whose engine waits {wait:d} ms of {objective:d} ms"
 )
@@ -331,6 +377,16 @@
     admit(context)
 
 
+@given(
+    "a request whose engines begin in {ms:d} ms and whose results are deleted after "
+    "{ttl:d} ms"
+)
+def short_results(context: Any, ms: int, ttl: int) -> None:
+    context.planner = make_planner(attrs.evolve(POOL, result_ttl_ms=ttl))
+    context.planner.set_engine_wait("", ms)
+    admit(context)
+
+
 @when("its engines begin in {ms:d} ms")
 def engines_free(context: Any, ms: int) -> None:
     context.planner.set_engine_wait("", ms)
@@ -372,3 +428,53 @@
 def only_on_time(context: Any) -> None:
     (call,) = context.first or context.planner.plan_calls(340)
     assert {p.job.request_id for p in call.pieces} == {"on time"}, call
+
+
+@when("{count:d} late jobs of 3 pieces are queued")
+def queue_late(context: Any, count: int) -> None:
+    context.count = count
+    for number in range(count):
+        changes = {"objective_ms": 180, "deadline_ms": 10_000_000}
+        admit(context, 170, request_id=f"late-{number}", piece_counts=(3,), **changes)
+        assert isinstance(context.admitted, Admission), context.admitted
+
+
+@then("a plan looks at most {times:d} times at each job")
+def plan_cost(context: Any, times: int) -> None:
+    is_started = JobProgress.is_started.fget  # type: ignore[attr-defined]
+    with mock.patch.object(
+        JobProgress, "is_started", property(counted := mock.Mock(wraps=is_started))
+    ):
+        context.planner.plan_calls(170)
+    assert counted.call_count <= times * context.count, counted.call_count
+
+
+FOUR_STAGES = {
+    "stages": tuple(StageSpec("s", (n - 1,) if n else (), 1) for n in range(4)),
+    "piece_counts": (1, 1, 1, 1),
+}
+
+
+@given("{count:d} admitted requests of four stages, with the priorities {ranks}")
+def four_stages(context: Any, count: int, ranks: str) -> None:
+    context.planner = make_planner()
+    priorities = [int(rank) for rank in ranks.split(",")]
+    for number in range(count):
+        rank = priorities[number % len(priorities)]
+        times = {"deadline_ms": 10_000_000, "objective_ms": 9_000_000}
+        admit(context, request_id=f"r{number}", priority=rank, **times, **FOUR_STAGES)
+        assert isinstance(context.admitted, Admission), context.admitted
+
+
+@when("a late request of four stages and priority {rank:d} comes")
+def late_four_stages(context: Any, rank: int) -> None:
+    with mock.patch.object(
+        Execution, "is_pending", autospec=True, side_effect=Execution.is_pending
+    ) as context.counted:
+        admit(context, priority=rank, **FOUR_STAGES)
+
+
+@then("it looked once at each stage of each admitted request")
+def looked_once(context: Any) -> None:
+    # The request that comes may be admitted, and looks at its own stages then.
+    assert context.counted.call_count <= 300 * 4 + 4, context.counted.call_count
