Add the check of a settings document and its difference

Cause: a document that can be decoded takes effect at all daemons at once, also where routes never match, limits contradict each other or the version does not rise. Operators had no way to find this beforehand.

Change: check_deployment returns findings with path, severity and sentence, find_differences compares two decoded documents by the names of their rows and masks API keys.

--- /dev/null
+++ b/features/steps/deployment_check_steps.py
@@ -0,0 +1,70 @@
+"""Steps on the check of settings documents."""
+
+import json
+from typing import Any
+
+from behave import given, then, when
+
+from cowsliphitch.core.deployment.check import (
+    CheckLimits,
+    Finding,
+    Severity,
+    check_deployment,
+)
+from cowsliphitch.core.deployment.difference import Difference, find_differences
+from cowsliphitch.platform.operator_document import (
+    SECRET_SECTION,
+    decode_document,
+    decode_rows,
+)
+from cowsliphitch.standins.site import document
+
+KEYS = {"first-key": "one", "second-key": "two"}
+
+
+def findings(doc: dict[str, Any]) -> tuple[Finding, ...]:
+    deployment = decode_document(json.dumps(doc)).unwrap()
+    return check_deployment(deployment, decode_rows(doc), CheckLimits(160, 7))
+
+
+@given("an operator's valid document")
+def create_document(context: Any) -> None:
+    context.doc = json.loads(document(8, KEYS))
+
+
+@when('"{path}" is set to {value}')
+def set_field(context: Any, path: str, value: str) -> None:
+    *parents, field = [int(p) if p.isdigit() else p for p in path.split(".")]
+    place = context.doc
+    for parent in parents:
+        place = place[parent]
+    if isinstance(place, list) and field == len(place):
+        place.append(None)
+    place[field] = json.loads(value)
+
+
+@then("its check has no findings")
+def check_no_findings(context: Any) -> None:
+    assert findings(context.doc) == ()
+
+
+@then('its check has only the {severity} at "{path}" with "{words}"')
+def check_only_finding(context: Any, severity: str, path: str, words: str) -> None:
+    found = findings(context.doc)
+    assert [(f.path, f.severity) for f in found] == [(path, Severity(severity))], found
+    assert words in found[0].detail, found
+
+
+@then('its check has the error at "{path}" with "{words}"')
+def check_error(context: Any, path: str, words: str) -> None:
+    first = findings(context.doc)[0]
+    assert first.path == path and first.severity is Severity.ERROR, first
+    assert words in first.detail, first
+
+
+@then('its only difference is "{path}" from {old} to {new}')
+def check_difference(context: Any, path: str, old: str, new: str) -> None:
+    in_force = json.loads(document(8, KEYS))
+    found = find_differences(in_force, context.doc, SECRET_SECTION)
+    sides = [None if side == "nothing" else side for side in (old, new)]
+    assert found == (Difference(path, *sides),), found
