--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -11,7 +11,8 @@
 from cleo.testers.command_tester import CommandTester
 
 from cowsliphitch.core.clock import ManualClock
-from cowsliphitch.operators.cli.platform import DeploymentCheckCommand, ExplainCommand
+from cowsliphitch.operators.cli.deployment import DeploymentCheckCommand
+from cowsliphitch.operators.cli.platform import ExplainCommand
 from cowsliphitch.telemetry.logs import BoundedHandler, event
 
 LOG_LINES = {
--- a/packages/operators/src/cowsliphitch/operators/cli/__init__.py
+++ b/packages/operators/src/cowsliphitch/operators/cli/__init__.py
@@ -10,7 +10,8 @@
     ConfigReadCommand,
     ConfigStoreCommand,
 )
-from .platform import DeploymentCheckCommand, ExplainCommand, StateCommand
+from .deployment import DeploymentCheckCommand
+from .platform import ExplainCommand, StateCommand
 from .requests import RequestCommand, TokenCommand
 from .status import (
     AuditCommand,
--- a/packages/operators/src/cowsliphitch/operators/cli/const.py
+++ b/packages/operators/src/cowsliphitch/operators/cli/const.py
@@ -18,3 +18,6 @@
 CONFIRM_TIMEOUT_MS: Final = 1_000
 POLL_INTERVAL_MS: Final = 100
 DEFAULT_WAIT_MS: Final = 6_000
+
+# Memory of the smallest VM that runs a daemon, in MB.
+SMALLEST_VM_MB: Final = 160
--- a/packages/operators/src/cowsliphitch/operators/cli/platform.py
+++ b/packages/operators/src/cowsliphitch/operators/cli/platform.py
@@ -1,4 +1,4 @@
-"""Commands for daemons on the platform: explain, deployment check and state."""
+"""Commands for daemons on the platform: explain and state."""
 
 import json
 from collections.abc import Iterable, Iterator
@@ -8,10 +8,8 @@
 import httpx
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
-from result import Err, Ok
 
 from cowsliphitch.core.clock import seconds
-from cowsliphitch.platform.operator_document import decode_document
 
 from . import const
 from .base import BaseCommand
@@ -83,34 +81,6 @@
     )
 
 
-class DeploymentCheckCommand(Command):
-    """Check a settings document in the platform's format."""
-
-    name = "deployment check"
-    description = "Check a settings document in the platform's format."
-    arguments = [argument("file", "The document, as the operator would write it.")]
-
-    def handle(self) -> int:
-        """Decode the file and print its error, or a summary of its content."""
-        name = cast(str, self.argument("file"))
-        try:
-            content = Path(name).read_bytes()
-        except OSError as exc:
-            self.line_error(f"{name}: {exc.strerror}")
-            return const.EXIT_INVALID
-        match decode_document(content):
-            case Err(detail):
-                self.line_error(f"{name}: {detail}")
-                return const.EXIT_INVALID
-            case Ok(document):
-                self.line(
-                    f"{name}: version {document.version}, {len(document.all_routes())} "
-                    f"routes, {len(document.services)} services, "
-                    f"{len(set(document.team_by_key.values()))} teams"
-                )
-        return const.EXIT_OK
-
-
 class StateCommand(BaseCommand):
     """Print the state of a daemon on the platform."""
 
