Handle no request of a connection that was closed behind unread answers

Cause: a request that waits until the answers before it are read is handled when the wait ends, also when it ends because the connection was reset. Its input was read ahead, so that no read of the socket shows the end, and the handler could send it to a server before the disconnect was noticed.

Change: a lost connection ends before its next request is parsed.

The new scenario of features/callers/edge.feature failed before (the handler received 3 requests instead of 2).

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -92,3 +92,9 @@
     When another caller comes after a caller has read nothing for 2500 ms at a limit of 1
     Then the caller gets 8 MB
     And 1 connection was closed as "evicted"
+
+  Scenario: A request behind unread answers is not handled once its connection was closed
+    Given an edge server whose answers have 1 MB
+    When a caller of 2 requests reads nothing for 1500 ms, and then makes room for another
+    Then 1 connection was closed as "evicted"
+    And the handler received 2 requests
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -378,3 +378,21 @@
 def assert_closed(context: Any, count: int, cause: str) -> None:
     closed = context.edge.server.diagnostics.closed_by_cause()
     assert {c: n for c, n in closed.items() if n} == {cause: count}, closed
+
+
+@when(
+    "a caller of {count:d} requests reads nothing for {ms:d} ms, and then makes room"
+    " for another"
+)
+def make_room(context: Any, count: int, ms: int) -> None:
+    context.edge.server._max_connections = 1
+
+    async def call(stream: SocketStream) -> int:
+        await stream.send(PLAIN_REQUEST * count)
+        await anyio.sleep(ms / 1_000)
+        assert len(context.edge.requests) == 1, "the answer does not fit in the kernel"
+        async with await connect_edge(context.edge.port) as other:
+            await other.send(PLAIN_REQUEST)
+            return await read_body(other, MB, 0)
+
+    context.edge.run(call, connect_unread)
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -254,6 +254,9 @@
             ),
             lambda: anyio.sleep(seconds(const.STATE_POLL_MS)),
         )
+        if self._stream.is_lost:
+            # Input that was read ahead may hold a whole request, which nobody awaits.
+            raise _CallerDisconnected
         try:
             with anyio.fail_after(seconds(limits.header_timeout_ms)):
                 event = await self._next_event(const.READ_HEAD_BYTES)
