End a daemon whose listening socket accepts no more connections

Cause: each error of accept was taken to pass, unless the socket was closed. With a socket that no longer listens (EINVAL) the listener tried again every 100 ms without end or log line, and the daemon looked alive to its peers. On a closed socket, removing the reader raised ValueError in place of the error that names the listener.

Change: EBADF, EINVAL and ENOTSOCK end the server; other errors are retried.

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -98,3 +98,8 @@
     When a caller of 2 requests reads nothing for 1500 ms, and then makes room for another
     Then 1 connection was closed as "evicted"
     And the handler received 2 requests
+
+  Scenario: A listener that accepts no more connections ends the server
+    Given an edge server whose limits are 2000 bytes of head and 1000 bytes of body
+    When its listening socket no longer listens
+    Then the server ends with "no further connections are accepted"
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -396,3 +396,27 @@
             return await read_body(other, MB, 0)
 
     context.edge.run(call, connect_unread)
+
+
+@when("its listening socket no longer listens")
+def end_listening(context: Any) -> None:
+    server, accept = context.edge.server, context.edge.server._accept
+
+    async def shut_down(listening: socket.socket, group: Any) -> None:
+        listening.shutdown(socket.SHUT_RDWR)
+        await accept(listening, group)
+
+    async def run() -> None:
+        with anyio.fail_after(READ_TIMEOUT_S):
+            await server.run()
+
+    with mock.patch.object(server, "_accept", shut_down):
+        try:
+            anyio.run(run)
+        except BaseExceptionGroup as group:
+            context.errors = [str(exc) for exc in group.exceptions]
+
+
+@then('the server ends with "{text}"')
+def assert_server_ended(context: Any, text: str) -> None:
+    assert [text in error for error in context.errors] == [True], context.errors
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import errno
 import logging
 import socket
 import sys
 from collections.abc import Callable
+from typing import Final
 
 import anyio
 from anyio.abc import SocketAttribute, TaskGroup, TaskStatus
@@ -25,6 +27,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# Errors of a socket that is closed or no longer listens.  Others pass: no descriptor or
+# kernel memory is free, or the caller has left.
+_LISTENER_ERRORS: Final = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTSOCK})
+
 
 class EdgeServer:
     """HTTP server on one address.
@@ -69,7 +75,7 @@
     ) -> None:
         """Accept connections until cancelled.
 
-        :raises RuntimeError: the listening socket was closed
+        :raises RuntimeError: the listening socket accepts no more connections
         """
         host, _, port = self._address.rpartition(":")
         listener = await anyio.create_tcp_listener(
@@ -84,7 +90,7 @@
     async def _accept(self, listening: socket.socket, group: TaskGroup) -> None:
         """Accept connections on a listening socket, one at a time.
 
-        :raises RuntimeError: the socket was closed
+        :raises RuntimeError: the socket accepts no more connections
         """
         loop = asyncio.get_running_loop()
         while True:
@@ -92,18 +98,19 @@
             try:
                 sock, _ = await loop.sock_accept(listening)
             except OSError as exc:
-                if listening.fileno() < 0:
+                if exc.errno in _LISTENER_ERRORS:
                     # End the daemon, so that it restarts: otherwise it would look alive
                     # to its peers without accepting connections.
                     raise RuntimeError(
                         f"listener on {self._address} stopped; no further connections"
                         " are accepted"
                     ) from exc
-                # No descriptor or kernel memory is free, or the caller has left.
                 await anyio.sleep(seconds(const.ACCEPT_RETRY_MS))
                 continue
             finally:
-                loop.remove_reader(listening)
+                # asyncio does not do so if the wait is cancelled.
+                if listening.fileno() >= 0:
+                    loop.remove_reader(listening)
             if not self._make_room():
                 self.diagnostics.refused_connections += 1
                 sock.close()
