End a daemon that fails at once, with its last log lines

Cause: only a stop by a signal ends the process without waiting for threads and for calls of peers. After an error that ends a daemon, such as that of a listener, the end of the event loop waited for them without a limit and without a signal there is no timer, so that the daemon was not started again. The lines that were buffered, and the error itself, were not in the log.

Change: the error is logged as daemon.failed, the buffer of the log is written, the traceback still goes to standard error, and the process ends with status 1, as before.

--- a/features/daemon/exits.feature
+++ b/features/daemon/exits.feature
@@ -21,3 +21,7 @@
   Scenario: A process that is busy without end is ended before the end of its grace period
     When a process that may take 600 ms to stop receives SIGTERM in an endless loop
     Then it has logged that it was ended before the end of its grace period, and exits with 3
+
+  Scenario: A daemon that fails ends at once, so that it is started again
+    When a daemon fails while a thread of it waits for 30 s
+    Then it logs why, and exits with 1 within 10 s
--- a/features/steps/exit_steps.py
+++ b/features/steps/exit_steps.py
@@ -158,6 +158,44 @@
 """
 
 
+FAILING_PROGRAM = """
+import asyncio, signal, time
+from types import SimpleNamespace
+import anyio
+from cowsliphitch.gateway import cli
+from cowsliphitch.gateway.signals import StopSignals
+
+class FailingGateway:
+    def __init__(self, *_):
+        pass
+
+    async def run(self, *_):
+        asyncio.get_running_loop().run_in_executor(None, time.sleep, 30)
+        raise RuntimeError("injected error")
+
+cli.Gateway = FailingGateway
+cfg = SimpleNamespace(name="failing", shutdown=SimpleNamespace(grace=2_000))
+anyio.run(cli._serve, cfg, StopSignals([signal.SIGTERM]))
+"""
+
+
+@when("a daemon fails while a thread of it waits for 30 s")
+def fail_with_thread(context: Any) -> None:
+    context.process = subprocess.Popen(
+        [sys.executable, "-c", FAILING_PROGRAM],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    )
+    context.add_cleanup(context.process.kill)
+
+
+@then("it logs why, and exits with {status:d} within {limit_s:d} s")
+def has_failed(context: Any, status: int, limit_s: int) -> None:
+    output, _ = context.process.communicate(timeout=limit_s)
+    assert b"daemon.failed" in output and b"injected error" in output, output
+    assert context.process.returncode == status, context.process.returncode
+
+
 @when("a process that may take {ms:d} ms to stop receives SIGTERM in an endless loop")
 def stop_busy(context: Any, ms: int) -> None:
     context.process = subprocess.Popen(
--- a/packages/gateway/src/cowsliphitch/gateway/cli.py
+++ b/packages/gateway/src/cowsliphitch/gateway/cli.py
@@ -7,6 +7,7 @@
 import os
 import sys
 import time
+import traceback
 
 import anyio
 from result import Err, Ok
@@ -22,6 +23,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 # Objects created at startup are never freed, so they are excluded from garbage
@@ -77,8 +79,16 @@
 
     plan = ShutdownPlan(cfg.shutdown.grace)
     signals.limit_exit(plan.forced_exit_ms, log_forced_exit)
-    with signals.notify(functools.partial(loop.call_soon_threadsafe, stop.set)):
-        await gateway.run(stop, lambda: signals.received_ms)
     # The end of the event loop would wait without a limit for calls of peers that read
     # nothing, and for threads that look up names.  The system closes the sockets.
+    try:
+        with signals.notify(functools.partial(loop.call_soon_threadsafe, stop.set)):
+            await gateway.run(stop, lambda: signals.received_ms)
+    except Exception:
+        try:
+            _LOGGER.critical("daemon.failed", exc_info=True)
+            log_handler.write_pending()
+            traceback.print_exc()
+        finally:
+            os._exit(EXIT_FAILED)
     os._exit(EXIT_OK)
