Count no input of a connection that was moved to a request's body

Cause: the input of a connection was counted when it was read, and again only at the next read. After a body, up to 64 KB of it remained counted, pinned, while its request was handled and while the connection was idle, in addition to the buffer of the body. Some 150 idle connections of that kind fill a budget of 16 MB (150 x 104 KB, calculated), and further ones are refused.

Change: the input is counted again once the request has been read.

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -103,3 +103,8 @@
     Given an edge server whose limits are 2000 bytes of head and 1000 bytes of body
     When its listening socket no longer listens
     Then the server ends with "no further connections are accepted"
+
+  Scenario: An idle connection holds no memory of its last request
+    Given an edge server whose limits are 2000 bytes of head and 100000 bytes of body
+    When a caller has got the answer to a body of 60000 bytes
+    Then its connection counts 40000 bytes
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -420,3 +420,19 @@
 @then('the server ends with "{text}"')
 def assert_server_ended(context: Any, text: str) -> None:
     assert [text in error for error in context.errors] == [True], context.errors
+
+
+@when("a caller has got the answer to a body of {size:d} bytes")
+def send_body(context: Any, size: int) -> None:
+    async def call(stream: SocketStream) -> int:
+        await stream.send(sized(size))
+        await read_body(stream, size, 0)
+        await anyio.sleep(0.1)
+        return context.edge.server._budget.used
+
+    context.counted = context.edge.run(call)
+
+
+@then("its connection counts {count:d} bytes")
+def assert_counted(context: Any, count: int) -> None:
+    assert context.counted == count, context.counted
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -268,6 +268,8 @@
             return None
         host = _validate_head(event, limits)
         body = await self._read_body(limits, buffer)
+        # The input is in the body now, which is counted apart.
+        self._count_input()
         return EdgeRequest(
             method=event.method,
             target=event.target,
