--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -92,3 +92,19 @@
     When another caller comes after a caller has read nothing for 2500 ms at a limit of 1
     Then the caller gets 8 MB
     And 1 connection was closed as "evicted"
+
+  Scenario: A request behind unread answers is not handled once its connection was closed
+    Given an edge server whose answers have 1 MB
+    When a caller of 2 requests reads nothing for 1500 ms, and then makes room for another
+    Then 1 connection was closed as "evicted"
+    And the handler received 2 requests
+
+  Scenario: A listener that accepts no more connections ends the server
+    Given an edge server whose limits are 2000 bytes of head and 1000 bytes of body
+    When its listening socket no longer listens
+    Then the server ends with "no further connections are accepted"
+
+  Scenario: An idle connection holds no memory of its last request
+    Given an edge server whose limits are 2000 bytes of head and 100000 bytes of body
+    When a caller has got the answer to a body of 60000 bytes
+    Then its connection counts 40000 bytes
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -378,3 +378,61 @@
 def assert_closed(context: Any, count: int, cause: str) -> None:
     closed = context.edge.server.diagnostics.closed_by_cause()
     assert {c: n for c, n in closed.items() if n} == {cause: count}, closed
+
+
+@when(
+    "a caller of {count:d} requests reads nothing for {ms:d} ms, and then makes room"
+    " for another"
+)
+def make_room(context: Any, count: int, ms: int) -> None:
+    context.edge.server._max_connections = 1
+
+    async def call(stream: SocketStream) -> int:
+        await stream.send(PLAIN_REQUEST * count)
+        await anyio.sleep(ms / 1_000)
+        assert len(context.edge.requests) == 1, "the answer does not fit in the kernel"
+        async with await connect_edge(context.edge.port) as other:
+            await other.send(PLAIN_REQUEST)
+            return await read_body(other, MB, 0)
+
+    context.edge.run(call, connect_unread)
+
+
+@when("its listening socket no longer listens")
+def end_listening(context: Any) -> None:
+    server, accept = context.edge.server, context.edge.server._accept
+
+    async def shut_down(listening: socket.socket, group: Any) -> None:
+        listening.shutdown(socket.SHUT_RDWR)
+        await accept(listening, group)
+
+    async def run() -> None:
+        with anyio.fail_after(READ_TIMEOUT_S):
+            await server.run()
+
+    with mock.patch.object(server, "_accept", shut_down):
+        try:
+            anyio.run(run)
+        except BaseExceptionGroup as group:
+            context.errors = [str(exc) for exc in group.exceptions]
+
+
+@then('the server ends with "{text}"')
+def assert_server_ended(context: Any, text: str) -> None:
+    assert [text in error for error in context.errors] == [True], context.errors
+
+
+@when("a caller has got the answer to a body of {size:d} bytes")
+def send_body(context: Any, size: int) -> None:
+    async def call(stream: SocketStream) -> int:
+        await stream.send(sized(size))
+        await read_body(stream, size, 0)
+        await anyio.sleep(0.1)
+        return context.edge.server._budget.used
+
+    context.counted = context.edge.run(call)
+
+
+@then("its connection counts {count:d} bytes")
+def assert_counted(context: Any, count: int) -> None:
+    assert context.counted == count, context.counted
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -254,6 +254,9 @@
             ),
             lambda: anyio.sleep(seconds(const.STATE_POLL_MS)),
         )
+        if self._stream.is_lost:
+            # Input that was read ahead may hold a whole request, which nobody awaits.
+            raise _CallerDisconnected
         try:
             with anyio.fail_after(seconds(limits.header_timeout_ms)):
                 event = await self._next_event(const.READ_HEAD_BYTES)
@@ -265,6 +268,8 @@
             return None
         host = _validate_head(event, limits)
         body = await self._read_body(limits, buffer)
+        # The input is in the body now, which is counted apart.
+        self._count_input()
         return EdgeRequest(
             method=event.method,
             target=event.target,
