Estimate each engine's speed, slots and memory when one is chosen

Cause: the selector had one prefill speed and one cache size for all engines, knew nothing of slots and of the memory of running requests, and kept a request in its account for 20 ms per token of the maximum output, since most ends are not reported.

Engines without a limited memory (EnginePool missing or 2 M tokens) are selected as before. The log line engine.chosen and two counters say what was weighed.

--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -126,6 +126,9 @@
                 tasks,
                 quarantine,
                 cell,
+                lambda choice: self._metrics.record_engine_choice(
+                    choice.server.service, choice.cached_tokens
+                ),
             ),
             tasks,
         )
--- a/packages/gateway/src/cowsliphitch/gateway/metrics.py
+++ b/packages/gateway/src/cowsliphitch/gateway/metrics.py
@@ -40,6 +40,10 @@
         )
 
         self._take_ups = self._meter.create_counter("cowsliphitch_stream_take_ups")
+        self._engine_choices = self._meter.create_counter("cowsliphitch_engine_choices")
+        self._cached_tokens = self._meter.create_counter(
+            "cowsliphitch_prefill_tokens_saved"
+        )
         self._loop_delays = self._meter.create_histogram(
             "cowsliphitch_loop_delay", unit="ms"
         )
@@ -51,6 +55,12 @@
         """
         self._take_ups.add(1, {"outcome": outcome})
 
+    def record_engine_choice(self, service: str, cached_tokens: int) -> None:
+        """Count the choice of an engine, and the prompt tokens that it has cached."""
+        labels = {"service": service, "cached": "yes" if cached_tokens else "no"}
+        self._engine_choices.add(1, labels)
+        self._cached_tokens.add(cached_tokens, {"service": service})
+
     def record_loop_delay(self, delay_ms: int) -> None:
         """Record by how much the event loop ran a periodic task too late."""
         self._loop_delays.record(delay_ms)
--- a/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
+++ b/packages/gateway/src/cowsliphitch/gateway/stage_executor.py
@@ -100,6 +100,7 @@
         tasks: BackgroundTasks,
         quarantine: EngineQuarantine,
         cell: Cell = WHOLE_FLEET,
+        record_choice: Callable[[EngineChoice], None] = lambda _choice: None,
     ) -> None:
         """Initialize without stage pools.
 
@@ -107,6 +108,7 @@
         :param quarantine: learns which requests were at servers that crashed
         :param tasks: send the calls to servers
         :param cell: the failure domains whose servers are used
+        :param record_choice: counts a choice of an engine
         """
         self._state = state
         self._client = client
@@ -114,6 +116,7 @@
         self._tasks = tasks
         self._quarantine = quarantine
         self._cell = cell
+        self._record_choice = record_choice
         # Ready servers of the cell by service, with all ready ones at that time.
         self._ready_servers: dict[
             str, tuple[tuple[Server, ...], tuple[Server, ...]]
@@ -291,6 +294,7 @@
             self._bytes_by_domain(request, results),
             now,
             excluded,
+            request.priority,
         )
 
     def _assign_engine(
@@ -324,10 +328,19 @@
             expected_ms=round(choice.first_token_ms),
             read_again=choice.recomputed_tokens,
             parts=tuple(part.id for part in request.generation.shared_parts),
+            cached=choice.cached_tokens,
+            saved_ms=round(choice.saved_ms),
+            wait_ms=round(choice.wait_ms),
             engine=self.engine_selector.load(choice.server),
         )
+        self._record_choice(choice)
         self.engine_selector.record_dispatch(
-            request.request_id, choice.server, request.generation, now
+            request.request_id,
+            choice.server,
+            request.generation,
+            now,
+            request.priority,
+            permit_wait_ms or 0,
         )
         return StagesCompleted(results, choice.server.id, permit_wait_ms)
 
@@ -387,6 +400,13 @@
                 if service.stage_pool is not None
             }
         )
+        self.engine_selector.set_pools(
+            {
+                name: service.engine_pool
+                for name, service in deployment.services.items()
+                if service.engine_pool is not None
+            }
+        )
 
     def _start_calls(self) -> None:
         for call in self.planner.plan_calls(self._state.clock.now_ms()):
