Keep one stalled request from making an engine slow

Cause: a sample counted as up to three times the expected time, so one request that took 3 s longer lowered the estimated speed of an engine by a quarter.

Change: a sample counts as at most 1.5 times the expected time, or 3 times if the previous one was beyond that bound too; earlier samples keep 0.75 of their weight, not 0.85, so that a changed speed is found as soon.

The new scenario fails with the previous constants.

--- a/features/core/engine_load.feature
+++ b/features/core/engine_load.feature
@@ -82,6 +82,13 @@
     And a prompt of 10800 new tokens arrives every 120 ms for 6 s and every 5th report is lost
     Then the last engine has prefilled less than a quarter of the tokens
 
+  # Guards against an engine that counts as one of 0.6 of the usual speed after one
+  # request that stalled; the bound is half way between 0.6 and 1.
+  Scenario: One stalled request does not make an engine slow
+    Given 3 engines with 8 slots and memory for 200000 tokens of which "e2" has "p" cached
+    When "e1" prefills 8 prompts in 320 ms each, and another one in 3000 ms
+    Then the speed of "e1" is estimated at 0.8 of the usual one or more
+
   # Guards against other choices where neither slots nor memory are scarce.
   Scenario: Equal engines with ample memory are chosen as without limits
     Given 9 equal engines with and without 64 slots and memory for 600000 tokens
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -91,6 +91,25 @@
     assert load["waiting_tokens"] == 0, load
 
 
+@when(
+    '"{name}" prefills {count:d} prompts in {ms:d} ms each, and another one in '
+    "{last:d} ms"
+)
+def prefills_prompts(context: Any, name: str, count: int, ms: int, last: int) -> None:
+    for took_ms in (*[ms] * count, last):
+        request = dispatch(context, name, generation(context, f"p{context.number}"))
+        context.now_ms += took_ms
+        context.selector.record_first_token(request, context.now_ms)
+        context.selector.record_end(request)
+        context.now_ms += 1_000
+
+
+@then('the speed of "{name}" is estimated at {ratio:g} of the usual one or more')
+def estimated_at(context: Any, name: str, ratio: float) -> None:
+    speed = context.selector.load(context.engines[name])["tokens_per_ms"]
+    assert speed >= ratio * PREFILL_TOKENS_PER_MS, speed
+
+
 def start(context: Any, name: str, count: int, tokens: int, part: str) -> None:
     for number in range(count):
         requested = generation(context, part.format(number), tokens)
--- a/packages/core/src/cowsliphitch/core/engines/const.py
+++ b/packages/core/src/cowsliphitch/core/engines/const.py
@@ -49,12 +49,14 @@
 MEASUREMENT_DEVIATION_SHARE: Final = 0.15
 
 # A measured time counts as at most this multiple of the expected one, and at least its
-# inverse, so that one stalled request does not make an engine slow.  The step from 1.6
-# to 0.6 of the usual speed is a factor of 2.7.
-MAX_SAMPLE_RATIO: Final = 3.0
+# inverse, so that one stalled request does not make an engine slow.  If the previous
+# one was beyond the same bound, the speed has changed and the second value applies; the
+# step from 1.6 to 0.6 of the usual speed is a factor of 2.7.
+MAX_SAMPLE_RATIO: Final = 1.5
+MAX_CHANGE_RATIO: Final = 3.0
 
 # Weight of earlier measurements after another one: an engine's speed changes.
-SPEED_RETENTION: Final = 0.85
+SPEED_RETENTION: Final = 0.75
 
 # Time after which a measurement has half its weight, so that an engine that was slow
 # and got no requests since is tried again.
--- a/packages/core/src/cowsliphitch/core/engines/speed.py
+++ b/packages/core/src/cowsliphitch/core/engines/speed.py
@@ -42,6 +42,8 @@
     # Time of the latest first token, and tokens that were prefilled in the same step.
     _previous_ms: int | None = None
     _same_step_tokens: int = 0
+    # 1 if the latest sample was far above the expected time, -1 if far below, else 0.
+    _previous_outlier: int = 0
 
     @property
     def tokens_per_ms(self) -> float:
@@ -79,8 +81,7 @@
     def _add(self, steps: float, tokens: int, took_ms: float) -> None:
         """Add a measured time of a number of first steps and prompt tokens."""
         expected_ms = max(1.0, steps * self.first_step_ms + tokens * self.token_ms)
-        most_ms = expected_ms * const.MAX_SAMPLE_RATIO
-        took_ms = min(most_ms, max(expected_ms / const.MAX_SAMPLE_RATIO, took_ms))
+        took_ms = expected_ms * self._bounded(took_ms / expected_ms)
         deviation_ms = (
             const.MEASUREMENT_DEVIATION_MS
             + expected_ms * const.MEASUREMENT_DEVIATION_SHARE
@@ -94,6 +95,15 @@
         self._token_time += weight * tokens * took_ms
         self._solve()
 
+    def _bounded(self, ratio: float) -> float:
+        """Return the ratio of a measured to the expected time within the bounds."""
+        bound = const.MAX_SAMPLE_RATIO
+        outlier = (ratio > bound) - (ratio < 1.0 / bound)
+        if outlier and outlier == self._previous_outlier:
+            bound = const.MAX_CHANGE_RATIO
+        self._previous_outlier = outlier
+        return min(bound, max(1.0 / bound, ratio))
+
     def forget(self, passed_ms: int) -> None:
         """Reduce the weight of the measurements with the time that has passed."""
         if passed_ms > 0 and (self._tokens or self._steps):
