Count shared prompt parts once in an engine's memory

Cause: the held memory counted the prefix of every running request, and the cached parts counted it once more. With a common prefix of 12,000 tokens, four requests seemed to hold 53,600 tokens instead of 17,600, so that prefixes counted as evicted and requests as waiting for memory. Also: a request was admitted beyond the slots when a running one was overdue; first tokens raised the running requests beyond the slots, since most ends are not reported; a prompt stated shorter than its cached parts made the waiting tokens negative; and each choice went through all requests of full engines.

Change: engines/memory.py counts requests by part, and cached parts that a running request holds take no further memory. A request is admitted only if it fits. The running request with the earliest expected end counts as ended if another one begins while no slot is free. The expected admissions of a full engine are kept by priority until its state changes, at most 200 ms. An unused constant is removed from selector.py.

The scenarios on memory had bounds that followed from the wrong account; their bounds are now the sums that they state, on both sides.

--- a/features/core/engine_load.feature
+++ b/features/core/engine_load.feature
@@ -23,8 +23,9 @@
       | 200    | not placed at |
       | 1000   | not placed at |
 
-  # 4 requests hold 53,600 tokens, and the prefix and the latest own part 13,000; the next
-  # request needs 13,400.
+  # 4 requests hold the prefix of 12,000 tokens once and 1,400 tokens each, and the next
+  # request needs 1,400 more: 19,000.  An account that counts the prefix for each of them
+  # places the next request elsewhere.
   Scenario Outline: A cached prefix is worth less than a long wait for memory
     Given 3 engines with 64 slots and memory for <memory> tokens of which "e2" has "p" cached
     When "e2" runs 4 requests of up to 1000 output tokens
@@ -33,15 +34,51 @@
 
     Examples:
       | memory | cached | placed        |
-      | 67100  | 12000  | placed at     |
-      | 66800  | 12000  | not placed at |
+      | 19000  | 12000  | placed at     |
+      | 18900  | 12000  | not placed at |
 
   # Guards against an account in which a prefix stays cached although running requests
   # have taken its memory.
-  Scenario: Running requests evict the least recently used parts
-    Given 3 engines with 64 slots and memory for 100000 tokens of which "e2" has "p" cached
+  # 4 requests hold 53,600 tokens, and "p" and the part after it 13,000.
+  Scenario Outline: Running requests evict the least recently used parts
+    Given 3 engines with 64 slots and memory for <memory> tokens of which "e2" has "p" cached
     When "e2" runs 4 requests of up to 1000 output tokens without common parts
-    Then "e2" has 0 tokens of "p" cached
+    Then "e2" has <cached> tokens of "p" cached
+
+    Examples:
+      | memory | cached |
+      | 66600  | 12000  |
+      | 66500  | 0      |
+
+  # Guards against an account that leaks or becomes negative when requests with a common
+  # prefix end in any order, and reports are lost or repeated.
+  Scenario: The account is empty after requests with common parts have ended
+    Given 3 engines with 4 slots and memory for 100000 tokens of which "e2" has "p" cached
+    When 500 requests of 7 prefixes are sent to "e2" and begin and end in random order
+    Then "e2" holds each running prompt part once at every step
+    And the account of "e2" is empty after the last end
+
+  # Guards against prompts whose stated length is less than that of their parts, which
+  # callers can send: they made the waiting tokens negative and the engine look idle.
+  Scenario: A prompt that is shorter than its parts does not hide waiting tokens
+    Given 3 engines with 4 slots and memory for 200000 tokens of which "e2" has "p" cached
+    When "e2" gets a prompt of 1000 tokens of which "p" alone has more
+    Then "e2" has no prompt tokens waiting
+
+  # Guards against requests that count as running beyond the slots, when the expected end
+  # of a running request has passed.
+  Scenario: A request waits for a slot although a running one is overdue
+    Given 3 engines with 4 slots and memory for 200000 tokens of which "e2" has "p" cached
+    When "e2" runs 4 requests of up to 50 output tokens
+    And 1 requests with priority 0 wait for a slot at "e2" 5000 ms later
+    Then 1 request waits at "e2"
+
+  # Guards against ended requests that keep slots, since most ends are not reported.
+  Scenario: A first token beyond the slots shows that a request has ended
+    Given 3 engines with 4 slots and memory for 200000 tokens of which "e2" has "p" cached
+    When "e2" runs 12 requests of up to 1000 output tokens
+    And the account is maintained 50 ms later
+    Then "e2" runs 4 requests in its account
 
   # Guards against urgent requests that avoid an engine because of less urgent ones, which
   # the engine admits after them.
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -151,6 +151,90 @@
     assert choice.cached_tokens == tokens, choice
 
 
+@when(
+    '{count:d} requests of {prefixes:d} prefixes are sent to "{name}" and begin and '
+    "end in random order"
+)
+def random_order(context: Any, count: int, prefixes: int, name: str) -> None:
+    rng = random.Random(1)
+    context.held, flying = [], []
+    for _ in range(count):
+        part = f"prefix-{rng.randrange(prefixes)}"
+        requested = generation(context, part, rng.randrange(2_000))
+        flying.append(dispatch(context, name, requested, rng.randrange(3)))
+        context.now_ms += 10
+        for request in rng.sample(flying, min(2, len(flying))):
+            context.selector.record_first_token(request, context.now_ms)
+        while len(flying) > rng.randrange(4, 9):
+            ended = flying.pop(rng.randrange(len(flying)))
+            context.selector.record_end(ended)
+            context.selector.record_end(ended)
+        context.held.append(account_of(context, name))
+    for request in flying:
+        context.selector.record_end(request)
+
+
+def account_of(context: Any, name: str) -> tuple[int, int, int, int]:
+    """Return held and unheld cached tokens, as kept and as summed up from scratch."""
+    state = context.selector._state_of(context.engines[name])
+    memory = state.memory
+    running = [d.demand for d in state.dispatches if d.admitted]
+    parts = {p.id: p.tokens for demand in running for p in demand.parts}
+    held = sum(parts.values()) + sum(demand.own_tokens for demand in running)
+    unheld = sum(t for p, t in memory.cached_parts.items() if p not in parts)
+    return memory.held.tokens, memory._unheld_tokens, held, unheld
+
+
+@then('"{name}" holds each running prompt part once at every step')
+def holds_once(context: Any, name: str) -> None:
+    for kept_held, kept_unheld, held, unheld in context.held:
+        assert (kept_held, kept_unheld) == (held, unheld)
+
+
+@then('the account of "{name}" is empty after the last end')
+def is_empty(context: Any, name: str) -> None:
+    state = context.selector._state_of(context.engines[name])
+    assert account_of(context, name)[0] == 0
+    assert (state.admitted, state.running, state.waiting_tokens) == (0, 0, 0), state
+    assert not state.waiting
+    assert not state.dispatches
+
+
+@when('"{name}" gets a prompt of {tokens:d} tokens of which "{part}" alone has more')
+def inconsistent_prompt(context: Any, name: str, tokens: int, part: str) -> None:
+    parts = generation(context, part).prompt
+    dispatch(context, name, Generation("m", tokens, 100, parts))
+
+
+@when(
+    '{count:d} requests with priority {priority:d} wait for a slot at "{name}" '
+    "{ms:d} ms later"
+)
+def requests_wait_later(
+    context: Any, count: int, priority: int, name: str, ms: int
+) -> None:
+    context.now_ms += ms
+    requests_wait(context, count, priority, name)
+
+
+@then('{count:d} request waits at "{name}"')
+def request_waits(context: Any, count: int, name: str) -> None:
+    state = context.selector._state_of(context.engines[name])
+    assert len(state.waiting) == count, state.waiting
+
+
+@when("the account is maintained {ms:d} ms later")
+def is_maintained(context: Any, ms: int) -> None:
+    context.now_ms += ms
+    context.selector.remove_stale(list(context.engines.values()), context.now_ms)
+
+
+@then('"{name}" runs {count:d} requests in its account')
+def runs_in_account(context: Any, name: str, count: int) -> None:
+    running = context.selector.load(context.engines[name])["running"]
+    assert running == count, running
+
+
 @when('{count:d} requests with priority {priority:d} wait for a slot at "{name}"')
 def requests_wait(context: Any, count: int, priority: int, name: str) -> None:
     for _ in range(count):
--- a/packages/core/src/cowsliphitch/core/engines/const.py
+++ b/packages/core/src/cowsliphitch/core/engines/const.py
@@ -82,6 +82,10 @@
 # queue is extrapolated, which bounds the work of a choice.
 MAX_FOLLOWED_ADMISSIONS: Final = 16
 
+# An estimated queue is used for this long while no request is added, begins or ends, so
+# that a choice costs little at engines whose state has not changed.
+QUEUE_VALID_MS: Final = 200
+
 # Tokens assumed to stay in the prefix cache of an engine without a limited memory: less
 # than half of the memory of the smaller engines in use, since running requests need the
 # remainder.
--- a/packages/core/src/cowsliphitch/core/engines/selector.py
+++ b/packages/core/src/cowsliphitch/core/engines/selector.py
@@ -394,7 +394,3 @@
     if shared is None or shared.tokens < const.MIN_AFFINITY_TOKENS:
         return None
     return rank(shared.id, engines)[0]
-
-
-# Value of ``_Dispatch.prefill_tokens`` once the first token has arrived.
-_PREFILL_DONE = -1
--- a/packages/core/src/cowsliphitch/core/engines/state.py
+++ b/packages/core/src/cowsliphitch/core/engines/state.py
@@ -6,8 +6,10 @@
 and some reports are lost.
 """
 
+import bisect
 import heapq
-from collections import OrderedDict
+import sys
+from typing import Final
 
 import attrs
 
@@ -15,8 +17,12 @@
 from cowsliphitch.core.requests.models import Generation
 
 from . import const
+from .memory import Demand, EngineMemory, HeldMemory
 from .speed import PrefillSpeed
 
+# Priority of a request behind which no other one is admitted.
+_LEAST_URGENT: Final = sys.maxsize
+
 
 @attrs.frozen
 class Estimate:
@@ -44,7 +50,7 @@
 class Dispatch:
     """A request that was dispatched to an engine and has not ended.
 
-    :param held_tokens: memory that it needs while it runs
+    :param demand: memory that it needs while it runs
     :param prefill_tokens: prompt tokens that the engine has to prefill
     :param sent_ms: monotonic time at which the request is sent to the engine
     :param decode_ms: expected time from the first token to the end
@@ -57,7 +63,7 @@
 
     engine: "EngineState"
     priority: int
-    held_tokens: int
+    demand: Demand
     prefill_tokens: int
     sent_ms: int
     decode_ms: float
@@ -72,6 +78,78 @@
         """Return the monotonic time of the expected first token."""
         return self.sent_ms + self.expected_first_token_ms
 
+    def expected_end_ms(self, now_ms: int) -> float:
+        """Return the monotonic time of the expected end."""
+        if self.began:
+            return max(now_ms, self.end_ms)
+        return max(now_ms, self.expected_ms) + self.decode_ms
+
+
+@attrs.define
+class _Admissions:
+    """Expected admissions of waiting requests at an engine, one after the other.
+
+    :ivar held: memory of the requests that run after the latest admission
+    :ivar ends: heap of the expected ends of these requests
+    :ivar admitted_ms: monotonic time of the latest admission
+    """
+
+    pool: EnginePool
+    held: HeldMemory
+    ends: list[tuple[float, int, Demand]]
+    admitted_ms: float
+
+    def admit(self, demand: Demand, duration_ms: float) -> None:
+        """Admit a request as soon as enough of the running ones have ended."""
+        while self.ends and not self._fits(demand):
+            self._end_next()
+        self.held.hold(demand)
+        end_ms = self.admitted_ms + duration_ms
+        heapq.heappush(self.ends, (end_ms, id(demand), demand))
+
+    def free_slot(self) -> None:
+        """End running requests until a slot is free, as every further one needs it."""
+        while len(self.ends) >= self.pool.slots:
+            self._end_next()
+
+    def next_ms(self, demand: Demand) -> float:
+        """Return when a further request is admitted, without admitting it."""
+        after = _Admissions(
+            self.pool, self.held.copy(), self.ends.copy(), self.admitted_ms
+        )
+        after.admit(demand, 0.0)
+        return after.admitted_ms
+
+    def _end_next(self) -> None:
+        self.admitted_ms, _, ended = heapq.heappop(self.ends)
+        self.held.release(ended)
+
+    def _fits(self, demand: Demand) -> bool:
+        tokens = self.held.tokens + self.held.missing_tokens(demand)
+        return len(self.ends) < self.pool.slots and tokens <= self.pool.kv_tokens
+
+
+@attrs.frozen
+class _Queue:
+    """What a new request of one priority finds at an engine.
+
+    :param ahead: waiting requests that are admitted before it
+    :param followed: those of them that are in ``admissions``
+    :param behind: waiting requests that are admitted after it
+    :param behind_tokens: prompt tokens of these
+    :param made_ms: monotonic time at which the ends were estimated
+    """
+
+    ahead: int
+    followed: int
+    behind: int
+    behind_tokens: int
+    admissions: _Admissions | None
+    made_ms: int
+
+
+_NO_QUEUE: Final = _Queue(0, 0, 0, 0, None, 0)
+
 
 @attrs.define(eq=False)
 class EngineState:
@@ -80,10 +158,10 @@
     :param started_ms: Unix time of the engine's start; a later one means that it has
         restarted with an empty cache
     :param pool: slots and memory, ``None`` if they do not limit it
-    :param cached_parts: tokens by prompt part, the least recently used first
+    :param memory: parts of admitted requests and cached parts
     :param dispatches: requests in flight, the oldest first
+    :param waiting: requests without a slot or memory in the order of admission
     :param waiting_tokens: prompt tokens that are not prefilled yet
-    :param held_tokens: memory of admitted requests
     :param slowdown: moving average of measured over nominal time to first token, used
         without a pool
     :param backoff_until_ms: monotonic time until which other engines are preferred
@@ -91,26 +169,29 @@
 
     started_ms: int
     pool: EnginePool | None = None
-    cached_parts: OrderedDict[str, int] = attrs.Factory(OrderedDict)
-    cached_tokens: int = 0
+    memory: EngineMemory = attrs.Factory(EngineMemory)
     dispatches: list[Dispatch] = attrs.Factory(list)
+    waiting: list[Dispatch] = attrs.Factory(list)
     waiting_tokens: int = 0
-    held_tokens: int = 0
     admitted: int = 0
     running: int = 0
     slowdown: float = 1.0
     speed: PrefillSpeed = attrs.Factory(PrefillSpeed)
     backoff_until_ms: int = 0
+    # Queues by priority, until a request is added, begins or ends.
+    _queues: dict[int, _Queue] = attrs.Factory(dict)
 
     @property
     def free_slots(self) -> int | None:
         """Return the number of free slots, ``None`` if they are not limited."""
-        return None if self.pool is None else self.pool.slots - self.admitted
+        return None if self.pool is None else max(0, self.pool.slots - self.admitted)
 
     @property
     def free_tokens(self) -> int | None:
         """Return the memory that no running request needs, ``None`` if unlimited."""
-        return None if self.pool is None else self.pool.kv_tokens - self.held_tokens
+        if self.pool is None:
+            return None
+        return max(0, self.pool.kv_tokens - self.memory.held.tokens)
 
     @property
     def tokens_per_ms(self) -> float:
@@ -137,9 +218,11 @@
                 self.running,
             )
         token_ms = self.speed.token_ms
-        admission_ms = self._admission_ms(held_tokens(generation), priority, now_ms)
-        wait_ms = max(admission_ms, self._tokens_ahead(priority) * token_ms)
-        behind = sum(d.priority > priority for d in self._waiting())
+        demand = Demand.of(generation)
+        queue = self._queue(demand, priority, now_ms)
+        admission_ms = self._admission_ms(demand, queue, now_ms)
+        tokens_ahead = self.waiting_tokens - queue.behind_tokens
+        wait_ms = max(admission_ms, tokens_ahead * token_ms)
         return Estimate(
             self.speed.first_step_ms + wait_ms + uncached * token_ms + steps_ms,
             wait_ms,
@@ -147,7 +230,7 @@
             cached,
             uncached * token_ms,
             cached * token_ms,
-            self.admitted + behind,
+            self.admitted + queue.behind,
         )
 
     def queue_ms(self, now_ms: int) -> float:
@@ -155,8 +238,9 @@
         queue_ms = self.waiting_tokens / self.tokens_per_ms
         if self.pool is None:
             return queue_ms
-        priority = max((d.priority for d in self.dispatches), default=0)
-        return max(queue_ms, self._admission_ms(0, priority, now_ms))
+        demand = Demand()
+        queue = self._queue(demand, _LEAST_URGENT, now_ms)
+        return max(queue_ms, self._admission_ms(demand, queue, now_ms))
 
     def add(
         self, generation: Generation, priority: int, sent_ms: int, now_ms: int
@@ -167,11 +251,12 @@
         end_ms: float = sent_ms + round(expected.first_token_ms + decode_ms)
         if self.pool is not None:
             end_ms += expected.first_token_ms + const.LOST_REQUEST_MS
-        fits = expected.admission_ms == 0.0
+        demand = Demand.of(generation)
+        fits = self._fits(demand) and not self._count_ahead(priority)
         dispatch = Dispatch(
             self,
             priority,
-            held_tokens(generation),
+            demand,
             generation.prompt_tokens - expected.cached_tokens,
             sent_ms,
             decode_ms,
@@ -180,11 +265,15 @@
             admitted=fits,
             waited=not fits,
         )
+        self._queues.clear()
         self.dispatches.append(dispatch)
         self.waiting_tokens += dispatch.prefill_tokens
         if fits:
             self._hold(dispatch)
-        self._cache_prompt(generation)
+        else:
+            bisect.insort(self.waiting, dispatch, key=lambda d: d.priority)
+        self.memory.cache(generation.prompt)
+        self._evict()
         return dispatch
 
     def begin(self, dispatch: Dispatch, now_ms: int) -> None:
@@ -209,12 +298,14 @@
             and d.priority <= dispatch.priority
             and d.expected_ms + const.LOST_REPORT_MS < now_ms
         ]
+        self._release_slot(dispatch, now_ms)
         for begun in (*overdue, dispatch):
             self._set_begun(begun)
             begun.end_ms = now_ms + begun.decode_ms
 
     def end(self, dispatch: Dispatch) -> None:
         """Record that a request is no longer in flight."""
+        self._queues.clear()
         self.dispatches.remove(dispatch)
         if dispatch.began:
             self.running -= 1
@@ -222,22 +313,24 @@
             self.waiting_tokens -= dispatch.prefill_tokens
         if dispatch.admitted:
             self.admitted -= 1
-            self.held_tokens -= dispatch.held_tokens
+            self.memory.release(dispatch.demand)
+            self._evict()
+        else:
+            self.waiting.remove(dispatch)
         self._admit_waiting()
 
     def clear_cache(self) -> None:
         """Assume that nothing is cached."""
-        self.cached_parts.clear()
-        self.cached_tokens = 0
+        self.memory.clear_cache()
 
     def cached_prefix_tokens(self, generation: Generation) -> int:
         """Return the length of the prompt prefix that is cached."""
         tokens = 0
         for part in generation.shared_parts:
-            if part.id not in self.cached_parts:
+            if part.id not in self.memory.cached_parts:
                 break
             tokens += part.tokens
-        return tokens
+        return min(tokens, generation.prompt_tokens)
 
     def _learn_slowdown(self, dispatch: Dispatch, now_ms: int) -> None:
         sample = (
@@ -248,81 +341,100 @@
         sample = min(const.MAX_SLOWDOWN, max(const.MIN_SLOWDOWN, sample))
         self.slowdown += const.SLOWDOWN_EWMA_WEIGHT * (sample - self.slowdown)
 
+    def _release_slot(self, dispatch: Dispatch, now_ms: int) -> None:
+        """Count a running request as ended if one begins while no slot seems free.
+
+        Most ends are not reported, and answers may be shorter than expected.
+        """
+        if self.pool is None or dispatch.admitted or self.admitted < self.pool.slots:
+            return
+        running = (d for d in self.dispatches if d.began and d.end_ms > now_ms)
+        ended = min(running, key=lambda d: d.end_ms, default=None)
+        if ended is not None:
+            ended.end_ms = now_ms
+
     def _set_begun(self, dispatch: Dispatch) -> None:
+        self._queues.clear()
         dispatch.began = True
         self.running += 1
         self.waiting_tokens -= dispatch.prefill_tokens
         if not dispatch.admitted:
+            self.waiting.remove(dispatch)
             self._hold(dispatch)
 
     def _hold(self, dispatch: Dispatch) -> None:
         dispatch.admitted = True
         self.admitted += 1
-        self.held_tokens += dispatch.held_tokens
+        self.memory.hold(dispatch.demand)
         self._evict()
 
-    def _waiting(self) -> list[Dispatch]:
-        """Return requests without a slot or memory in the order of admission."""
-        if self.admitted == len(self.dispatches):
-            return []
-        waiting = (d for d in self.dispatches if not d.admitted)
-        return sorted(waiting, key=lambda d: d.priority)
-
     def _admit_waiting(self) -> None:
         """Admit waiting requests; the first one that does not fit holds the others."""
-        for dispatch in self._waiting():
-            if not self._fits(dispatch.held_tokens):
-                return
-            self._hold(dispatch)
+        while self.waiting and self._fits(self.waiting[0].demand):
+            self._hold(self.waiting.pop(0))
 
-    def _fits(self, tokens: int) -> bool:
-        """Return whether a request that needs so much memory is admitted at once."""
+    def _fits(self, demand: Demand) -> bool:
+        """Return whether a request is admitted at once if no other one waits."""
         if self.pool is None or not self.admitted:
             return True
-        has_memory = self.held_tokens + tokens <= self.pool.kv_tokens
+        held = self.memory.held
+        has_memory = held.tokens + held.missing_tokens(demand) <= self.pool.kv_tokens
         return self.admitted < self.pool.slots and has_memory
 
-    def _tokens_ahead(self, priority: int) -> int:
-        """Return the prompt tokens that are prefilled before those of a new request."""
-        behind = (d for d in self._waiting() if d.priority > priority)
-        return self.waiting_tokens - sum(d.prefill_tokens for d in behind)
+    def _count_ahead(self, priority: int) -> int:
+        """Return the number of waiting requests that are admitted before a new one."""
+        return bisect.bisect_right(self.waiting, priority, key=lambda d: d.priority)
+
+    def _queue(self, demand: Demand, priority: int, now_ms: int) -> _Queue:
+        """Return what a new request finds, from the last estimate if it is recent."""
+        if not self.waiting and self._fits(demand):
+            return _NO_QUEUE
+        queue = self._queues.get(priority)
+        if queue is None or now_ms - queue.made_ms >= const.QUEUE_VALID_MS:
+            queue = self._queues[priority] = self._make_queue(priority, now_ms)
+        return queue
+
+    def _make_queue(self, priority: int, now_ms: int) -> _Queue:
+        count = self._count_ahead(priority)
+        ahead, behind = self.waiting[:count], self.waiting[count:]
+        followed = ahead[: const.MAX_FOLLOWED_ADMISSIONS]
+        behind_tokens = sum(d.prefill_tokens for d in behind)
+        admissions = self._admissions(followed, now_ms)
+        return _Queue(
+            len(ahead), len(followed), len(behind), behind_tokens, admissions, now_ms
+        )
 
-    def _admission_ms(self, tokens: int, priority: int, now_ms: int) -> float:
-        """Return the wait of a new request for a slot and memory.
+    def _admissions(self, followed: list[Dispatch], now_ms: int) -> _Admissions | None:
+        """Return the admissions of waiting requests.
 
-        Running requests free theirs at their expected ends, and those that wait with an
-        equal or more urgent priority take them first.
+        Running requests free their slots and memory at their expected ends.
         """
-        ahead = [d for d in self._waiting() if d.priority <= priority]
-        if self.pool is None or (not ahead and self._fits(tokens)):
-            return 0.0
-        free_slots = self.pool.slots - self.admitted
-        free_tokens = self.pool.kv_tokens - self.held_tokens
+        if self.pool is None:
+            return None
         ends = [
-            (self._expected_end_ms(d, now_ms), d.held_tokens)
+            (d.expected_end_ms(now_ms), id(d.demand), d.demand)
             for d in self.dispatches
             if d.admitted
         ]
         heapq.heapify(ends)
-        admitted_ms = float(now_ms)
-        demands = [
-            (d.held_tokens, d.prefill_tokens * self.speed.token_ms + d.decode_ms)
-            for d in ahead[: const.MAX_FOLLOWED_ADMISSIONS]
-        ]
-        for needed_tokens, duration_ms in (*demands, (tokens, 0.0)):
-            while ends and (free_slots < 1 or free_tokens < needed_tokens):
-                admitted_ms, freed_tokens = heapq.heappop(ends)
-                free_slots += 1
-                free_tokens += freed_tokens
-            free_slots -= 1
-            free_tokens -= needed_tokens
-            heapq.heappush(ends, (admitted_ms + duration_ms, needed_tokens))
-        return (admitted_ms - now_ms) * (len(ahead) + 1) / (len(demands) + 1)
-
-    def _expected_end_ms(self, dispatch: Dispatch, now_ms: int) -> float:
-        if dispatch.began:
-            return max(now_ms, dispatch.end_ms)
-        return max(now_ms, dispatch.expected_ms) + dispatch.decode_ms
+        admissions = _Admissions(
+            self.pool, self.memory.held.copy(), ends, float(now_ms)
+        )
+        for d in followed:
+            prefill_ms = d.prefill_tokens * self.speed.token_ms
+            admissions.admit(d.demand, prefill_ms + d.decode_ms)
+        admissions.free_slot()
+        return admissions
+
+    def _admission_ms(self, demand: Demand, queue: _Queue, now_ms: int) -> float:
+        """Return the wait of a new request for a slot and memory.
+
+        Those that wait with an equal or more urgent priority take them first.
+        """
+        if queue.admissions is None or (not queue.ahead and self._fits(demand)):
+            return 0.0
+        wait_ms = max(0.0, queue.admissions.next_ms(demand) - now_ms)
+        return wait_ms * (queue.ahead + 1) / (queue.followed + 1)
 
     def _decode_ms(self, generation: Generation) -> float:
         """Return the expected time from a request's first token to its end."""
@@ -331,29 +443,11 @@
         step_ms = const.STEP_MS + self.admitted * const.BATCH_STEP_MS_PER_REQUEST
         return expected_output_tokens(generation) * step_ms * self.speed.ratio
 
-    def _cache_prompt(self, generation: Generation) -> None:
-        for part in generation.prompt:
-            self.cached_tokens -= self.cached_parts.pop(part.id, 0)
-            self.cached_parts[part.id] = part.tokens
-            self.cached_tokens += part.tokens
-        self._evict()
-
     def _evict(self) -> None:
-        """Evict the least recently used parts that running requests leave no room."""
-        if self.pool is None:
-            room = const.MAX_CACHED_TOKENS
-        else:
-            room = self.pool.kv_tokens - self.held_tokens
-        while self.cached_tokens > room and self.cached_parts:
-            _, tokens = self.cached_parts.popitem(last=False)
-            self.cached_tokens -= tokens
+        """Evict cached parts for which running requests leave no room."""
+        self.memory.evict(None if self.pool is None else self.pool.kv_tokens)
 
 
 def expected_output_tokens(generation: Generation) -> float:
     """Return the number of output tokens that a request is expected to produce."""
     return generation.output_tokens * const.EXPECTED_OUTPUT_SHARE
-
-
-def held_tokens(generation: Generation) -> int:
-    """Return the memory in tokens that a request needs while it runs."""
-    return generation.prompt_tokens + round(expected_output_tokens(generation))
