--- a/packages/core/src/cowsliphitch/core/engines/memory.py
+++ b/packages/core/src/cowsliphitch/core/engines/memory.py
@@ -29,9 +29,9 @@
     @classmethod
     def of(cls, generation: Generation) -> "Demand":
         """Return what a request needs."""
-        unnamed = generation.prompt_tokens - sum(p.tokens for p in generation.prompt)
+        other = generation.prompt_tokens - sum(p.tokens for p in generation.prompt)
         output = round(generation.output_tokens * const.EXPECTED_OUTPUT_SHARE)
-        return cls(generation.prompt, max(0, unnamed) + output)
+        return cls(generation.prompt, max(0, other) + output)
 
 
 @attrs.define
--- a/packages/core/src/cowsliphitch/core/engines/state.py
+++ b/packages/core/src/cowsliphitch/core/engines/state.py
@@ -20,7 +20,7 @@
 from .memory import Demand, EngineMemory, HeldMemory
 from .speed import PrefillSpeed
 
-# Priority of a request behind which no other one is admitted.
+# Priority of a request that is admitted after all others.
 _LEAST_URGENT: Final = sys.maxsize
 
 
@@ -137,7 +137,7 @@
     :param followed: those of them that are in ``admissions``
     :param behind: waiting requests that are admitted after it
     :param behind_tokens: prompt tokens of these
-    :param made_ms: monotonic time at which the ends were estimated
+    :param estimated_ms: monotonic time at which the ends were estimated
     """
 
     ahead: int
@@ -145,7 +145,7 @@
     behind: int
     behind_tokens: int
     admissions: _Admissions | None
-    made_ms: int
+    estimated_ms: int
 
 
 _NO_QUEUE: Final = _Queue(0, 0, 0, 0, None, 0)
@@ -390,7 +390,7 @@
         if not self.waiting and self._fits(demand):
             return _NO_QUEUE
         queue = self._queues.get(priority)
-        if queue is None or now_ms - queue.made_ms >= const.QUEUE_VALID_MS:
+        if queue is None or now_ms - queue.estimated_ms >= const.QUEUE_VALID_MS:
             queue = self._queues[priority] = self._make_queue(priority, now_ms)
         return queue
 
