--- a/review/lab2.py
+++ b/review/lab2.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import ctypes
 import itertools
 import json
 import os
@@ -29,6 +30,7 @@
 KEY = "key-red"
 MIB = 1_048_576
 RESTART_DELAY_S = 0.3
+_PR_SET_PDEATHSIG = 1
 
 
 # Ports below those that the system gives to outgoing connections.
@@ -296,6 +298,11 @@
         return json_answer(200, {"mod_rev": self._revision})
 
 
+def _end_with_parent() -> None:
+    """Have the system end this process if the script is ended."""
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Daemon:
     """A daemon of the system, as the platform runs it."""
 
@@ -339,6 +346,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_end_with_parent,
             )
 
     async def wait_ready(self) -> None:
