--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,9 @@
-"""Prompts of many short parts fill the memory of the daemon that chooses engines."""
+"""A request that crashes engines has a prompt of many parts."""
 
 import asyncio
 import itertools
+import os
 import sys
-from collections.abc import Iterator
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -16,55 +16,89 @@
     Channel,
     Lab,
     Listener,
-    call,
+    answer,
     entry,
     main,
     read_request,
 )
 
 CASE = "8"
+DAEMONS = 7
 ENGINES = 9
-MEMORY_MB = 300
-KV_TOKENS = 666_867
-MAX_HEADER_BYTES = 16_384
+PARTS = int(os.environ.get("PARTS", "300"))
+DEADLY = b"deadly"
+PREFILL_S = 0.15
+DOWN_S = 2.0
 
-# The crowd: kept channels, each with one request at a time, and its whole load.
-CROWD = 8
-REQUESTS = 2_400
-PARTS = 1_200
-FEW_PARTS = 3
-
-ORDINARY = 8
-MAX_LOST = 3
+CONTACT_S = 3.0
+CRASHES = 3
+MAX_RETRIES = 3
+COME_AGAIN_S = 1.5
+LENGTH_S = 45.0
+ORDINARY = 6
 
 
 class Engine:
-    """A model server; it takes some time for each answer."""
+    """A model server that crashes before its first event on a deadly request."""
 
-    def __init__(self, lab: Lab, prefill_s: float) -> None:
+    def __init__(self, lab: Lab, number: int, crashes: list, arrivals: list) -> None:
         """Initialize without an open port."""
         self.lab = lab
-        self.prefill_s = prefill_s
+        self.id, self.born = f"engine-{number}", 1
         self.listener = Listener(self.serve)
-        self.ran: set[str] = set()
+        self.crashes, self.arrivals = crashes, arrivals
+        self.restarts: set[asyncio.Task] = set()
+
+    def register(self) -> None:
+        """Write the entry."""
+        value = entry("engine", self.listener, "v1", 64, self.born)
+        self.lab.store.put(f"servers/{self.id}", value)
 
     async def serve(self, reader, writer) -> None:
         """Answer the requests of one channel."""
         while True:
             request = await read_request(reader)
             name = request.get("cowsliphitch-request-id")
-            self.ran.add(name)
-            slow = name.startswith("ordinary")
-            await asyncio.sleep(0.5 if slow else self.prefill_s)
+            echo = f"Cowsliphitch-Request-Id: {name}\r\n"
+            if request.get("cowsliphitch-expect-instance") != self.id:
+                writer.write(answer(421, b"", echo))
+                continue
+            is_deadly = request.body == DEADLY
+            if is_deadly:
+                self.arrivals.append(asyncio.get_running_loop().time())
+                self.lab.record(f"{self.id}: deadly {name} arrives")
+            await asyncio.sleep(PREFILL_S)
+            if is_deadly and self.lab.has_trouble:
+                self.crash()
+                return
             head = (
-                f"HTTP/1.1 200 OK\r\nCowsliphitch-Request-Id: {name}\r\n{SEAL}"
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             )
-            event = b"id: 1\ndata: token\n\n"
-            chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(event), event)
-            writer.write(head.encode() + chunk)
+            writer.write(f"HTTP/1.1 200 OK\r\n{echo}{SEAL}{head}".encode())
+            for number in range(8):
+                event = b"id: %d\ndata: token\n\n" % number
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            writer.write(b"0\r\n\r\n")
             await writer.drain()
 
+    def crash(self) -> None:
+        """End the process; it starts again some seconds later."""
+        self.crashes.append(asyncio.get_running_loop().time())
+        self.lab.record(f"{self.id}: crash {len(self.crashes)}")
+        self.listener.close()
+        self.restarts.add(asyncio.create_task(self.restart()))
+
+    async def restart(self) -> None:
+        """Start again after a while, and write the entry."""
+        await asyncio.sleep(DOWN_S)
+        self.born += 5_000
+        self.listener = Listener(self.serve, self.listener.port)
+        await self.listener.open()
+        self.register()
+        self.lab.record(f"{self.id}: is back")
+
 
 def document() -> dict:
     """Return the operator's document."""
@@ -73,7 +107,7 @@
         "hostname": "a.example",
         "prefix": "/generation/",
         "kind": "streaming",
-        "timeout_ms": 15_000,
+        "timeout_ms": 10_000,
         "target_latency_ms": 1_500,
         "target_gap_ms": 300,
         "priority": 1,
@@ -88,100 +122,85 @@
             {
                 "name": "engine",
                 "max_connections": 370,
-                "engine": {"slots": 64, "kv_tokens": KV_TOKENS},
+                "engine": {"slots": 64, "kv_tokens": 666_867},
             },
         ],
         "tenants": [{"name": "red", "api_keys": [KEY]}],
-        "limits": {"max_header_bytes": MAX_HEADER_BYTES, "max_body_bytes": 4_194_304},
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_194_304},
     }
 
 
-def names_of(number: int) -> Iterator[str]:
-    """Return the names of the requests of an ordinary client."""
-    return (f"ordinary-{number}-{n}" for n in itertools.count())
-
-
 async def run(lab: Lab) -> int:
     """Run the case; return its exit status."""
-    engines = [Engine(lab, 0.02) for _ in range(ENGINES)]
-    for number, engine in enumerate(engines):
+    crashes: list[float] = []
+    arrivals: list[float] = []
+    engines = [Engine(lab, n, crashes, arrivals) for n in range(ENGINES)]
+    for engine in engines:
         await engine.listener.open()
-        key = f"servers/engine-{number}"
-        lab.store.put(key, entry("engine", engine.listener, slots=64))
-    await lab.start(document(), daemon_count=1, memory_mb=MEMORY_MB)
-    daemon = lab.daemons[0]
-    watch = asyncio.create_task(daemon.watch_memory())
-    ids = itertools.count(0x1000000)
-    parts = PARTS if lab.has_trouble else FEW_PARTS
-    numbers = iter(range(REQUESTS))
-    counts = {"answered": 0, "other": 0}
-    lost: list[str] = []
-
-    def headers(name: str, count: int) -> dict[str, str]:
-        prefix = ",".join(f"{next(ids):x}:1" for _ in range(count))
-        found = {
+        engine.register()
+    await lab.start(document(), DAEMONS, memory_mb=300)
+    # The daemons hear of each other within a second.
+    await asyncio.sleep(2.0)
+    start_s = asyncio.get_running_loop().time()
+    counts = {"answered": 0, "other": 0, "cut": 0}
+
+    def passed_s() -> float:
+        return asyncio.get_running_loop().time() - start_s
+
+    async def send(number: int, name: str, prompt: list[str], body: bytes) -> int:
+        """Send a request at a daemon; return its status, 0 without a whole answer."""
+        channel = Channel(lab.daemons[number % DAEMONS].callers)
+        headers = {
             "Cowsliphitch-Request-Id": name,
             "Cowsliphitch-Credential": KEY,
-            "Cowsliphitch-Deadline-Ms": "15000",
+            "Cowsliphitch-Deadline-Ms": "10000",
             "Cowsliphitch-Model": "m",
-            "Cowsliphitch-Token-Usage": f"{count},40",
-            "Cowsliphitch-Prompt-Prefix": prefix,
+            "Cowsliphitch-Token-Usage": f"{10 * len(prompt)},80",
+            "Cowsliphitch-Prompt-Prefix": ",".join(f"{part}:10" for part in prompt),
         }
-        assert sum(map(len, itertools.chain(*found.items()))) < MAX_HEADER_BYTES - 512
-        return found
-
-    async def caller(names, count: int, is_done) -> None:
-        """Send one request after the other on a kept channel."""
-        channel = None
-        for name in names:
-            try:
-                if channel is None:
-                    channel = Channel(daemon.callers)
-                    await channel.open()
-                await channel.send("POST", "/generation/1", headers(name, count))
-                status, _ = await channel.receive()
-                counts["answered" if status == 200 else "other"] += 1
-            except (asyncio.IncompleteReadError, OSError) as exc:
-                if any(name in engine.ran for engine in engines):
-                    lost.append(name)
-                lab.record(f"{name}: the channel ended ({type(exc).__name__})")
-                channel = None
-                await asyncio.sleep(0.2)
-            if is_done():
-                break
-        if channel is not None:
-            channel.close()
-
-    finished = asyncio.Event()
-    ordinary = [
-        asyncio.create_task(caller(names_of(n), FEW_PARTS, finished.is_set))
-        for n in range(ORDINARY)
-    ]
-    crowd_names = (f"crowd-{n}" for n in numbers)
-
-    async def report() -> None:
-        while True:
-            await asyncio.sleep(2)
-            lab.record(f"{counts}, {daemon.name} takes {daemon.memory_used_mb:.0f} MiB")
-
-    reports = asyncio.create_task(report())
-    await asyncio.gather(
-        *(caller(crowd_names, parts, lambda: daemon.ends) for _ in range(CROWD))
-    )
-    finished.set()
-    await asyncio.gather(*ordinary)
-    watch.cancel()
-    reports.cancel()
-    lab.record(f"{counts}, peak {daemon.peak_mb:.0f} MiB, {daemon.ends} ends")
-    lab.record(f"passed on, channel closed without an answer: {lost}")
-    await daemon.wait_ready()
-    status, _ = await call(
-        daemon.callers, "POST", "/generation/1", headers("last", FEW_PARTS)
+        try:
+            await channel.open()
+            await channel.send("POST", "/generation/1", headers, body)
+            status, _ = await channel.receive()
+        except (asyncio.IncompleteReadError, OSError):
+            status = 0
+        channel.close()
+        return status
+
+    async def deadly() -> None:
+        """The same request comes again and again, at the daemons in turn."""
+        shared = [f"5c1e{n:04x}" for n in range(PARTS)]
+        for number in itertools.count():
+            if passed_s() > LENGTH_S:
+                return
+            name = f"dead{number:04x}"
+            status = await send(number, name, [*shared, f"91bd{number:04x}"], DEADLY)
+            lab.record(f"client: deadly {name} at vm-{number % DAEMONS}: {status}")
+            await asyncio.sleep(COME_AGAIN_S)
+
+    async def ordinary(client: int) -> None:
+        for number in itertools.count():
+            if passed_s() > LENGTH_S:
+                return
+            name = f"{client:04x}{number:04x}"
+            body = name.encode()
+            status = await send(client, name, [f"77aa{client:04x}", name], body)
+            kind = "answered" if status == 200 else "other" if status else "cut"
+            counts[kind] += 1
+            await asyncio.sleep(0.1)
+
+    await asyncio.gather(deadly(), *(ordinary(client) for client in range(ORDINARY)))
+    lab.record(f"ordinary requests: {counts}")
+    third_s = crashes[CRASHES - 1] if len(crashes) >= CRASHES else float("inf")
+    late = [t - third_s for t in arrivals if t > third_s + CONTACT_S]
+    lab.record(
+        f"{len(crashes)} crashes, {len(arrivals)} arrivals of the deadly request,"
+        f" {len(late)} of them over {CONTACT_S} s after the third crash:"
+        f" {[round(t, 1) for t in late]}"
     )
-    lab.record(f"an ordinary request afterwards: {status}")
-    if counts["answered"] < 50:
-        raise RuntimeError("hardly any request was answered")
-    return BROKEN if daemon.ends and len(lost) > MAX_LOST else HELD
+    if counts["answered"] < ORDINARY * 10:
+        raise RuntimeError("hardly any ordinary request was answered")
+    return BROKEN if len(late) > MAX_RETRIES else HELD
 
 
-main(CASE, run, limit_s=110)
+main(CASE, run)
