Close connections that carried no admitted request at the limit

What callers saw: while a crowd held all connections, each new one was closed without an answer, until the idle timeout or for as long as the crowd came again. At the readiness listener the balancer's status checks failed, so that it took a sound daemon for unready.

Cause: at the limit only a connection that had left its answers unread for 1 s made room. One that sent nothing, that read a little of its refusals, or that had been idle since an answer never did.

Change: core/overload/connections.py ranks connections by what they have been used for. The oldest one without an admitted request makes room first, then one whose caller reads nothing, then one that is idle since an answer. The handler says when a request is admitted (its key and its route are known); status checks and scrapes are not. A stall is found by comparing what the caller has acknowledged at two looks, so it is also noticed while a request runs.

Why it works: an ordinary caller sends its request with its connection, so its connection is the youngest one without an admitted request, and has one before the older ones of the crowd are closed.

Evidence: features/callers/crowds.feature, 120 MB and 2,000 descriptors (240 connections).

--- /dev/null
+++ b/features/callers/crowds.feature
@@ -0,0 +1,23 @@
+Feature: Crowds of callers that hold connections
+
+  Guards against callers that hold all connections of a daemon without using them, so that
+  ordinary callers get no answer, the balancer's status checks fail, and the process grows
+  until it ends.
+
+  Scenario Outline: A crowd does not keep out ordinary callers
+    Given a daemon that has 120 MB of memory and 2000 descriptors
+    When <count> callers <behaviour> at its <address> address for 10 s
+    Then an ordinary request was answered meanwhile
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | count | behaviour                                                | address |
+      | 400   | send nothing                                             | callers |
+      | 400   | send one byte                                            | callers |
+      | 400   | announce a body and do not send it                       | callers |
+      | 400   | send an answered request and nothing more                | callers |
+      | 100   | send nothing                                             | ready   |
+      | 100   | send one byte                                            | ready   |
+      | 400   | send requests for the readiness path and read nothing    | ready   |
+      | 100   | send nothing                                             | metrics |
--- a/features/callers/unread_answers.feature
+++ b/features/callers/unread_answers.feature
@@ -6,7 +6,7 @@
 
   Scenario Outline: A crowd that reads nothing does not end the daemon
     Given a daemon that has 120 MB of memory and 2000 descriptors
-    When 600 callers send <requests> to its <address> address for 10 s and read nothing
+    When 600 callers send <requests> and read nothing at its <address> address for 10 s
     Then the daemon is alive and used at most its memory and its descriptors
     And an ordinary request is answered afterwards
 
--- /dev/null
+++ b/features/core/connections.feature
@@ -0,0 +1,26 @@
+Feature: Connections that are closed at the limit
+
+  Guards against a crowd that holds all connections, and against closing connections of
+  ordinary callers instead of those of the crowd.
+
+  Scenario Outline: At the limit the connection that is least in use is closed
+    Given connections that are <uses>
+    Then <closed> is closed at the limit
+
+    Examples:
+      | uses                                                             | closed   |
+      | stalled for 9000, unadmitted for 1000, idle for 9000             | number 2 |
+      | unadmitted for 60, stalled for 1000, idle for 9000               | number 2 |
+      | idle for 9000, unadmitted for 60, unadmitted for 80              | number 3 |
+      | idle for 1000, idle for 2000, in use for 0                       | number 2 |
+      | unadmitted for 40, stalled for 900, idle for 900, in use for 0   | none     |
+
+  Scenario Outline: Descriptors and memory limit the connections
+    Then <descriptors> descriptors and <mb> MB allow <count> connections
+
+    Examples:
+      | descriptors | mb   | count |
+      | 2000        | 120  | 240   |
+      | 1200        | 1000 | 140   |
+      | 100         | 120  | 64    |
+      | 100000      | 180  | 600   |
--- /dev/null
+++ b/features/steps/crowd_steps.py
@@ -0,0 +1,277 @@
+"""Steps on crowds of callers that hold connections, against either daemon.
+
+One thread plays the crowd; meanwhile an ordinary caller opens a connection each second.
+"""
+
+import contextlib
+import itertools
+import os
+import socket
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+from behave import given, then, when
+from platform_steps import Site
+
+from cowsliphitch.standins.fleet import Fleet
+from cowsliphitch.standins.processes import wait_for
+from cowsliphitch.standins.scenario import start_deployment
+
+MB: Final = 1_000_000
+RECEIVE_WINDOW_BYTES: Final = 2_048
+SENT_AT_ONCE_BYTES: Final = 65_536
+READ_AT_ONCE_BYTES: Final = 64
+ROUND_S: Final = 0.05
+
+# A connection that the daemon closed is opened again after so many rounds.
+ROUNDS_UNTIL_REOPENED: Final = 20
+
+ORDINARY_INTERVAL_S: Final = 1.0
+ORDINARY_TIMEOUT_S: Final = 5.0
+
+USUAL_HEADERS: Final = (
+    "cowsliphitch-request-id: r\r\ncowsliphitch-credential: key-red\r\n"
+    "cowsliphitch-deadline-ms: 1400\r\n"
+)
+
+
+def get(path: str, headers: str = "") -> bytes:
+    return f"GET {path} HTTP/1.1\r\nhost: a.example\r\n{headers}\r\n".encode()
+
+
+@attrs.frozen
+class Behaviour:
+    """What each connection of a crowd does.
+
+    :param first: sent once, after it was opened
+    :param endless: sent again and again, as long as the connection takes bytes
+    :param reads: some bytes are read now and then
+    """
+
+    first: bytes = b""
+    endless: bytes = b""
+    reads: bool = False
+
+
+@attrs.define
+class Target:
+    """A daemon under test.
+
+    :param requests: an ordinary request by address, which is answered 200
+    :ivar descriptors: most descriptors that it had open
+    :ivar statuses: answers to the ordinary requests beside the crowd, 0 for none
+    """
+
+    pid: int
+    is_alive: Callable[[], bool]
+    ports: dict[str, int]
+    requests: dict[str, bytes]
+    memory_mb: int
+    max_descriptors: int
+    descriptors: int = 0
+    statuses: list[int] = attrs.Factory(list)
+
+    def ask(self, name: str) -> int:
+        """Send an ordinary request on a new connection; return its status or 0."""
+        answer = b""
+        try:
+            with socket.create_connection(
+                ("127.0.0.1", self.ports[name]), timeout=ORDINARY_TIMEOUT_S
+            ) as sock:
+                sock.sendall(self.requests[name])
+                while b"\r\n" not in answer and (data := sock.recv(4_096)):
+                    answer += data
+        except OSError:
+            return 0
+        return int(answer.split()[1]) if answer else 0
+
+    def count_descriptors(self) -> None:
+        with contextlib.suppress(OSError):
+            open_now = len(os.listdir(f"/proc/{self.pid}/fd"))
+            self.descriptors = max(self.descriptors, open_now)
+
+    def peak_bytes(self) -> int:
+        status = Path(f"/proc/{self.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0]) * 1_024
+
+
+class Crowd:
+    """Connections that all behave in the same way until they are closed."""
+
+    def __init__(self, port: int, count: int, behaviour: Behaviour) -> None:
+        self._port = port
+        self._behaviour = behaviour
+        endless = behaviour.endless
+        self._endless = endless and endless * (SENT_AT_ONCE_BYTES // len(endless) + 1)
+        self._sent = [0] * count
+        self._sockets: list[socket.socket | None] = [None] * count
+
+    def run(self, has_ended: threading.Event) -> None:
+        """Open the connections and use them until the event is set."""
+        for number in itertools.count():
+            for index, sock in enumerate(self._sockets):
+                if has_ended.is_set():
+                    return
+                if sock is not None:
+                    self._use(index, sock)
+                elif (number + index) % ROUNDS_UNTIL_REOPENED == 0 or not number:
+                    self._open(index)
+            has_ended.wait(ROUND_S)
+
+    def _open(self, index: int) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
+        sock.settimeout(1)
+        try:
+            sock.connect(("127.0.0.1", self._port))
+            sock.sendall(self._behaviour.first)
+        except OSError:
+            sock.close()
+            return
+        sock.setblocking(False)
+        self._sent[index] = 0
+        self._sockets[index] = sock
+
+    def _use(self, index: int, sock: socket.socket) -> None:
+        """Send as much as the connection takes, and notice when it is closed."""
+        try:
+            with contextlib.suppress(BlockingIOError):
+                while self._endless:
+                    offset = self._sent[index] % len(self._endless)
+                    self._sent[index] += sock.send(memoryview(self._endless)[offset:])
+            flags = 0 if self._behaviour.reads else socket.MSG_PEEK
+            with contextlib.suppress(BlockingIOError):
+                if not sock.recv(READ_AT_ONCE_BYTES, flags):
+                    raise ConnectionResetError
+        except OSError:
+            sock.close()
+            self._sockets[index] = None
+
+    def close(self) -> None:
+        for sock in self._sockets:
+            if sock is not None:
+                sock.close()
+
+
+UNREAD: Final = {
+    "requests without the usual headers": get("/lookup/1"),
+    "requests for the readiness path": get("/readyz"),
+    "requests that match no route": get("/nowhere/" + "x" * 500, USUAL_HEADERS),
+}
+BEHAVIOURS: Final = {
+    "send nothing": Behaviour(),
+    "send one byte": Behaviour(first=b"G"),
+    "announce a body and do not send it": Behaviour(
+        first=b"POST /lookup/1 HTTP/1.1\r\nhost: a.example\r\n"
+        + USUAL_HEADERS.encode()
+        + b"content-length: 1000\r\n\r\n"
+    ),
+    "send refused requests and read little": Behaviour(
+        endless=get("/lookup/1"), reads=True
+    ),
+    "send an answered request and nothing more": Behaviour(
+        first=get("/lookup/1", USUAL_HEADERS), reads=True
+    ),
+    **{
+        f"send {name} and read nothing": Behaviour(endless=request)
+        for name, request in UNREAD.items()
+    },
+}
+
+
+@given("a daemon that has {mb:d} MB of memory and {count:d} descriptors")
+def start_small_daemon(context: Any, mb: int, count: int) -> None:
+    site = context.site = Site(False, ("v1",), daemon_count=1)
+    context.add_cleanup(site.close)
+    site.memory_mb, site.max_descriptors = mb, count
+    site.start()
+    daemon = site.daemons[0]
+    process = daemon["process"]
+    ports = {name: daemon[name] for name in ("callers", "ready", "metrics")}
+    requests = {
+        "callers": get("/lookup/1", USUAL_HEADERS),
+        "ready": get("/readyz"),
+        "metrics": get("/metrics"),
+    }
+    context.target = Target(
+        process.pid, lambda: process.poll() is None, ports, requests, mb, count
+    )
+
+
+@given(
+    "a daemon of the own interface that has {mb:d} MB of memory and {count:d}"
+    " descriptors"
+)
+def start_small_own_daemon(context: Any, mb: int, count: int) -> None:
+    fleet = Fleet()
+    context.add_cleanup(fleet.__exit__)
+    start_deployment(
+        fleet, 1, daemon_settings={"vm": {"memory_mb": mb, "max_descriptors": count}}
+    )
+    daemon = fleet.daemons["entry-1"]
+    urls = {"callers": daemon.url, "operators": daemon.operators_url}
+    ports = {name: int(url.rpartition(":")[2]) for name, url in urls.items()}
+    token = fleet.team_token("technicians")
+    call = (
+        "POST /v1/services/history HTTP/1.1\r\nhost: a.example\r\n"
+        f"authorization: Bearer {token}\r\ncontent-length: 5\r\n\r\ninput"
+    )
+    requests = {"callers": call.encode(), "operators": get("/metrics")}
+    context.target = Target(
+        daemon.popen.pid, lambda: daemon.is_alive, ports, requests, mb, count
+    )
+
+
+@when("{count:d} callers {behaviour} at its {name} address for {s:d} s")
+def play_crowd(context: Any, count: int, behaviour: str, name: str, s: int) -> None:
+    target: Target = context.target
+    crowd = Crowd(target.ports[name], count, BEHAVIOURS[behaviour])
+    has_ended = threading.Event()
+
+    def watch_descriptors() -> None:
+        while not has_ended.wait(ROUND_S):
+            target.count_descriptors()
+
+    threads = [
+        threading.Thread(target=watch_descriptors, daemon=True),
+        threading.Thread(target=crowd.run, args=(has_ended,), daemon=True),
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        until_s = time.monotonic() + s
+        while time.monotonic() < until_s:
+            time.sleep(ORDINARY_INTERVAL_S)
+            target.statuses.append(target.ask(name))
+    finally:
+        has_ended.set()
+        for thread in threads:
+            thread.join()
+        crowd.close()
+    print(f"answers beside the crowd: {target.statuses}")
+
+
+@then("an ordinary request was answered meanwhile")
+def check_answered_meanwhile(context: Any) -> None:
+    assert 200 in context.target.statuses, context.target.statuses
+
+
+@then("the daemon is alive and used at most its memory and its descriptors")
+def check_limits(context: Any) -> None:
+    target: Target = context.target
+    assert target.is_alive()
+    peak_bytes = target.peak_bytes()
+    print(f"peak of {peak_bytes / MB:.0f} MB, {target.descriptors} descriptors")
+    assert peak_bytes <= target.memory_mb * MB, peak_bytes
+    assert 0 < target.descriptors <= target.max_descriptors
+
+
+@then("an ordinary request is answered afterwards")
+def check_answered_afterwards(context: Any) -> None:
+    target: Target = context.target
+    for name in target.ports:
+        wait_for(f"{name} answers", lambda n=name: target.ask(n) == 200)
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -132,6 +132,7 @@
 
 
 async def echo(req: EdgeRequest, reply: Reply) -> None:
+    reply.admit()
     content = req.body or req.target
     await reply.start(200, (), len(content))
     await reply.send(content)
@@ -294,6 +295,7 @@
 @given("an edge server whose answers have {mb:d} MB")
 def given_large_answers(context: Any, mb: int) -> None:
     async def answer(_req: EdgeRequest, reply: Reply) -> None:
+        reply.admit()
         await reply.start(200, (), mb * MB)
         await reply.send(b"x" * (mb * MB))
         await reply.end()
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -16,6 +16,13 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.core.overload.buffers import CONNECTION_BYTES, Buffer, BufferBudget
+from cowsliphitch.core.overload.connections import (
+    ConnectionUse,
+    Idle,
+    InUse,
+    Stalled,
+    Unadmitted,
+)
 
 from . import const
 from .models import Diagnostics, EdgeRequest, Handler, Header, ReplyError
@@ -84,20 +91,57 @@
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
         self._started = False
-        self._idle_since_ms = clock.now_ms()
+        self._is_admitted = False
+        self._is_waiting_for_head = True
+        self._is_handling = False
+        self._opened_ms = self._idle_since_ms = clock.now_ms()
+        self._acknowledged_bytes = 0
         self._stalled_since_ms: int | None = None
         self._held = budget.open(is_pinned=True)
         self._held.resize(CONNECTION_BYTES)
         self._unsent = budget.open()
         self._unsent.on_give_up = self._give_up
 
+    def observe_use(self) -> ConnectionUse:
+        """Look at the connection and return what it is used for.
+
+        Callers that read nothing are noticed by comparing two looks.
+        """
+        self._observe_reading()
+        if not self._is_admitted:
+            if self._is_handling and not self._started:
+                return InUse()
+            return Unadmitted(self._clock.now_ms() - self._opened_ms)
+        if self._stalled_ms:
+            return Stalled(self._stalled_ms)
+        if self._is_waiting_for_head:
+            return Idle(self._clock.now_ms() - self._idle_since_ms)
+        return InUse()
+
     @property
-    def stalled_ms(self) -> int:
-        """Return for how long the caller has left all of its answers unread."""
+    def _stalled_ms(self) -> int:
+        """Return for how long the caller has read nothing, as of the last look."""
         if self._stalled_since_ms is None:
             return 0
         return self._clock.now_ms() - self._stalled_since_ms
 
+    def _observe_reading(self) -> None:
+        """Record whether the caller has read anything since the last look."""
+        unread = self._stream.unread_bytes
+        acknowledged = self._stream.written_bytes - unread
+        if not unread:
+            self._stalled_since_ms = None
+        elif self._stalled_since_ms is None or acknowledged != self._acknowledged_bytes:
+            self._stalled_since_ms = self._clock.now_ms()
+        self._acknowledged_bytes = acknowledged
+
+    def evict(self) -> None:
+        """Close the connection to make room for another one."""
+        if self._stream.unread_bytes:
+            self.reset()
+        else:
+            self._stream.close()
+
     def reset(self) -> None:
         """Close the connection, and drop what its caller has not read."""
         self._stream.reset()
@@ -127,6 +171,10 @@
             self._unsent.close()
             self._held.close()
 
+    def admit(self) -> None:
+        """Record that a request was admitted."""
+        self._is_admitted = True
+
     async def start(
         self, status: int, headers: tuple[Header, ...], length: int | None
     ) -> None:
@@ -172,8 +220,10 @@
             buffer.pin()
             self._diagnostics.requests += 1
             self._started = False
+            self._is_handling = True
             await self._handle(req)
         finally:
+            self._is_handling = False
             buffer.close()
         if self._protocol.our_state is not h11.DONE:
             return await self._close_gracefully()
@@ -242,6 +292,7 @@
         :raises _RequestRejected: the request is invalid, too large or too slow
         :raises _CallerDisconnected: the caller disconnected during the request
         """
+        self._is_waiting_for_head = True
         limits = self._limits()
         received_ms = await self._wait_for_first_byte(limits.idle_timeout_ms)
         if received_ms is None:
@@ -266,6 +317,7 @@
             ) from None
         if not isinstance(event, h11.Request):
             return None
+        self._is_waiting_for_head = False
         host = _validate_head(event, limits)
         body = await self._read_body(limits, buffer)
         # The input is in the body now, which is counted apart.
@@ -378,20 +430,14 @@
         :param wait: returns when the condition may hold
         :raises ReplyError: the caller has read nothing for long
         """
-        unread: int | None = None
-        try:
-            while not is_done():
-                if self._stream.unread_bytes != unread:
-                    unread = self._stream.unread_bytes
-                    self._stalled_since_ms = self._clock.now_ms()
-                elif self.stalled_ms >= self._stall_timeout_ms():
-                    self._diagnostics.stalled += 1
-                    self.reset()
-                    raise ReplyError("the caller reads nothing")
-                with anyio.move_on_after(seconds(const.STALL_CHECK_MS)):
-                    await wait()
-        finally:
-            self._stalled_since_ms = None
+        while not is_done():
+            self._observe_reading()
+            if self._stalled_ms >= self._stall_timeout_ms():
+                self._diagnostics.stalled += 1
+                self.reset()
+                raise ReplyError("the caller reads nothing")
+            with anyio.move_on_after(seconds(const.STALL_CHECK_MS)):
+                await wait()
 
     def _stall_timeout_ms(self) -> int:
         return max(self._limits().idle_timeout_ms, const.MIN_STALL_TIMEOUT_MS)
--- a/packages/callers/src/cowsliphitch/callers/edge/const.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/const.py
@@ -24,14 +24,11 @@
 MIN_STALL_TIMEOUT_MS: Final = 15_000
 STALL_CHECK_MS: Final = 250
 
-# Stall after which a connection is closed to make room for another one at the limit of
-# connections.  Pauses of readers are shorter than that, retransmissions included.
-EVICTABLE_STALL_MS: Final = 1_000
-
-# Time between two searches for such connections; each looks at all of them.
-# What a search finds is limited, since it keeps connections in memory that have ended.
-STALL_SEARCH_INTERVAL_MS: Final = 100
-MAX_STALLED_FOUND: Final = 64
+# Time between two searches for connections that may be closed to make room; each looks
+# at all of them.  What a search finds is limited, since it keeps connections in memory
+# that have ended.
+EVICTION_SEARCH_INTERVAL_MS: Final = 50
+MAX_EVICTABLE_FOUND: Final = 128
 
 # Time for which unread input is read and discarded after the last answer.
 # Closing a socket with unread bytes resets the connection, which may lose the answer.
--- a/packages/callers/src/cowsliphitch/callers/edge/models.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/models.py
@@ -48,6 +48,12 @@
     def started(self) -> bool:
         """Return whether the head of the answer has been sent."""
 
+    def admit(self) -> None:
+        """Record that the request was admitted.
+
+        At the limit of connections, those without an admitted request are closed first.
+        """
+
     async def start(
         self, status: int, headers: tuple[Header, ...], length: int | None
     ) -> None:
@@ -76,8 +82,7 @@
     :param malformed: connections that were closed with an error status
     :param disconnected: times that a caller disconnected during a request or its answer
     :param refused_connections: connections that were closed over the limit
-    :param evicted: connections that were closed to make room at the limit, since their
-        callers did not read
+    :param evicted: connections that were closed to make room at the limit
     :param stalled: connections that were closed since their callers read nothing for
         the stall timeout
     :param given_up: connections that were closed since they held the most unsent bytes
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -1,7 +1,7 @@
 """Listener that accepts callers' connections, with a limit on their number.
 
-Fault: a crowd of callers that read nothing holds all connections.  At the limit, the
-one whose caller has read nothing for longest makes room for the next.
+Fault: a crowd of callers holds all connections.  At the limit, one that is not in use
+makes room for the next; see :mod:`cowsliphitch.core.overload.connections`.
 """
 
 import asyncio
@@ -19,6 +19,7 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.core.overload.buffers import CONNECTION_BYTES, BufferBudget
+from cowsliphitch.core.overload.connections import eviction_rank
 
 from . import const
 from .connection import CallerConnection
@@ -39,7 +40,7 @@
     :param handler: answers each request
     :param limits: returns the limits in force
     :param max_connections: limit of open connections; further ones are closed at once,
-        unless one whose caller does not read makes room
+        unless another one makes room
     :param budget: memory for connections and for what they buffer, without a limit by
         default
     """
@@ -62,7 +63,7 @@
         self._clock = clock
         self._keep_alive_disabled = False
         self._connections: set[CallerConnection] = set()
-        self._stalled: list[CallerConnection] = []
+        self._evictable: list[CallerConnection] = []
         self._next_search_ms = 0
         self.diagnostics = Diagnostics()
 
@@ -140,29 +141,31 @@
         has_room = len(self._connections) < self._max_connections
         if has_room and self._budget.has_room(CONNECTION_BYTES):
             return True
-        stalled = self._next_stalled()
-        if stalled is None:
+        connection = self._next_evictable()
+        if connection is None:
             return False
         self.diagnostics.evicted += 1
-        self._connections.discard(stalled)
-        stalled.reset()
+        self._connections.discard(connection)
+        connection.evict()
         return True
 
-    def _next_stalled(self) -> CallerConnection | None:
-        """Return the connection that has read nothing for longest, if long enough.
+    def _next_evictable(self) -> CallerConnection | None:
+        """Return the connection that is closed first, ``None`` if all are kept.
 
         Those that were found are kept for the next calls, so that a flood of new
         connections costs no search each.
         """
         now_ms = self._clock.now_ms()
-        if not self._stalled and now_ms >= self._next_search_ms:
-            self._next_search_ms = now_ms + const.STALL_SEARCH_INTERVAL_MS
-            stalled = filter(_is_evictable, self._connections)
-            self._stalled = sorted(stalled, key=lambda c: c.stalled_ms)
-            del self._stalled[: -const.MAX_STALLED_FOUND]
-        while self._stalled:
-            connection = self._stalled.pop()
-            if connection in self._connections and _is_evictable(connection):
+        if not self._evictable and now_ms >= self._next_search_ms:
+            self._next_search_ms = now_ms + const.EVICTION_SEARCH_INTERVAL_MS
+            ranked = [(eviction_rank(c.observe_use()), c) for c in self._connections]
+            found = [(rank, c) for rank, c in ranked if rank is not None]
+            found.sort(key=lambda entry: entry[0])
+            self._evictable = [c for _, c in found[-const.MAX_EVICTABLE_FOUND :]]
+        while self._evictable:
+            connection = self._evictable.pop()
+            is_open = connection in self._connections
+            if is_open and eviction_rank(connection.observe_use()) is not None:
                 return connection
         return None
 
@@ -174,7 +177,3 @@
         finally:
             self._connections.discard(connection)
             self.diagnostics.connections -= 1
-
-
-def _is_evictable(connection: CallerConnection) -> bool:
-    return connection.stalled_ms >= const.EVICTABLE_STALL_MS
--- a/packages/callers/src/cowsliphitch/callers/edge/stream.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/stream.py
@@ -42,6 +42,7 @@
         self._max_read = const.READ_BYTES
         self._has_ended = False
         self._is_lost = False
+        self._written_bytes = 0
         self._readable = anyio.Event()
         self._drained = anyio.Event()
 
@@ -88,6 +89,11 @@
         """Return whether the connection is closed."""
         return self._is_lost or self._transport.is_closing()
 
+    @property
+    def written_bytes(self) -> int:
+        """Return how many bytes were written so far."""
+        return self._written_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Return how many bytes the process holds that were not sent."""
@@ -137,6 +143,7 @@
         if self.is_lost:
             raise anyio.BrokenResourceError
         self._transport.write(data)
+        self._written_bytes += len(data)
 
     async def wait_drained(self) -> None:
         """Wait until the process holds no output.
--- /dev/null
+++ b/packages/core/src/cowsliphitch/core/overload/connections.py
@@ -0,0 +1,94 @@
+"""Limit of a listener's connections, and which one is closed to make room.
+
+Load: a crowd of clients opens connections and holds them: it sends nothing, a part of a
+request, requests that are refused, or requests whose answers it does not read.  At the
+limit ordinary callers would be refused until the idle timeout.
+
+A connection is judged by what it has been used for.  Those that never carried an
+admitted request are closed first, the oldest one first: the request of an ordinary
+caller follows its connection at once.
+"""
+
+from typing import Final
+
+import attrs
+
+from .buffers import max_connections
+
+# Descriptors reserved for files, servers, peers and the store.  Callers' sockets get a
+# share of the others.
+RESERVED_DESCRIPTORS: Final = 1_000
+CALLER_DESCRIPTOR_SHARE: Final = 0.7
+MIN_CALLER_CONNECTIONS: Final = 64
+
+# Age from which a connection without an admitted request may be closed, and from which
+# it is closed before connections that carried one.  A busy event loop reads the first
+# request of a new connection some ms after it has accepted it.
+MIN_UNADMITTED_AGE_MS: Final = 50
+UNADMITTED_AGE_MS: Final = 1_000
+
+# Time for which a caller has read none of the answers that wait for it.  Pauses of
+# readers are shorter than that, retransmissions included.
+MIN_STALL_MS: Final = 1_000
+
+# Time since the last answer.  Callers may send a request at any time before the idle
+# timeout, but can repeat one on a new connection that was closed before it was read.
+MIN_IDLE_MS: Final = 1_000
+
+
+@attrs.frozen
+class Unadmitted:
+    """The connection has carried no admitted request since it was opened."""
+
+    age_ms: int
+
+
+@attrs.frozen
+class Stalled:
+    """The caller has read nothing of the answers that wait for it."""
+
+    for_ms: int
+
+
+@attrs.frozen
+class Idle:
+    """The connection waits for a whole head, after at least one admitted request."""
+
+    for_ms: int
+
+
+@attrs.frozen
+class InUse:
+    """A request is being read or run, or its answer is being read."""
+
+
+ConnectionUse = Unadmitted | Stalled | Idle | InUse
+
+
+def eviction_rank(use: ConnectionUse) -> tuple[int, int] | None:
+    """Return the rank of a connection at the limit; the highest is closed first.
+
+    :returns: ``None`` if the connection is kept, and a new one refused instead
+    """
+    match use:
+        case Unadmitted(age_ms) if age_ms >= UNADMITTED_AGE_MS:
+            return 3, age_ms
+        case Stalled(for_ms) if for_ms >= MIN_STALL_MS:
+            return 2, for_ms
+        case Unadmitted(age_ms) if age_ms >= MIN_UNADMITTED_AGE_MS:
+            return 1, age_ms
+        case Idle(for_ms) if for_ms >= MIN_IDLE_MS:
+            return 0, for_ms
+    return None
+
+
+def caller_connection_limit(max_descriptors: float, memory_mb: float) -> int:
+    """Return for how many connections of callers there are descriptors and memory.
+
+    :param max_descriptors: limit of the process on open files and sockets
+    :param memory_mb: memory limit of the VM
+    """
+    descriptors = (max_descriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_SHARE
+    return max(
+        MIN_CALLER_CONNECTIONS, min(round(descriptors), max_connections(memory_mb))
+    )
--- a/packages/gateway/src/cowsliphitch/gateway/app.py
+++ b/packages/gateway/src/cowsliphitch/gateway/app.py
@@ -17,11 +17,8 @@
 from cowsliphitch.core.engines.selector import CostWeights
 from cowsliphitch.core.fleet.members import Member, MemberTable
 from cowsliphitch.core.limits.const import WINDOW_MS
-from cowsliphitch.core.overload.buffers import (
-    BufferBudget,
-    budget_bytes,
-    max_connections,
-)
+from cowsliphitch.core.overload.buffers import BufferBudget, budget_bytes
+from cowsliphitch.core.overload.connections import caller_connection_limit
 from cowsliphitch.core.overload.loop_delay import TICK_INTERVAL_MS
 from cowsliphitch.core.servers.registry import STORE_SOURCE
 from cowsliphitch.core.serving.shutdown import ShutdownPlan
@@ -191,7 +188,7 @@
             cfg.listen.callers,
             handler.handle,
             state.limits,
-            self._max_caller_connections(),
+            caller_connection_limit(cfg.vm.max_descriptors, cfg.vm.memory_mb),
             clock,
             self._buffers,
         )
@@ -245,18 +242,6 @@
             await group.start(edge.run)
         await group.start(self._caller_edge.run)
 
-    def _max_caller_connections(self) -> int:
-        """Return for how many connections there are descriptors and memory."""
-        vm = self._cfg.vm
-        descriptors = vm.max_descriptors - const.RESERVED_DESCRIPTORS
-        return max(
-            const.MIN_CALLER_CONNECTIONS,
-            min(
-                round(descriptors * const.CALLER_DESCRIPTOR_SHARE),
-                max_connections(vm.memory_mb),
-            ),
-        )
-
     async def _run_maintenance(self) -> None:
         """Expire, update and clean up the components' state until cancelled.
 
--- a/packages/gateway/src/cowsliphitch/gateway/const.py
+++ b/packages/gateway/src/cowsliphitch/gateway/const.py
@@ -85,12 +85,6 @@
 # the server.
 MAX_CONNECTION_SHARE: Final = 0.8
 
-# File descriptors reserved for files, servers, peers and the store; callers' sockets
-# get a share of the others.
-RESERVED_DESCRIPTORS: Final = 1_000
-CALLER_DESCRIPTOR_SHARE: Final = 0.7
-MIN_CALLER_CONNECTIONS: Final = 64
-
 # Retry delay sent to a caller whose request arrives before the settings are known.
 NO_SETTINGS_RETRY_AFTER_MS: Final = 300
 
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -201,6 +201,7 @@
                 refusal = admitted
             else:
                 ctx = admitted
+                reply.admit()
                 run = functools.partial(self._run, ctx, log_fields, reply)
                 refusal = await self.in_flight.run_until_deadline(ctx, reply, run)
             if refusal is not None and not reply.started:
--- a/packages/standins/src/cowsliphitch/standins/scenario.py
+++ b/packages/standins/src/cowsliphitch/standins/scenario.py
@@ -96,12 +96,14 @@
     daemons: int = 3,
     upstreams: list[UpstreamSpec] | None = None,
     document: dict[str, Any] | None = None,
+    daemon_settings: dict[str, Any] | None = None,
 ) -> None:
     """Start the deployment, store its settings and wait until every daemon is ready.
 
     :param daemons: number of daemons, spread over the failure domains
     :param upstreams: upstreams to start instead of :func:`upstream_specs`
     :param document: settings tree instead of :func:`settings_document`
+    :param daemon_settings: further entries of each daemon's settings file
     :raises FleetStartError: the fleet is not ready in time
     """
     fleet.start_platform()
@@ -109,7 +111,9 @@
         fleet.start_upstream(spec)
     for index in range(daemons):
         fleet.start_daemon(
-            f"entry-{index + 1}", FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+            f"entry-{index + 1}",
+            FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+            **(daemon_settings or {}),
         )
     fleet.wait_until_up()
     try:
