Delay refused requests that are sent ahead, and accept several at once

Cause: a connection that always has a request waiting is served without a pause. 240 of them take all processor time with refusals. And the listener accepted one connection in some three rounds of the event loop, so with long rounds a new caller waited behind all connections that the crowd opened again.

Change: on a connection without an admitted request, the next request waits 20 ms after the first refusal and twice as long after each further one, up to 500 ms, if it was sent ahead or if half of the connections are open. Up to 16 connections are accepted before others are served.

Why it works: the work that a crowd can cause is bounded by its connections, not by its bytes. A caller that waits for each answer is not delayed in calm, one with an admitted request never, and status checks once a second never.

--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -16,7 +16,10 @@
       | 400   | send nothing                                             | callers |
       | 400   | send one byte                                            | callers |
       | 400   | announce a body and do not send it                       | callers |
+      | 400   | send refused requests and read little                    | callers |
       | 400   | send an answered request and nothing more                | callers |
+      | 400   | send requests without the usual headers and read nothing | callers |
+      | 400   | send requests that match no route and read nothing       | callers |
       | 100   | send nothing                                             | ready   |
       | 100   | send one byte                                            | ready   |
       | 400   | send requests for the readiness path and read nothing    | ready   |
--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -72,6 +72,11 @@
     When a caller sends 5000 requests at once and reads nothing for 1000 ms
     Then the handler received at most 1000 requests
 
+  Scenario: Refused requests that are sent ahead wait for one another
+    Given an edge server that refuses all requests
+    When a caller sends 5000 requests at once and reads for 1000 ms
+    Then the handler received at most 10 requests
+
   Scenario: A caller that reads slowly gets its whole answer
     Given an edge server whose answers have 8 MB
     When a caller pauses for 1500 ms in the middle of an answer
--- a/features/core/connections.feature
+++ b/features/core/connections.feature
@@ -15,6 +15,9 @@
       | idle for 1000, idle for 2000, in use for 0                       | number 2 |
       | unadmitted for 40, stalled for 900, idle for 900, in use for 0   | none     |
 
+  Scenario: Repeated refusals delay the next request up to a limit
+    Then the delays after 1, 2, 5, 6, 1000 refusals are 20, 40, 320, 500, 500 ms
+
   Scenario Outline: Descriptors and memory limit the connections
     Then <descriptors> descriptors and <mb> MB allow <count> connections
 
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -12,6 +12,7 @@
     Unadmitted,
     caller_connection_limit,
     eviction_rank,
+    refusal_delay_ms,
 )
 
 
@@ -44,6 +45,12 @@
     assert first == closed, ranks
 
 
+@then("the delays after {counts} refusals are {delays} ms")
+def check_delays(context: Any, counts: str, delays: str) -> None:
+    actual = [refusal_delay_ms(int(count)) for count in counts.split(", ")]
+    assert actual == [int(ms) for ms in delays.split(", ")], actual
+
+
 @then("{descriptors:d} descriptors and {mb:d} MB allow {count:d} connections")
 def check_limit(context: Any, descriptors: int, mb: int, count: int) -> None:
     assert caller_connection_limit(descriptors, mb) == count
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -191,6 +191,15 @@
     context.edge = Edge(raise_error, CallerLimits())
 
 
+@given("an edge server that refuses all requests")
+def given_refusing_edge(context: Any) -> None:
+    async def refuse(_req: EdgeRequest, reply: Reply) -> None:
+        await reply.start(404, (), 0)
+        await reply.end()
+
+    context.edge = Edge(refuse, CallerLimits())
+
+
 @when("the edge server is sent {request}")
 def send_to_edge(context: Any, request: str) -> None:
     async def call(stream: SocketStream) -> bytes:
@@ -319,6 +328,17 @@
     context.edge.run(call, connect_unread)
 
 
+@when("a caller sends {count:d} requests at once and reads for {ms:d} ms")
+def send_and_read(context: Any, count: int, ms: int) -> None:
+    async def call(stream: SocketStream) -> None:
+        await stream.send(PLAIN_REQUEST * count)
+        with anyio.move_on_after(ms / 1_000):
+            while True:
+                await stream.receive()
+
+    context.edge.run(call)
+
+
 @then("the handler received at most {count:d} requests")
 def assert_few_requests(context: Any, count: int) -> None:
     assert 1 <= len(context.edge.requests) <= count, len(context.edge.requests)
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -22,6 +22,7 @@
     InUse,
     Stalled,
     Unadmitted,
+    refusal_delay_ms,
 )
 
 from . import const
@@ -67,6 +68,7 @@
         answer
     :param diagnostics: counters of the server, shared by its connections
     :param budget: memory for the connection, its input and its unsent output
+    :param is_crowded: returns whether many connections are open
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         diagnostics: Diagnostics,
         clock: Clock,
         budget: BufferBudget,
+        is_crowded: Callable[[], bool],
     ) -> None:
         """Initialize the protocol state of a newly accepted stream."""
         self._stream = stream
@@ -87,11 +90,13 @@
         self._diagnostics = diagnostics
         self._clock = clock
         self._budget = budget
+        self._is_crowded = is_crowded
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
         self._started = False
         self._is_admitted = False
+        self._refusals = 0
         self._is_waiting_for_head = True
         self._is_handling = False
         self._opened_ms = self._idle_since_ms = clock.now_ms()
@@ -228,6 +233,7 @@
         if self._protocol.our_state is not h11.DONE:
             return await self._close_gracefully()
         self._idle_since_ms = self._clock.now_ms()
+        self._refusals += not self._is_admitted
         self._protocol.start_next_cycle()
         return True
 
@@ -294,9 +300,12 @@
         """
         self._is_waiting_for_head = True
         limits = self._limits()
+        is_pipelined = bool(self._protocol.trailing_data[0])
         received_ms = await self._wait_for_first_byte(limits.idle_timeout_ms)
         if received_ms is None:
             return None
+        if self._refusals and (is_pipelined or self._is_crowded()):
+            await self._wait_after_refusal()
         # Callers that read an answer before their next request never wait here.
         await self._wait_until(
             lambda: (
@@ -331,6 +340,14 @@
             received_ms=received_ms,
         )
 
+    async def _wait_after_refusal(self) -> None:
+        """Leave processor time to other connections, unless a request was admitted."""
+        if self._is_admitted:
+            return
+        next_ms = self._idle_since_ms + refusal_delay_ms(self._refusals)
+        with anyio.move_on_after(seconds(max(0, next_ms - self._clock.now_ms()))):
+            await self._stream.wait_lost()
+
     async def _wait_for_first_byte(self, idle_timeout_ms: int) -> int | None:
         """Return when the first byte of a request arrived, in monotonic ms.
 
--- a/packages/callers/src/cowsliphitch/callers/edge/const.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/const.py
@@ -39,5 +39,9 @@
 
 LISTEN_BACKLOG: Final = 1_024
 
+# Connections that are accepted before others are served.  A busy event loop would else
+# accept fewer than a crowd opens, and ordinary callers would wait behind it.
+ACCEPTED_AT_ONCE: Final = 16
+
 # Pause of a listener that can't accept a connection.
 ACCEPT_RETRY_MS: Final = 100
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import errno
+import itertools
 import logging
 import socket
 import sys
@@ -63,6 +64,7 @@
         self._clock = clock
         self._keep_alive_disabled = False
         self._connections: set[CallerConnection] = set()
+        self._connecting = 0
         self._evictable: list[CallerConnection] = []
         self._next_search_ms = 0
         self.diagnostics = Diagnostics()
@@ -94,8 +96,9 @@
         :raises RuntimeError: the socket accepts no more connections
         """
         loop = asyncio.get_running_loop()
-        while True:
-            await checkpoint()
+        for count in itertools.count():
+            if count % const.ACCEPTED_AT_ONCE == 0:
+                await checkpoint()
             try:
                 sock, _ = await loop.sock_accept(listening)
             except OSError as exc:
@@ -117,9 +120,20 @@
                 sock.close()
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await loop.connect_accepted_socket(
+            self._connecting += 1
+            group.start_soon(self._connect, sock, group)
+
+    async def _connect(self, sock: socket.socket, group: TaskGroup) -> None:
+        """Serve an accepted socket."""
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: CallerStream(lambda stream: self._open(stream, group)), sock
             )
+        except OSError:
+            # The caller has left, and the event loop has closed the socket.
+            sock.close()
+        finally:
+            self._connecting -= 1
 
     def _open(self, stream: CallerStream, group: TaskGroup) -> None:
         """Serve a new connection."""
@@ -131,6 +145,7 @@
             self.diagnostics,
             self._clock,
             self._budget,
+            lambda: len(self._connections) >= self._max_connections // 2,
         )
         self._connections.add(connection)
         self.diagnostics.connections += 1
@@ -138,7 +153,8 @@
 
     def _make_room(self) -> bool:
         """Return whether a connection may be opened, closing another one if need be."""
-        has_room = len(self._connections) < self._max_connections
+        count = len(self._connections) + self._connecting
+        has_room = count < self._max_connections
         if has_room and self._budget.has_room(CONNECTION_BYTES):
             return True
         connection = self._next_evictable()
--- a/packages/callers/src/cowsliphitch/callers/edge/stream.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/stream.py
@@ -45,6 +45,7 @@
         self._written_bytes = 0
         self._readable = anyio.Event()
         self._drained = anyio.Event()
+        self._lost = anyio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, and read nothing before it is asked for."""
@@ -75,6 +76,7 @@
         self._has_ended = self._is_lost = True
         self._readable.set()
         self._drained.set()
+        self._lost.set()
 
     def pause_writing(self) -> None:
         """Record that the operating system takes no more output at present."""
@@ -157,6 +159,10 @@
         if self.is_lost:
             raise anyio.BrokenResourceError
 
+    async def wait_lost(self) -> None:
+        """Wait until the connection is closed by this side, or a write fails."""
+        await self._lost.wait()
+
     def send_eof(self) -> None:
         """End this side of the connection."""
         if not self.is_lost:
--- a/packages/core/src/cowsliphitch/core/overload/connections.py
+++ b/packages/core/src/cowsliphitch/core/overload/connections.py
@@ -35,6 +35,11 @@
 # timeout, but can repeat one on a new connection that was closed before it was read.
 MIN_IDLE_MS: Final = 1_000
 
+# Time between a refused request and the next one of a connection without an admitted
+# request: after the first refusal, and at most.  Status checks come once a second.
+FIRST_REFUSAL_DELAY_MS: Final = 20
+MAX_REFUSAL_DELAY_MS: Final = 500
+
 
 @attrs.frozen
 class Unadmitted:
@@ -82,6 +87,18 @@
     return None
 
 
+def refusal_delay_ms(refusals: int) -> int:
+    """Return how long the next request of a connection waits after a refusal.
+
+    Load: a crowd sends refused requests as fast as they are answered, which leaves no
+    processor time for others.
+
+    :param refusals: refused requests of a connection without an admitted one, from 1
+    """
+    exponent = min(refusals - 1, MAX_REFUSAL_DELAY_MS.bit_length())
+    return min(MAX_REFUSAL_DELAY_MS, FIRST_REFUSAL_DELAY_MS << exponent)
+
+
 def caller_connection_limit(max_descriptors: float, memory_mb: float) -> int:
     """Return for how many connections of callers there are descriptors and memory.
 
