Serve the daemon's own interface by the callers' listener, with its limits

Cause: callers and operators came through hypercorn, which limits neither connections nor what it buffers for them: some 0.3 MB each. The settings had no limit of memory or descriptors.

Change: callers/edge/asgi.py runs an ASGI application as handler of an edge server, so that the own interface has the limits of the platform's daemon: connections, buffered bytes, unread answers, time for a head, and which connection makes room. vm.memory_mb (1,024) and vm.max_descriptors (4,096) scale them. What the server rejects itself is still a refusal with problem details and verdict. As before, the application is not cancelled when a caller disconnects: a trial that cancelled it failed features/peers/partitions.feature, where a daemon stopped answering after callers had left orders. On shutdown, connections close after their answers, and the daemon waits for answers within drain_limit. HTTP/2 is no longer served; nothing documented it.

Why it works: one mechanism bounds what all connections of a process hold.

Evidence: features/callers/crowds.feature, 120 MB and 2,000 descriptors, 10 s.

--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -24,3 +24,19 @@
       | 100   | send one byte                                            | ready   |
       | 400   | send requests for the readiness path and read nothing    | ready   |
       | 100   | send nothing                                             | metrics |
+
+  Scenario Outline: A crowd does not fill the memory of a daemon of the own interface
+    Given a daemon of the own interface that has 120 MB of memory and 2000 descriptors
+    When <count> callers <behaviour> at its <address> address for 10 s
+    Then an ordinary request was answered meanwhile
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | count | behaviour                                                | address   |
+      | 600   | send requests without the usual headers and read nothing | callers   |
+      | 600   | send requests for the readiness path and read nothing    | callers   |
+      | 600   | send requests that match no route and read nothing       | callers   |
+      | 400   | send nothing                                             | callers   |
+      | 600   | send requests without the usual headers and read nothing | operators |
+      | 100   | send nothing                                             | operators |
--- a/features/callers/refusals.feature
+++ b/features/callers/refusals.feature
@@ -19,6 +19,7 @@
       | an unknown service              | 404    | not-run      | unknown-route            |
       | an unknown path                 | 404    | not-run      | unknown-route            |
       | a body over the limit           | 413    | not-run      | body-too-large           |
+      | a head over the limit           | 400    | not-run      | invalid-request          |
       | a body that is not JSON         | 400    | not-run      | invalid-request          |
       | a deeply nested body            | 400    | not-run      | invalid-request          |
       | a body without input            | 400    | not-run      | invalid-request          |
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -226,6 +226,11 @@
     "an unknown service": lambda c: ("/v1/services/none", "x", {}),
     "an unknown path": lambda c: ("/v2/none", VALID_BODY, {}),
     "a body over the limit": lambda c: (PIPELINE, b"x" * 300_000, {}),
+    "a head over the limit": lambda c: (
+        PIPELINE,
+        VALID_BODY,
+        {"x_extra": "x" * 20_000},
+    ),
     "a body that is not JSON": lambda c: (PIPELINE, "{", {}),
     "a deeply nested body": lambda c: (PIPELINE, "[" * 100_000, {}),
     "a body without input": lambda c: (PIPELINE, "{}", {}),
--- a/packages/callers/src/cowsliphitch/callers/app.py
+++ b/packages/callers/src/cowsliphitch/callers/app.py
@@ -2,6 +2,8 @@
 
 import json
 from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from typing import Any
 
 from result import Err, Ok
 from starlette.applications import Starlette
@@ -21,9 +23,10 @@
     Refused,
     TokenLines,
 )
-from cowsliphitch.core.verdict import Reason, Refusal, not_run
+from cowsliphitch.core.verdict import Reason, Refusal, may_have_run, not_run
 
 from . import const
+from .edge.models import ErrorAnswer
 from .models import Gateway, Headers, PipelineBody
 from .problems import problem_details, problem_response
 from .requests import read_request
@@ -51,6 +54,25 @@
             exception_handlers={404: _unknown_route, 405: _unknown_route},
         )
 
+    def encode_error(self, status: int, detail: str) -> ErrorAnswer:
+        """Return the refusal of a request that did not reach the application.
+
+        :param status: error status of the HTTP server
+        :param detail: what is wrong with the request
+        """
+        match status:
+            case 413:
+                refusal = not_run(Reason.BODY_TOO_LARGE, detail)
+            case 502:
+                refusal = may_have_run(Reason.UPSTREAM_FAILED, detail)
+            case 503:
+                refusal = not_run(Reason.QUEUE_FULL, detail, const.NO_MEMORY_RETRY_MS)
+            case _:
+                refusal = not_run(Reason.INVALID_REQUEST, detail)
+        resp = problem_response(refusal, self._gateway.new_request_id())
+        headers = tuple((k, v) for k, v in resp.raw_headers if k != b"content-length")
+        return ErrorAnswer(resp.status_code, headers, bytes(resp.body))
+
     async def _health(self, _req: Request) -> Response:
         return PlainTextResponse("ok\n")
 
@@ -86,7 +108,7 @@
             await events.aclose()
             return problem_response(first.refusal, request_id)
         if const.STREAM_TYPE in req.headers.get("accept", ""):
-            return StreamingResponse(
+            return _LineStream(
                 stream_lines(request_id, first, events),
                 headers={const.REQUEST_HEADER: request_id},
                 media_type=const.STREAM_TYPE,
@@ -113,6 +135,16 @@
                 return JSONResponse(content, headers={const.REQUEST_HEADER: request_id})
 
 
+class _LineStream(StreamingResponse):
+    """Streamed answer whose generator is closed with it, also after an error."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Send the answer."""
+        generator: Any = self.body_iterator
+        async with aclosing(generator):
+            await super().__call__(scope, receive, send)
+
+
 async def collect_answer(
     request_id: str, first: PipelineEvent, events: AsyncGenerator[PipelineEvent, None]
 ) -> Response:
--- a/packages/callers/src/cowsliphitch/callers/const.py
+++ b/packages/callers/src/cowsliphitch/callers/const.py
@@ -10,3 +10,9 @@
 PROBLEM_URN_PREFIX: Final = "urn:cowsliphitch:reason:"
 BODY_TIMEOUT_MS: Final = 5_000
 MAX_KEY_CHARS: Final = 128
+
+# Paths of the balancer's status checks, which anybody may request.
+PROBE_PATHS: Final = frozenset({"/healthz", "/readyz"})
+
+# Delay after which a body that found no memory may be sent again.
+NO_MEMORY_RETRY_MS: Final = 1_000
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -26,7 +26,14 @@
 )
 
 from . import const
-from .models import Diagnostics, EdgeRequest, Handler, Header, ReplyError
+from .models import (
+    Diagnostics,
+    EdgeRequest,
+    ErrorEncoder,
+    Handler,
+    Header,
+    ReplyError,
+)
 from .stream import CallerStream
 
 _LOGGER = logging.getLogger(__name__)
@@ -36,10 +43,14 @@
     400: b"Bad Request",
     401: b"Unauthorized",
     404: b"Not Found",
+    405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
+    422: b"Unprocessable Content",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -69,6 +80,7 @@
     :param diagnostics: counters of the server, shared by its connections
     :param budget: memory for the connection, its input and its unsent output
     :param is_crowded: returns whether many connections are open
+    :param encode_error: returns the answer to a request that is rejected here
     """
 
     def __init__(
@@ -81,6 +93,7 @@
         clock: Clock,
         budget: BufferBudget,
         is_crowded: Callable[[], bool],
+        encode_error: ErrorEncoder,
     ) -> None:
         """Initialize the protocol state of a newly accepted stream."""
         self._stream = stream
@@ -91,6 +104,7 @@
         self._clock = clock
         self._budget = budget
         self._is_crowded = is_crowded
+        self._encode_error = encode_error
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -99,6 +113,7 @@
         self._refusals = 0
         self._is_waiting_for_head = True
         self._is_handling = False
+        self._is_head_method = False
         self._opened_ms = self._idle_since_ms = clock.now_ms()
         self._acknowledged_bytes = 0
         self._stalled_since_ms: int | None = None
@@ -170,7 +185,7 @@
         except _RequestRejected as exc:
             self._diagnostics.malformed += 1
             _LOGGER.info("Rejecting request: status=%d cause=%s", exc.status, exc)
-            await self._send_error(exc.status)
+            await self._send_error(exc.status, str(exc))
         finally:
             self._stream.close()
             self._unsent.close()
@@ -327,6 +342,7 @@
         if not isinstance(event, h11.Request):
             return None
         self._is_waiting_for_head = False
+        self._is_head_method = event.method == b"HEAD"
         host = _validate_head(event, limits)
         body = await self._read_body(limits, buffer)
         # The input is in the body now, which is counted apart.
@@ -459,16 +475,25 @@
     def _stall_timeout_ms(self) -> int:
         return max(self._limits().idle_timeout_ms, const.MIN_STALL_TIMEOUT_MS)
 
-    async def _send_error(self, status: int) -> None:
-        """Send an answer without a body, then close the connection."""
+    async def _send_error(self, status: int, detail: str) -> None:
+        """Send an error answer, then close the connection."""
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        answer = self._encode_error(status, detail)
+        length = b"%d" % len(answer.body)
         head = h11.Response(
-            status_code=status, headers=headers, reason=_REASON_PHRASES.get(status, b"")
+            status_code=answer.status,
+            headers=[
+                *answer.headers,
+                (b"content-length", length),
+                (b"connection", b"close"),
+            ],
+            reason=_REASON_PHRASES.get(answer.status, b""),
         )
         try:
             await self._write(self._protocol.send(head))
+            if answer.body and not self._is_head_method:
+                await self._write(self._protocol.send(h11.Data(data=answer.body)))
             await self._write(self._protocol.send(h11.EndOfMessage()))
         except ReplyError:
             return
--- a/packages/callers/src/cowsliphitch/callers/edge/models.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/models.py
@@ -72,6 +72,24 @@
 Handler = Callable[[EdgeRequest, Reply], Awaitable[None]]
 
 
+@attrs.frozen
+class ErrorAnswer:
+    """Answer to a request that the server itself rejects."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+# Returns the answer for an error status and a sentence that says what is wrong.
+ErrorEncoder = Callable[[int, str], ErrorAnswer]
+
+
+def encode_bare_error(status: int, _detail: str) -> ErrorAnswer:
+    """Return an answer without a body."""
+    return ErrorAnswer(status)
+
+
 @attrs.define
 class Diagnostics:
     """Counters of a server, for metrics.
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -24,7 +24,7 @@
 
 from . import const
 from .connection import CallerConnection
-from .models import Diagnostics, Handler
+from .models import Diagnostics, ErrorEncoder, Handler, encode_bare_error
 from .stream import CallerStream
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,6 +44,7 @@
         unless another one makes room
     :param budget: memory for connections and for what they buffer, without a limit by
         default
+    :param encode_error: returns the answer to a request that the server rejects
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         max_connections: int,
         clock: Clock,
         budget: BufferBudget | None = None,
+        encode_error: ErrorEncoder = encode_bare_error,
     ) -> None:
         """Initialize the server; :meth:`run` opens the listening socket."""
         self._budget = budget or BufferBudget(sys.maxsize)
@@ -62,6 +64,7 @@
         self._limits = limits
         self._max_connections = max_connections
         self._clock = clock
+        self._encode_error = encode_error
         self._keep_alive_disabled = False
         self._connections: set[CallerConnection] = set()
         self._connecting = 0
@@ -146,6 +149,7 @@
             self._clock,
             self._budget,
             lambda: len(self._connections) >= self._max_connections // 2,
+            self._encode_error,
         )
         self._connections.add(connection)
         self.diagnostics.connections += 1
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -1,5 +1,6 @@
 """Assembly of a daemon from its components, its startup and its graceful shutdown."""
 
+import json
 import logging
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
@@ -7,19 +8,23 @@
 import anyio
 import attrs
 from grpclib.server import Server
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 from result import Err
-from starlette.applications import Starlette
 
 from cowsliphitch.callers.app import CallersApp
+from cowsliphitch.callers.const import PROBE_PATHS
+from cowsliphitch.callers.edge.asgi import AsgiHandler
+from cowsliphitch.callers.edge.models import ErrorAnswer
+from cowsliphitch.callers.edge.server import EdgeServer
 from cowsliphitch.core.clock import Clock, seconds
+from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.core.membership.models import MemberRecord
 from cowsliphitch.core.orders.models import Record
+from cowsliphitch.core.overload.buffers import BufferBudget, budget_bytes
+from cowsliphitch.core.overload.connections import caller_connection_limit
 from cowsliphitch.core.quarantine.registry import SuspectRegistry
 from cowsliphitch.core.settings.models import Settings
 from cowsliphitch.core.verdict import Reason, Refusal
-from cowsliphitch.operators.api.app import OperatorsApp
+from cowsliphitch.operators.api.app import MAX_BODY_BYTES, OperatorsApp
 from cowsliphitch.peers import tls
 from cowsliphitch.peers.membership.channels import Channels, PeerCallFailed
 from cowsliphitch.peers.membership.coordinator import PeerCoordinator
@@ -52,8 +57,10 @@
 # Daemons in each failure domain that read the settings and the VM list from the
 # platform; the others get them from their peers.
 WATCHERS_PER_DOMAIN: Final = 2
-HTTP_KEEP_ALIVE_S: Final = 30
-LISTEN_BACKLOG: Final = 1_024
+HTTP_IDLE_TIMEOUT_MS: Final = 30_000
+
+# Open connections that the listener for operators accepts.
+MAX_OPERATOR_CONNECTIONS: Final = 64
 
 
 class Daemon:
@@ -133,6 +140,12 @@
             self._metrics,
             clock,
         )
+        self._callers_app = CallersApp(self._gateway)
+        self._handlers = (
+            AsgiHandler(self._callers_app.app(), PROBE_PATHS),
+            AsgiHandler(OperatorsApp(self._control).app()),
+        )
+        self._edges = self._make_edges()
         self._register_listeners()
         self._metrics.register_gauges(self._make_gauge_sources())
 
@@ -164,6 +177,7 @@
             ),
             order_writes=lambda: order_diagnostics.writes,
             order_records=lambda: order_diagnostics.appended,
+            listeners=lambda: {n: e.diagnostics for n, e in self._edges.items()},
         )
 
     def _register_listeners(self) -> None:
@@ -209,7 +223,6 @@
         )
         host, _, port = self._cfg.peers.rpartition(":")
         await server.start(host, int(port), ssl=_server_tls_context(self._cfg))
-        shutdown = anyio.Event()
         async with anyio.create_task_group() as background:
             tasks = BackgroundTasks(background, self._clock)
             # Claims wait in the order logs' writers, so the process ends with them.
@@ -217,12 +230,14 @@
             for loop in self._background_loops():
                 tasks.start_loop(loop)
             async with anyio.create_task_group() as http_servers:
-                for app, bind in self._http_apps():
-                    http_servers.start_soon(_serve_http, app, bind, self._cfg, shutdown)
+                for handler in self._handlers:
+                    await http_servers.start(handler.run)
+                for edge in self._edges.values():
+                    await http_servers.start(edge.run)
                 _LOGGER.info("Daemon %s started", self._cfg.name)
                 await stop.wait()
                 await self._drain()
-                shutdown.set()
+                http_servers.cancel_scope.cancel()
             background.cancel_scope.cancel()
         server.close()
         await server.wait_closed()
@@ -239,11 +254,36 @@
             self._engine_order_duty.run,
         ]
 
-    def _http_apps(self) -> list[tuple[Starlette, str]]:
-        return [
-            (CallersApp(self._gateway).app(), self._cfg.callers),
-            (OperatorsApp(self._control).app(), self._cfg.operators),
-        ]
+    def _make_edges(self) -> dict[str, EdgeServer]:
+        """Create the HTTP servers, which share the memory for buffers."""
+        cfg, vm = self._cfg, self._cfg.vm
+        budget = BufferBudget(budget_bytes(vm.memory_mb))
+        callers_handler, operators_handler = self._handlers
+        return {
+            "callers": EdgeServer(
+                cfg.callers,
+                callers_handler,
+                lambda: CallerLimits(
+                    body_bytes=self._gateway.max_body_bytes(),
+                    idle_timeout_ms=HTTP_IDLE_TIMEOUT_MS,
+                ),
+                caller_connection_limit(vm.max_descriptors, vm.memory_mb),
+                self._clock,
+                budget,
+                self._callers_app.encode_error,
+            ),
+            "operators": EdgeServer(
+                cfg.operators,
+                operators_handler,
+                lambda: CallerLimits(
+                    body_bytes=MAX_BODY_BYTES, idle_timeout_ms=HTTP_IDLE_TIMEOUT_MS
+                ),
+                MAX_OPERATOR_CONNECTIONS,
+                self._clock,
+                budget,
+                _encode_operator_error,
+            ),
+        }
 
     async def _drain(self) -> None:
         """Stop accepting requests and wait for those in flight.
@@ -255,6 +295,8 @@
         """
         _LOGGER.info("Daemon %s is draining", self._cfg.name)
         self._gateway.is_draining = True
+        for edge in self._edges.values():
+            edge.disable_keep_alive()
         await self._peer_coordinator.announce_leave()
         await anyio.sleep(seconds(self._cfg.drain_delay))
         self._gateway.is_closed = True
@@ -263,6 +305,13 @@
             await anyio.sleep(seconds(DRAIN_POLL_INTERVAL_MS))
         if not await self._order_coordinator.drain(deadline_ms):
             _LOGGER.error("Some order outcomes were not written within the drain limit")
+        while self._active_requests and self._clock.now_ms() < deadline_ms:
+            await anyio.sleep(seconds(DRAIN_POLL_INTERVAL_MS))
+
+    @property
+    def _active_requests(self) -> int:
+        """Return how many requests have no complete answer yet."""
+        return sum(edge.diagnostics.active for edge in self._edges.values())
 
     async def _close_clients(self) -> None:
         self._peer_channels.close()
@@ -271,17 +320,10 @@
         await self._kv_client.close()
 
 
-async def _serve_http(
-    app: Starlette, bind: str, cfg: DaemonSettings, shutdown: anyio.Event
-) -> None:
-    """Serve an application over HTTP until the shutdown event is set."""
-    config = Config()
-    config.bind = [bind]
-    config.backlog = LISTEN_BACKLOG
-    config.keep_alive_timeout = HTTP_KEEP_ALIVE_S
-    config.graceful_timeout = seconds(cfg.drain_limit)
-    config.errorlog = None
-    await serve(app, config, shutdown_trigger=shutdown.wait)  # type: ignore[arg-type]
+def _encode_operator_error(status: int, detail: str) -> ErrorAnswer:
+    """Return the answer to an operator's request that the server rejects."""
+    headers = ((b"content-type", b"application/json"),)
+    return ErrorAnswer(status, headers, json.dumps({"detail": detail}).encode())
 
 
 def _member_record(cfg: DaemonSettings) -> MemberRecord:
--- a/packages/daemon/src/cowsliphitch/daemon/logs.py
+++ b/packages/daemon/src/cowsliphitch/daemon/logs.py
@@ -11,7 +11,13 @@
 from .settings import LogFormat
 
 _TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
-_WARNING_ONLY_LOGGERS = ("httpx", "httpcore", "hpack", "h2", "hypercorn.access")
+_WARNING_ONLY_LOGGERS = (
+    "httpx",
+    "httpcore",
+    "hpack",
+    "h2",
+    "cowsliphitch.callers.edge.connection",
+)
 
 
 class JsonFormatter(logging.Formatter):
--- a/packages/daemon/src/cowsliphitch/daemon/metrics.py
+++ b/packages/daemon/src/cowsliphitch/daemon/metrics.py
@@ -8,6 +8,7 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from cowsliphitch.callers.edge.models import Diagnostics
 from cowsliphitch.core.verdict import Refusal
 from cowsliphitch.upstreams.pool.coordinator import PoolCoordinator
 
@@ -32,6 +33,7 @@
     :param peer_bytes: bytes sent to peers and received from them
     :param order_writes: writes to the order logs
     :param order_records: records appended to the order logs
+    :param listeners: counters of the HTTP listeners, by name
     """
 
     pools: Callable[[], Iterable[PoolCoordinator]]
@@ -41,6 +43,7 @@
     peer_bytes: Callable[[], int]
     order_writes: Callable[[], int]
     order_records: Callable[[], int]
+    listeners: Callable[[], dict[str, Diagnostics]]
 
 
 class Metrics:
@@ -99,6 +102,7 @@
         }
         for name, read_value in daemon_gauges.items():
             self._meter.create_observable_gauge(name, [_observer(read_value)])
+        self._register_listener_gauges(sources)
         pool_gauges: dict[str, Callable[[PoolCoordinator], float]] = {
             "cowsliphitch_queue_length": lambda pool: pool.queue_length,
             "cowsliphitch_slots_running": lambda pool: pool.running,
@@ -116,6 +120,22 @@
                 name, [_pool_observer(sources.pools, read_pool_value)]
             )
 
+    def _register_listener_gauges(self, sources: GaugeSources) -> None:
+        def observe_open(_options: CallbackOptions) -> Iterator[Observation]:
+            for name, listener in sources.listeners().items():
+                yield Observation(listener.connections, {"listener": name})
+
+        def observe_closed(_options: CallbackOptions) -> Iterator[Observation]:
+            for name, listener in sources.listeners().items():
+                for cause, count in listener.closed_by_cause().items():
+                    yield Observation(count, {"listener": name, "cause": cause})
+
+        for name, observe in (
+            ("cowsliphitch_caller_connections", observe_open),
+            ("cowsliphitch_caller_connections_closed", observe_closed),
+        ):
+            self._meter.create_observable_gauge(name, [observe])
+
     def scrape(self) -> tuple[bytes, str]:
         """Return all metrics in the Prometheus text format, and its media type."""
         return generate_latest(), CONTENT_TYPE_LATEST
--- a/packages/daemon/src/cowsliphitch/daemon/settings.py
+++ b/packages/daemon/src/cowsliphitch/daemon/settings.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from cowsliphitch.core.settings.schema import Problem, load_document
-from cowsliphitch.core.settings.units import Duration, Name
+from cowsliphitch.core.settings.units import Duration, Name, PositiveAmount
 
 DEFAULT_DRAIN_DELAY_MS: Final = Duration(1_000)
 DEFAULT_DRAIN_LIMIT_MS: Final = Duration(60_000)
@@ -37,6 +37,18 @@
     authority: str
 
 
+@attrs.frozen
+class VmSettings:
+    """Limits of the VM on this process.
+
+    :param max_descriptors: limit on open files and sockets
+    :param memory_mb: memory of the process, in MB
+    """
+
+    max_descriptors: PositiveAmount = PositiveAmount(4_096)
+    memory_mb: PositiveAmount = PositiveAmount(1_024)
+
+
 @attrs.frozen
 class DaemonSettings:
     """Settings of one daemon, which the fleet's configuration does not contain.
@@ -64,6 +76,7 @@
     drain_delay: Duration = DEFAULT_DRAIN_DELAY_MS
     drain_limit: Duration = DEFAULT_DRAIN_LIMIT_MS
     log_format: LogFormat = LogFormat.TEXT
+    vm: VmSettings = attrs.Factory(VmSettings)
 
 
 def load_daemon_settings(path: str) -> Result[DaemonSettings, tuple[Problem, ...]]:
