Limit the number of cached prompt parts that a daemon remembers

What callers saw: some 1,400 prompts of 1,200 short parts ended the daemon that chooses engines, and with it the requests of all other callers.

Cause: the account of an engine's cache was limited by tokens only. Parts of one token make up to one record for each token of the engine's memory, and parts of no tokens have no limit. Identifiers of parts had no bound in bytes either.

Change: 32,768 parts are remembered for all engines of a cell, shared equally, at least 1,024 for each; the least recently used go first, those of running requests stay. An identifier of over 40 characters is kept as a digest, by all daemons alike.

Why it works: the records take some 140 bytes each, so at most 5 MB.

--- a/features/core/engine_load.feature
+++ b/features/core/engine_load.feature
@@ -131,3 +131,24 @@
     Given 9 equal engines with and without 64 slots and memory for 600000 tokens
     When 6 bursts of 12 prompts with common parts arrive
     Then both selectors make the same choices
+
+  # Guards against prompts of many short parts, whose records filled a daemon's memory.
+  Scenario Outline: The number of cached parts that are remembered is limited
+    Given 3 engines with 64 slots and memory for 1000000 tokens of which "e2" has "p" cached
+    When 360 prompts of 1200 parts with <tokens> tokens each run at the engines in turn
+    Then 32766 parts are remembered
+
+    Examples:
+      | tokens |
+      | 0      |
+      | 1      |
+
+  Scenario Outline: Long identifiers of prompt parts are kept as digests
+    Then a part identifier of <length> characters is kept as <kept> characters
+
+    Examples:
+      | length | kept |
+      | 8      | 8    |
+      | 40     | 40   |
+      | 41     | 32   |
+      | 12000  | 32   |
--- a/features/steps/engine_load_steps.py
+++ b/features/steps/engine_load_steps.py
@@ -1,6 +1,7 @@
 """Steps for engine selection with limited slots and memory, at different speeds."""
 
 import heapq
+import itertools
 import random
 from collections import Counter
 from typing import Any
@@ -11,7 +12,11 @@
 from cowsliphitch.core.deployment.models import EnginePool
 from cowsliphitch.core.engines.const import PREFILL_TOKENS_PER_MS
 from cowsliphitch.core.engines.selector import CostWeights, EngineChoice, EngineSelector
-from cowsliphitch.core.requests.models import Generation, PromptPart
+from cowsliphitch.core.requests.models import (
+    Generation,
+    PromptPart,
+    bounded_part_id,
+)
 
 OBJECTIVE_MS = 1_000
 SHARED_TOKENS, OWN_TOKENS = 12_000, 1_000
@@ -151,6 +156,32 @@
     assert choice.cached_tokens == tokens, choice
 
 
+@when(
+    "{count:d} prompts of {parts:d} parts with {tokens:d} tokens each run at the"
+    " engines in turn"
+)
+def run_many_parts(context: Any, count: int, parts: int, tokens: int) -> None:
+    for number, name in zip(range(count), itertools.cycle(context.engines)):
+        context.number += 1
+        prompt = tuple(PromptPart(f"{number}-{n}", tokens) for n in range(parts))
+        requested = Generation("m", parts * tokens, 10, prompt)
+        request = dispatch(context, name, requested)
+        context.selector.record_first_token(request, context.now_ms)
+        context.selector.record_end(request)
+
+
+@then("{count:d} parts are remembered")
+def check_remembered(context: Any, count: int) -> None:
+    engines = context.selector._engines.values()
+    remembered = sum(len(engine.memory.cached_parts) for engine in engines)
+    assert remembered == count, remembered
+
+
+@then("a part identifier of {length:d} characters is kept as {kept:d} characters")
+def check_part_id(context: Any, length: int, kept: int) -> None:
+    assert len(bounded_part_id("a" * length)) == kept
+
+
 @when(
     '{count:d} requests of {prefixes:d} prefixes are sent to "{name}" and begin and '
     "end in random order"
--- a/packages/core/src/cowsliphitch/core/engines/const.py
+++ b/packages/core/src/cowsliphitch/core/engines/const.py
@@ -91,6 +91,12 @@
 # remainder.
 MAX_CACHED_TOKENS: Final = 250_000
 
+# Cached prompt parts that are remembered, of all engines together, and of one engine at
+# least.  A part takes some 140 bytes.  An engine with 700,000 tokens holds some 1,500
+# parts in use.
+MAX_CACHED_PARTS: Final = 32_768
+MIN_CACHED_PARTS: Final = 1_024
+
 # Expected times to first token are multiplied by this before the comparison with an
 # objective.
 LATENCY_SAFETY_FACTOR: Final = 1.25
--- a/packages/core/src/cowsliphitch/core/engines/memory.py
+++ b/packages/core/src/cowsliphitch/core/engines/memory.py
@@ -3,6 +3,9 @@
 Load pattern: most running requests of an engine have the same long prefix, which is in
 its memory once.  Fault: counted for each request, four of them seem to fill a memory
 that holds twenty, and a cached prefix seems to be evicted while requests use it.
+
+Load: prompts of a thousand short parts.  Their tokens fill no engine, but the records
+of their parts would fill the memory of the daemon, so their number is limited too.
 """
 
 from collections import OrderedDict
@@ -113,24 +116,28 @@
             if part.id not in self.held:
                 self._unheld_tokens += part.tokens
 
-    def evict(self, memory_tokens: int | None) -> None:
+    def evict(self, memory_tokens: int | None, max_parts: int) -> None:
         """Evict the least recently used parts for which there is no room.
 
         :param memory_tokens: memory for running requests and cached parts; if ``None``,
             only the cached parts are limited
+        :param max_parts: number of cached parts, besides those of running requests
         """
         if memory_tokens is None:
             while self.cached_tokens > const.MAX_CACHED_TOKENS and self.cached_parts:
                 self._remove(next(iter(self.cached_parts)))
-            return
-        excess = self._unheld_tokens - max(0, memory_tokens - self.held.tokens)
+            excess = 0
+        else:
+            excess = self._unheld_tokens - max(0, memory_tokens - self.held.tokens)
+        surplus = len(self.cached_parts) - max_parts
         evicted = []
         for part_id, tokens in self.cached_parts.items():
-            if excess <= 0:
+            if excess <= 0 and surplus <= 0:
                 break
             if part_id not in self.held:
                 evicted.append(part_id)
                 excess -= tokens
+                surplus -= 1
         for part_id in evicted:
             self._remove(part_id)
 
--- a/packages/core/src/cowsliphitch/core/engines/selector.py
+++ b/packages/core/src/cowsliphitch/core/engines/selector.py
@@ -330,6 +330,9 @@
         if engine is None or engine.started_ms != server.started_ms:
             engine = self._engines[server.id] = EngineState(server.started_ms)
         engine.pool = pool
+        engine.max_cached_parts = max(
+            const.MIN_CACHED_PARTS, const.MAX_CACHED_PARTS // len(self._engines)
+        )
         return engine
 
 
--- a/packages/core/src/cowsliphitch/core/engines/state.py
+++ b/packages/core/src/cowsliphitch/core/engines/state.py
@@ -165,6 +165,7 @@
     :param slowdown: moving average of measured over nominal time to first token, used
         without a pool
     :param backoff_until_ms: monotonic time until which other engines are preferred
+    :param max_cached_parts: number of cached parts that are remembered
     """
 
     started_ms: int
@@ -178,6 +179,7 @@
     slowdown: float = 1.0
     speed: PrefillSpeed = attrs.Factory(PrefillSpeed)
     backoff_until_ms: int = 0
+    max_cached_parts: int = const.MAX_CACHED_PARTS
     # Queues by priority, until a request is added, begins or ends.
     _queues: dict[int, _Queue] = attrs.Factory(dict)
 
@@ -445,7 +447,8 @@
 
     def _evict(self) -> None:
         """Evict cached parts for which running requests leave no room."""
-        self.memory.evict(None if self.pool is None else self.pool.kv_tokens)
+        memory_tokens = None if self.pool is None else self.pool.kv_tokens
+        self.memory.evict(memory_tokens, self.max_cached_parts)
 
 
 def expected_output_tokens(generation: Generation) -> float:
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -10,6 +10,17 @@
 
 Header = tuple[bytes, bytes]
 
+# Longer identifiers of prompt parts are replaced by a digest, since they are kept after
+# the request.
+MAX_PART_ID_CHARS: Final = 40
+
+
+def bounded_part_id(part_id: str) -> str:
+    """Return the identifier of a prompt part, or the digest of a long one."""
+    if len(part_id) <= MAX_PART_ID_CHARS:
+        return part_id
+    return hashlib.blake2b(part_id.encode(), digest_size=16).hexdigest()
+
 
 @attrs.frozen
 class PromptPart:
