Count the decoded heads of requests towards the memory for buffers

What callers saw: some 600 requests with 1,900 short headers each, inside the limit of a head, ended a daemon with the requests of all others.

Cause: a head of 15 KB becomes some 0.7 MB of tuples and texts while its request is handled: the received, decoded and forwarded copies. Only bodies and connections counted towards the budget.

Change: each header counts as 400 bytes and twice its size, and each further item of a list in a value, as a part of a prompt, as 200 bytes. A request whose head finds no memory is refused with 503 before anything is sent. A head over 32 KB by this count is taken only while an eighth of the budget stays free, so that large ones can't take the room of ordinary ones. The limit of a body no longer compares with a buffer that now holds the head too.

Why it works: what is kept for requests that are handled is bounded by the budget. A usual head counts some 5 KB beside the 40 KB of its connection; a single head at the limit of 16 KB is taken in calm (third scenario).

Evidence: features/daemon/large_requests.feature, 120 MB, 200 callers with 5 lookups of 1,900 headers each, servers that take 1 s.

--- a/features/daemon/large_requests.feature
+++ b/features/daemon/large_requests.feature
@@ -9,6 +9,13 @@
     Then the daemon is alive and used at most its memory and its descriptors
     And an ordinary request is answered afterwards
 
+  Scenario: Heads of many headers do not end the daemon
+    Given a daemon that has 120 MB of memory and 2000 descriptors
+    And its servers take 1000 ms for each answer
+    When 200 callers send 5 lookups each, whose heads have 1900 headers
+    Then the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
   Scenario: A single request with many headers and prompt parts is served
     Given a daemon that has 120 MB of memory and 2000 descriptors
     When a caller sends a lookup whose head has 1900 headers
--- a/features/daemon/memory.feature
+++ b/features/daemon/memory.feature
@@ -32,6 +32,16 @@
     When number 2 is pinned and another buffer grows to 40 bytes
     Then the other is given up and 70 bytes are used once it is closed
 
+  Scenario Outline: A large head is taken only while there is room for usual ones
+    Given a budget of 1000000 bytes with buffers of <used> bytes
+    Then a head of <size> bytes is <taken>
+
+    Examples:
+      | used   | size   | taken     |
+      | 100000 | 775000 | taken     |
+      | 100000 | 775001 | not taken |
+      | 990000 | 32768  | taken     |
+
   Scenario: An answer of the store without end is given up
     When the store's client reads an answer without end
     Then the call fails after at most 17 MB
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -210,3 +210,8 @@
 def call_failed(context: Any, mb: int) -> None:
     assert isinstance(context.result, Err), context.result
     assert context.sent <= mb * MB, context.sent
+
+
+@then("a head of {size:d} bytes is {taken}")
+def check_head(context: Any, size: int, taken: str) -> None:
+    assert context.budget.has_room_for_head(size) == (taken == "taken")
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -15,7 +15,12 @@
 
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
-from cowsliphitch.core.overload.buffers import CONNECTION_BYTES, Buffer, BufferBudget
+from cowsliphitch.core.overload.buffers import (
+    CONNECTION_BYTES,
+    Buffer,
+    BufferBudget,
+    head_bytes,
+)
 from cowsliphitch.core.overload.connections import (
     ConnectionUse,
     Idle,
@@ -309,7 +314,7 @@
     async def _read_request(self, buffer: Buffer) -> EdgeRequest | None:
         """Read a request; return ``None`` if the connection ended before one began.
 
-        :param buffer: counts the bytes of its body
+        :param buffer: counts the memory of its head and its body
         :raises _RequestRejected: the request is invalid, too large or too slow
         :raises _CallerDisconnected: the caller disconnected during the request
         """
@@ -344,6 +349,7 @@
         self._is_waiting_for_head = False
         self._is_head_method = event.method == b"HEAD"
         host = _validate_head(event, limits)
+        self._count_head(event, buffer)
         body = await self._read_body(limits, buffer)
         # The input is in the body now, which is counted apart.
         self._count_input()
@@ -356,6 +362,18 @@
             received_ms=received_ms,
         )
 
+    def _count_head(self, head: h11.Request, buffer: Buffer) -> None:
+        """Count the memory of a decoded head.
+
+        :raises _RequestRejected: there is not enough
+        """
+        size = head_bytes(head.headers)
+        if not (self._budget.has_room_for_head(size) and buffer.grow(size)):
+            count = len(head.headers)
+            raise _RequestRejected(
+                503, f"no memory for {count} headers, which take {size} bytes"
+            )
+
     async def _wait_after_refusal(self) -> None:
         """Leave processor time to other connections, unless a request was admitted."""
         if self._is_admitted:
@@ -389,10 +407,11 @@
             body = await self._read_chunks(limits, buffer)
             if not buffer.is_given_up:
                 return body
-        raise _RequestRejected(503, f"no memory for a body of {buffer.size} bytes")
+        raise _RequestRejected(503, f"no memory for a request of {buffer.size} bytes")
 
     async def _read_chunks(self, limits: CallerLimits, buffer: Buffer) -> bytes:
         chunks: list[bytes] = []
+        size = 0
         while True:
             try:
                 with anyio.fail_after(seconds(const.BODY_READ_TIMEOUT_MS)):
@@ -404,7 +423,8 @@
             match event:
                 case h11.Data(data=data):
                     buffer.grow(len(data))
-                    if buffer.size > limits.body_bytes:
+                    size += len(data)
+                    if size > limits.body_bytes:
                         raise _RequestRejected(
                             413, f"the body exceeds {limits.body_bytes} bytes"
                         )
--- a/packages/core/src/cowsliphitch/core/overload/buffers.py
+++ b/packages/core/src/cowsliphitch/core/overload/buffers.py
@@ -1,4 +1,4 @@
-"""Memory for what a process buffers: answers, events, bodies of requests, connections.
+"""Memory for what a process buffers: answers, events, requests, connections.
 
 Fault: a server sends bytes without end, many callers send large bodies at once, or read
 their answers slowly or not at all.  Each buffer has a limit of its own, but all of them
@@ -8,9 +8,13 @@
 All buffers share a budget.  At its end the largest one is given up, which is that of a
 faulty server or of a caller that does not read if there is one.  Pinned buffers count,
 but are not given up: their bytes are in use, and dropping them would free nothing.
+
+Load: requests whose heads have a thousand short headers.  Each takes many times the
+size of its head while it is handled, so heads count as well, and large ones leave room
+for those of ordinary callers.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 # Memory of a process without buffers, in MB, and the part of the rest that buffers get:
@@ -25,6 +29,26 @@
 CONNECTION_BYTES: Final = 40_000
 CONNECTION_SHARE: Final = 0.6
 
+# Memory of a decoded header while its request is handled: the copies that are received,
+# decoded and forwarded, and each further item of a list in its value.
+HEADER_BYTES: Final = 400
+LIST_ITEM_BYTES: Final = 200
+
+# Larger heads are taken only while this part of the budget is free beside them.
+USUAL_HEAD_BYTES: Final = 32_768
+RESERVED_SHARE: Final = 0.125
+
+
+def head_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return how much memory the head of a request takes while it is handled.
+
+    :param headers: names and values
+    """
+    return sum(
+        HEADER_BYTES + 2 * (len(k) + len(v)) + LIST_ITEM_BYTES * v.count(b",")
+        for k, v in headers
+    )
+
 
 def budget_bytes(memory_mb: float) -> int:
     """Return how many bytes may be buffered in a process.
@@ -111,6 +135,11 @@
         needed = self.used + count - self.limit
         return needed <= 0 or needed <= sum(b.size for b in self._evictable)
 
+    def has_room_for_head(self, size: int) -> bool:
+        """Return whether a head may be kept, beside those of ordinary callers."""
+        reserved = self.limit * RESERVED_SHARE
+        return size <= USUAL_HEAD_BYTES or self.used + size <= self.limit - reserved
+
     def update(self, buffer: Buffer) -> None:
         """Record whether a buffer has bytes that may be given up."""
         if buffer.size and not buffer.is_pinned and not buffer.is_given_up:
