Keep neither names nor tokens of unknown callers in a daemon's memory

What callers saw: a daemon of the own interface grew by what callers without a valid token wrote in the path or as token, and its metrics could not be read any more.

Cause: the request metrics had the name from the path as label, so each unknown name became a series of its own, up to the 2,000 that the metrics keep, after which new routes are not told apart. And the results of the last 4,096 token checks are kept with the tokens, of up to 16 KB each.

Change: an unknown name is counted under an empty route. A text of more than 256 characters names no team, so it is not checked and not kept; generated tokens have at most 97 characters.

Why it works: what is kept after a refused request no longer depends on its text.

Evidence: features/daemon/unknown_names.feature, 100 MB, 8 callers with 1,500 requests of 12,000 characters each.

--- a/features/steps/large_request_steps.py
+++ b/features/steps/large_request_steps.py
@@ -9,9 +9,10 @@
 from typing import Any, Final
 
 from behave import given, then, when
-from crowd_steps import Target
+from crowd_steps import MB, Target
 
 REQUEST_TIMEOUT_S: Final = 10.0
+BODY: Final = '{"input": "x"}'
 LETTERS: Final = string.ascii_lowercase + string.digits
 
 
@@ -49,7 +50,7 @@
     )
     for fields in headers:
         try:
-            conn.request("POST", path, headers=fields)
+            conn.request("POST", path, body=BODY, headers=fields)
             answer = conn.getresponse()
             answer.read()
             statuses[answer.status] += 1
@@ -127,3 +128,38 @@
 @then("both are answered 200")
 def check_both(context: Any) -> None:
     assert context.statuses == {200: 2}, context.statuses
+
+
+@when(
+    "{callers:d} callers send {count:d} requests each with {content} of {size:d}"
+    " characters"
+)
+def send_unknown(
+    context: Any, callers: int, count: int, content: str, size: int
+) -> None:
+    statuses: Counter[Any] = Counter()
+
+    def send(caller: int) -> None:
+        for number in range(count):
+            text = f"{caller}-{number}-".ljust(size, "x")
+            path, token = {
+                "names of pipelines": (f"/v1/pipelines/{text}", "none.none"),
+                "names of services": (f"/v1/services/{text}", "none.none"),
+                "tokens of a team": ("/v1/services/history", f"technicians.{text}"),
+            }[content]
+            headers = {"authorization": f"Bearer {token}"}
+            send_in_turn(context.target, path, iter([headers]), statuses)
+
+    send_beside(context.target, callers, send)
+    print(f"answers: {statuses}")
+
+
+@then("its metrics take at most {mb:d} MB")
+def check_metrics(context: Any, mb: int) -> None:
+    port = context.target.ports["operators"]
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=REQUEST_TIMEOUT_S)
+    conn.request("GET", "/metrics")
+    size = len(conn.getresponse().read())
+    conn.close()
+    print(f"metrics of {size / MB:.1f} MB")
+    assert size <= mb * MB, size
--- a/packages/core/src/cowsliphitch/core/tokens.py
+++ b/packages/core/src/cowsliphitch/core/tokens.py
@@ -8,6 +8,9 @@
 _SECRET_BYTES: Final = 24
 _SALT_BYTES: Final = 8
 _DIGEST_PARTS: Final = 3
+
+# Longer texts are no tokens: a name has at most 64 characters.
+_MAX_TOKEN_CHARS: Final = 256
 _SCHEME: Final = "sha256"
 
 
@@ -17,8 +20,11 @@
 
 
 def owner_of(token: str) -> str:
-    """Return the owner named in a token; only :func:`matches` proves it."""
-    return token.rpartition(".")[0]
+    """Return the owner named in a token; only :func:`matches` proves it.
+
+    :returns: an empty name for a text that is too long for a token
+    """
+    return token.rpartition(".")[0] if len(token) <= _MAX_TOKEN_CHARS else ""
 
 
 def digest(token: str, salt: str | None = None) -> str:
--- a/packages/daemon/src/cowsliphitch/daemon/gateway.py
+++ b/packages/daemon/src/cowsliphitch/daemon/gateway.py
@@ -143,7 +143,8 @@
         """
         match self._admit_pipeline(request_id, name, headers, body):
             case Err(refusal):
-                self._metrics.record_refusal("", name, refusal)
+                is_known = name in self._settings.pipelines
+                self._metrics.record_refusal("", name if is_known else "", refusal)
                 yield Refused(refusal)
             case Ok(req):
                 self.in_flight += 1
@@ -198,7 +199,8 @@
         """Call a service for a caller."""
         match self._admit_service(request_id, name, headers, body):
             case Err(refusal):
-                self._metrics.record_refusal("", name, refusal)
+                is_known = name in self._settings.services
+                self._metrics.record_refusal("", name if is_known else "", refusal)
                 return Err(refusal)
             case Ok(req):
                 return await self._run_service(req)
--- a/packages/daemon/src/cowsliphitch/daemon/metrics.py
+++ b/packages/daemon/src/cowsliphitch/daemon/metrics.py
@@ -79,7 +79,11 @@
         self._first_token.record(latency_ms, {"route": route})
 
     def record_refusal(self, team: str, route: str, refusal: Refusal) -> None:
-        """Record a request that was refused or got an incomplete answer."""
+        """Record a request that was refused or got an incomplete answer.
+
+        :param team: empty if the request was not admitted
+        :param route: empty for an unknown one, since metrics keep each value
+        """
         self.teams.setdefault(team, TeamCounts()).refused += 1
         labels = {"team": team, "route": route, "outcome": "refused"}
         self._requests.add(1, labels)
