Play overlapping crowds with restarts, by seed

Cause: the crowds of features/callers/crowds.feature came one at a time, against a daemon that kept running.

Change: a scenario plays three to five random crowds at random addresses that overlap, with up to two restarts by SIGTERM, while an ordinary caller asks every second. The crowds use their connections until the process is gone. It checks that each stopped daemon exits with 0, the memory, the descriptors, and that an ordinary request is answered beside the crowds and afterwards.

--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -48,3 +48,18 @@
       | 400   | send nothing                                             | callers   |
       | 600   | send requests without the usual headers and read nothing | operators |
       | 100   | send nothing                                             | operators |
+
+  # Other seeds: behave -D seed_offset=N -n Overlapping features/callers/crowds.feature
+  Scenario Outline: Overlapping crowds and restarts, by seed
+    Given a daemon that has 120 MB of memory and 2000 descriptors
+    When crowds of seed <seed> overlap for 15 s while the daemon restarts
+    Then an ordinary request was answered meanwhile
+    And each stopped daemon exited with 0
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/steps/large_request_steps.py
+++ b/features/steps/large_request_steps.py
@@ -70,7 +70,7 @@
     for thread in threads:
         while thread.is_alive():
             thread.join(0.1)
-            target.count_descriptors()
+            target.observe()
 
 
 @given("its servers take {ms:d} ms for each answer")
