Stop a daemon of the own interface beside crowds

Change: a scenario with three crowds of 400 callers that idle, or send requests ahead and read nothing, at both addresses; it stops the daemon by SIGTERM and expects exit status 0 within 10 s.

--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -49,6 +49,17 @@
       | 600   | send requests without the usual headers and read nothing | operators |
       | 100   | send nothing                                             | operators |
 
+  Scenario Outline: A daemon of the own interface stops beside a crowd
+    Given a daemon of the own interface that has 120 MB of memory and 2000 descriptors
+    When 400 callers <behaviour> at its <address> address while it is stopped
+    Then each stopped daemon exited with 0
+
+    Examples:
+      | behaviour                                                | address   |
+      | send nothing                                             | callers   |
+      | send requests without the usual headers and read nothing | callers   |
+      | send requests without the usual headers and read nothing | operators |
+
   # Other seeds: behave -D seed_offset=N -n Overlapping features/callers/crowds.feature
   Scenario Outline: Overlapping crowds and restarts, by seed
     Given a daemon that has 120 MB of memory and 2000 descriptors
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -33,6 +33,8 @@
 
 ORDINARY_INTERVAL_S: Final = 1.0
 
+CROWD_HEAD_START_S: Final = 3.0
+
 # Longer than the grace period of the daemon.
 EXIT_TIMEOUT_S: Final = 10.0
 ORDINARY_TIMEOUT_S: Final = 5.0
@@ -237,6 +239,7 @@
     daemon = fleet.daemons["entry-1"]
     urls = {"callers": daemon.url, "operators": daemon.operators_url}
     ports = {name: int(url.rpartition(":")[2]) for name, url in urls.items()}
+    context.daemon = daemon
     token = fleet.team_token("technicians")
     call = (
         "POST /v1/services/history HTTP/1.1\r\nhost: a.example\r\n"
@@ -326,6 +329,25 @@
     print(f"answers: {target.statuses}, exits: {context.exit_statuses}")
 
 
+@when("{count:d} callers {behaviour} at its {name} address while it is stopped")
+def stop_beside_crowd(context: Any, count: int, behaviour: str, name: str) -> None:
+    target: Target = context.target
+    has_ended = threading.Event()
+    crowd = Crowd(target.ports[name], count, BEHAVIOURS[behaviour])
+    thread = threading.Thread(target=crowd.run, args=(has_ended,), daemon=True)
+    thread.start()
+    time.sleep(CROWD_HEAD_START_S)
+    target.observe()
+    process = context.daemon.popen
+    process.terminate()
+    try:
+        context.exit_statuses = [process.wait(EXIT_TIMEOUT_S)]
+    finally:
+        has_ended.set()
+        thread.join()
+        crowd.close()
+
+
 def restart_by_signal(site: Site) -> int:
     """Stop the daemon by SIGTERM, start it again, and return its exit status."""
     process = site.daemons[0]["process"]
