--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -86,12 +86,20 @@
 
     def ask(self, name: str) -> int:
         """Send an ordinary request on a new connection; return its status or 0."""
+        return self._send(self.ports[name], self.requests[name])
+
+    def readiness(self) -> int:
+        """Return the status of the readiness check, or 0."""
+        port = self.ports.get("ready", self.ports["callers"])
+        return self._send(port, get("/readyz"))
+
+    def _send(self, port: int, request: bytes) -> int:
         answer = b""
         try:
             with socket.create_connection(
-                ("127.0.0.1", self.ports[name]), timeout=ORDINARY_TIMEOUT_S
+                ("127.0.0.1", port), timeout=ORDINARY_TIMEOUT_S
             ) as sock:
-                sock.sendall(self.requests[name])
+                sock.sendall(request)
                 while b"\r\n" not in answer and (data := sock.recv(4_096)):
                     answer += data
         except OSError:
@@ -380,5 +388,6 @@
 @then("an ordinary request is answered afterwards")
 def check_answered_afterwards(context: Any) -> None:
     target: Target = context.target
-    for name in target.ports:
-        wait_for(f"{name} answers", lambda n=name: target.ask(n) == 200)
+    wait_for("the daemon is ready", lambda: target.readiness() == 200)
+    statuses = {name: target.ask(name) for name in target.ports}
+    assert set(statuses.values()) == {200}, statuses
--- a/packages/callers/src/cowsliphitch/callers/edge/const.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/const.py
@@ -35,7 +35,7 @@
 LINGER_MS: Final = 1_000
 
 # Chunks of a body that are decoded before others are served: a read may hold ten
-# thousand chunks of one byte, which take 0.2 s.
+# thousand chunks of one byte.
 CHUNKS_AT_ONCE: Final = 16
 
 # Timeout of each read of a request's body.
--- a/packages/core/src/cowsliphitch/core/engines/const.py
+++ b/packages/core/src/cowsliphitch/core/engines/const.py
@@ -92,8 +92,7 @@
 MAX_CACHED_TOKENS: Final = 250_000
 
 # Cached prompt parts that are remembered, of all engines together, and of one engine at
-# least.  A part takes some 140 bytes.  An engine with 700,000 tokens holds some 1,500
-# parts in use.
+# least.  A part takes some 140 bytes.
 MAX_CACHED_PARTS: Final = 32_768
 MIN_CACHED_PARTS: Final = 1_024
 
