Let new connections wait while those in use end after their answers

What callers saw: beside a crowd with valid keys that kept all connections in use, each new connection was closed without an answer.

Cause: at the limit only connections without an admitted request, idle ones and those whose callers read nothing make room. One with a request that runs does not, and a crowd that sends ahead, reads a little, or asks again after each answer always has one.

Change: while new connections wait, those in use end after their current answers, with "Connection: close": all whose callers send ahead, and as many others as new ones wait, by the number of their answers (core/overload/connections.py). Up to 128 new ones wait in their order; if none could be admitted for 500 ms, they are closed. A connection that has got its last answer makes room at once, as it is kept only to discard input.

Why it works: a caller holds a connection for one answer while others wait, so the wait is bounded by the requests that are served, not by the crowd's persistence. No running request is broken off, and what was sent ahead was not read.

--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -33,6 +33,31 @@
     And the daemon is alive and used at most its memory and its descriptors
     And an ordinary request is answered afterwards
 
+  Scenario Outline: A crowd with valid keys that keeps its connections does not keep out others
+    Given a daemon that has 120 MB of memory and 2000 descriptors
+    When 400 callers <behaviour> at its callers address for 10 s
+    Then an ordinary request was answered meanwhile
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | behaviour                              |
+      | send valid requests and read little    |
+      | send a valid request after each answer |
+
+  Scenario Outline: A crowd with valid tokens does not keep out others on the own interface
+    Given a daemon of the own interface that has 120 MB of memory and 2000 descriptors
+    When 400 callers <behaviour> at its callers address for 10 s
+    Then an ordinary request was answered meanwhile
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | behaviour                              |
+      | send valid requests and read nothing   |
+      | send valid requests and read little    |
+      | send a valid request after each answer |
+
   Scenario Outline: A crowd does not fill the memory of a daemon of the own interface
     Given a daemon of the own interface that has 120 MB of memory and 2000 descriptors
     When <count> callers <behaviour> at its <address> address for 10 s
--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -98,6 +98,23 @@
     Then the caller gets 8 MB
     And 1 connection was closed as "evicted"
 
+  Scenario Outline: At the limit of connections, one in use ends after its answer
+    Given an edge server whose admitted requests take 300 ms
+    When a caller comes at a limit of 1 while another has sent <count> requests
+    Then the caller gets 200
+    And the other one gets 1 answer and the end of the connection
+
+    Examples:
+      | count |
+      | 1     |
+      | 5     |
+
+  Scenario: At the limit of connections, a caller does not wait for a long request
+    Given an edge server whose admitted requests take 1500 ms
+    When a caller comes at a limit of 1 while another has sent 1 requests
+    Then the caller gets the end of the connection
+    And the other one gets 1 answer and the end of the connection
+
   Scenario: A request behind unread answers is not handled once its connection was closed
     Given an edge server whose answers have 1 MB
     When a caller of 2 requests reads nothing for 1500 ms, and then makes room for another
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -2,15 +2,17 @@
 
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 
 from cowsliphitch.core.overload.connections import (
+    Closing,
     ConnectionUse,
     Idle,
     InUse,
     Stalled,
     Unadmitted,
     caller_connection_limit,
+    connections_to_end,
     eviction_rank,
     refusal_delay_ms,
 )
@@ -19,6 +21,8 @@
 def use_of(text: str) -> ConnectionUse:
     kind, _, ms = text.partition(" for ")
     match kind:
+        case "closing":
+            return Closing(int(ms))
         case "unadmitted":
             return Unadmitted(int(ms))
         case "stalled":
@@ -26,7 +30,8 @@
         case "idle":
             return Idle(int(ms))
         case _:
-            return InUse()
+            kind, _, answers = text.partition(" after ")
+            return InUse(int(answers or 0), kind == "ahead", kind == "ending")
 
 
 @given("connections that are {uses}")
@@ -45,6 +50,17 @@
     assert first == closed, ranks
 
 
+@when("{count:d} new ones wait")
+def when_new_ones_wait(context: Any, count: int) -> None:
+    context.ending = connections_to_end(enumerate(context.uses, 1), count)
+
+
+@then("those that end are {numbers}")
+def check_ending(context: Any, numbers: str) -> None:
+    ending = ", ".join(str(number) for number in sorted(context.ending))
+    assert (ending or "none") == numbers, context.ending
+
+
 @then("the delays after {counts} refusals are {delays} ms")
 def check_delays(context: Any, counts: str, delays: str) -> None:
     actual = [refusal_delay_ms(int(count)) for count in counts.split(", ")]
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -26,6 +26,8 @@
 RECEIVE_WINDOW_BYTES: Final = 2_048
 SENT_AT_ONCE_BYTES: Final = 65_536
 READ_AT_ONCE_BYTES: Final = 64
+# More than an answer to an ordinary request.
+ANSWER_BYTES: Final = 4_096
 ROUND_S: Final = 0.05
 
 # A connection that the daemon closed is opened again after so many rounds.
@@ -56,11 +58,13 @@
     :param first: sent once, after it was opened
     :param endless: sent again and again, as long as the connection takes bytes
     :param reads: some bytes are read now and then
+    :param repeats: what is sent first is sent again after each answer
     """
 
     first: bytes = b""
     endless: bytes = b""
     reads: bool = False
+    repeats: bool = False
 
 
 @attrs.define
@@ -162,9 +166,12 @@
                     offset = self._sent[index] % len(self._endless)
                     self._sent[index] += sock.send(memoryview(self._endless)[offset:])
             flags = 0 if self._behaviour.reads else socket.MSG_PEEK
+            size = ANSWER_BYTES if self._behaviour.repeats else READ_AT_ONCE_BYTES
             with contextlib.suppress(BlockingIOError):
-                if not sock.recv(READ_AT_ONCE_BYTES, flags):
+                if not sock.recv(size, flags):
                     raise ConnectionResetError
+                if self._behaviour.repeats:
+                    sock.send(self._behaviour.first)
         except OSError:
             sock.close()
             self._sockets[index] = None
@@ -178,7 +185,6 @@
 UNREAD: Final = {
     "requests without the usual headers": get("/lookup/1"),
     "requests for the readiness path": get("/readyz"),
-    "valid requests": get("/lookup/1", USUAL_HEADERS),
     "requests that match no route": get("/nowhere/" + "x" * 500, USUAL_HEADERS),
 }
 BEHAVIOURS: Final = {
@@ -207,8 +213,22 @@
     },
 }
 
-# Known to keep out ordinary callers, see KNOWN-RED.txt.
-SOAK_EXCLUDED: Final = frozenset({"send valid requests and read nothing"})
+
+def behaviour_of(text: str, valid_request: bytes) -> Behaviour:
+    """Return a behaviour by its name.
+
+    :param valid_request: an ordinary request of the address, which is answered 200
+    """
+    valid = {
+        "send valid requests and read nothing": Behaviour(endless=valid_request),
+        "send valid requests and read little": Behaviour(
+            endless=valid_request, reads=True
+        ),
+        "send a valid request after each answer": Behaviour(
+            first=valid_request, reads=True, repeats=True
+        ),
+    }
+    return (BEHAVIOURS | valid)[text]
 
 
 @given("a daemon that has {mb:d} MB of memory and {count:d} descriptors")
@@ -262,7 +282,8 @@
 @when("{count:d} callers {behaviour} at its {name} address for {s:d} s")
 def play_crowd(context: Any, count: int, behaviour: str, name: str, s: int) -> None:
     target: Target = context.target
-    crowd = Crowd(target.ports[name], count, BEHAVIOURS[behaviour])
+    played = behaviour_of(behaviour, target.requests[name])
+    crowd = Crowd(target.ports[name], count, played)
     has_ended = threading.Event()
 
     def watch() -> None:
@@ -314,7 +335,7 @@
     threads = [threading.Thread(target=watch, daemon=True)]
     for _ in range(rng.randint(3, 5)):
         name = rng.choice(sorted(target.ports))
-        behaviour = rng.choice(sorted(BEHAVIOURS.keys() - SOAK_EXCLUDED))
+        behaviour = rng.choice(sorted(BEHAVIOURS))
         crowd = Crowd(target.ports[name], rng.randint(50, 200), BEHAVIOURS[behaviour])
         crowds.append(crowd)
         from_s = rng.uniform(0, s / 2)
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -301,6 +301,58 @@
     assert context.answer.count(b"HTTP/1.1 200 ") == 2, context.answer
 
 
+@given("an edge server whose admitted requests take {ms:d} ms")
+def given_slow_admitting_edge(context: Any, ms: int) -> None:
+    async def answer(req: EdgeRequest, reply: Reply) -> None:
+        reply.admit()
+        await anyio.sleep(ms / 1_000)
+        await echo(req, reply)
+
+    context.edge = Edge(answer, CallerLimits())
+
+
+@when(
+    "a caller comes at a limit of {limit:d} while another has sent {count:d} requests"
+)
+def send_beside_other(context: Any, limit: int, count: int) -> None:
+    context.edge.server._max_connections = limit
+
+    async def call(other: SocketStream) -> None:
+        await other.send(PLAIN_REQUEST * count)
+        await anyio.sleep(0.1)
+        async with await connect_edge(context.edge.port) as stream:
+            context.answer = await ask_once(stream)
+        context.other_answer = await read_all(other)
+
+    context.edge.run(call)
+
+
+async def ask_once(stream: SocketStream) -> bytes:
+    """Send a request; return the beginning of its answer, if any."""
+    try:
+        with anyio.fail_after(READ_TIMEOUT_S):
+            await stream.send(PLAIN_REQUEST)
+            return await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return b""
+
+
+@then("the caller gets 200")
+def assert_answered(context: Any) -> None:
+    assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
+
+
+@then("the caller gets the end of the connection")
+def assert_refused(context: Any) -> None:
+    assert context.answer == b"", context.answer
+
+
+@then("the other one gets {count:d} answer and the end of the connection")
+def assert_other_answered(context: Any, count: int) -> None:
+    assert context.other_answer.count(b"HTTP/1.1 200 ") == count, context.other_answer
+    assert b"connection: close" in context.other_answer, context.other_answer
+
+
 @given("an edge server whose answers have {mb:d} MB")
 def given_large_answers(context: Any, mb: int) -> None:
     async def answer(_req: EdgeRequest, reply: Reply) -> None:
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -23,6 +23,7 @@
     head_bytes,
 )
 from cowsliphitch.core.overload.connections import (
+    Closing,
     ConnectionUse,
     Idle,
     InUse,
@@ -116,6 +117,9 @@
         )
         self._started = False
         self._is_admitted = False
+        self._is_ending = False
+        self._closing_since_ms: int | None = None
+        self._answers = 0
         self._refusals = 0
         self._is_waiting_for_head = True
         self._is_handling = False
@@ -134,15 +138,20 @@
         Callers that read nothing are noticed by comparing two looks.
         """
         self._observe_reading()
+        now_ms = self._clock.now_ms()
+        if self._closing_since_ms is not None and not self._stream.unread_bytes:
+            return Closing(now_ms - self._closing_since_ms)
+        sends_ahead = bool(self._protocol.trailing_data[0])
+        in_use = InUse(self._answers, sends_ahead, self._is_ending)
         if not self._is_admitted:
             if self._is_handling and not self._started:
-                return InUse()
-            return Unadmitted(self._clock.now_ms() - self._opened_ms)
+                return in_use
+            return Unadmitted(now_ms - self._opened_ms)
         if self._stalled_ms:
             return Stalled(self._stalled_ms)
         if self._is_waiting_for_head:
-            return Idle(self._clock.now_ms() - self._idle_since_ms)
-        return InUse()
+            return Idle(now_ms - self._idle_since_ms)
+        return in_use
 
     @property
     def _stalled_ms(self) -> int:
@@ -168,6 +177,10 @@
         else:
             self._stream.close()
 
+    def end_after_answer(self) -> None:
+        """Close the connection after the answer to its current request."""
+        self._is_ending = True
+
     def reset(self) -> None:
         """Close the connection, and drop what its caller has not read."""
         self._stream.reset()
@@ -212,7 +225,7 @@
         framing: tuple[Header, ...] = ()
         if length is not None:
             framing = ((b"content-length", b"%d" % length),)
-        if self._is_closing():
+        if self._is_ending or self._is_closing():
             framing = (*framing, (b"connection", b"close"))
         self._started = True
         head = h11.Response(
@@ -251,8 +264,9 @@
         finally:
             self._is_handling = False
             buffer.close()
-        if self._protocol.our_state is not h11.DONE:
+        if self._is_ending or self._protocol.our_state is not h11.DONE:
             return await self._close_gracefully()
+        self._answers += 1
         self._idle_since_ms = self._clock.now_ms()
         self._refusals += not self._is_admitted
         self._protocol.start_next_cycle()
@@ -529,6 +543,7 @@
         """
         if self._protocol.our_state in (h11.SEND_BODY, h11.SEND_RESPONSE):
             return False
+        self._closing_since_ms = self._clock.now_ms()
         try:
             with anyio.move_on_after(seconds(const.LINGER_MS)):
                 self._stream.send_eof()
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -1,7 +1,8 @@
 """Listener that accepts callers' connections, with a limit on their number.
 
 Fault: a crowd of callers holds all connections.  At the limit, one that is not in use
-makes room for the next; see :mod:`cowsliphitch.core.overload.connections`.
+makes room for the next, and a new one waits until one in use has ended after its
+answer; see :mod:`cowsliphitch.core.overload.connections`.
 """
 
 import asyncio
@@ -10,6 +11,7 @@
 import logging
 import socket
 import sys
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -20,7 +22,12 @@
 from cowsliphitch.core.clock import Clock, seconds
 from cowsliphitch.core.deployment.models import CallerLimits
 from cowsliphitch.core.overload.buffers import CONNECTION_BYTES, BufferBudget
-from cowsliphitch.core.overload.connections import eviction_rank
+from cowsliphitch.core.overload.connections import (
+    MAX_WAITING,
+    ROOM_TIMEOUT_MS,
+    connections_to_end,
+    eviction_rank,
+)
 
 from . import const
 from .connection import CallerConnection
@@ -40,8 +47,8 @@
     :param address: host and port
     :param handler: answers each request
     :param limits: returns the limits in force
-    :param max_connections: limit of open connections; further ones are closed at once,
-        unless another one makes room
+    :param max_connections: limit of open connections; further ones wait for a short
+        time until another one makes room, and are closed if none does
     :param budget: memory for connections and for what they buffer, without a limit by
         default
     :param encode_error: returns the answer to a request that the server rejects
@@ -70,6 +77,9 @@
         self._connecting = 0
         self._evictable: list[CallerConnection] = []
         self._next_search_ms = 0
+        self._waiting: deque[socket.socket] = deque()
+        self._full_since_ms: int | None = None
+        self._queue_changed = anyio.Event()
         self.diagnostics = Diagnostics()
 
     def disable_keep_alive(self) -> None:
@@ -87,11 +97,16 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=const.LISTEN_BACKLOG
         )
-        async with listener, anyio.create_task_group() as group:
-            for part in listener.listeners:
-                sock = part.extra(SocketAttribute.raw_socket)
-                group.start_soon(self._accept, sock, group)
-            task_status.started()
+        try:
+            async with listener, anyio.create_task_group() as group:
+                for part in listener.listeners:
+                    sock = part.extra(SocketAttribute.raw_socket)
+                    group.start_soon(self._accept, sock, group)
+                group.start_soon(self._run_queue, group)
+                task_status.started()
+        finally:
+            while self._waiting:
+                self._waiting.popleft().close()
 
     async def _accept(self, listening: socket.socket, group: TaskGroup) -> None:
         """Accept connections on a listening socket, one at a time.
@@ -102,6 +117,8 @@
         for count in itertools.count():
             if count % const.ACCEPTED_AT_ONCE == 0:
                 await checkpoint()
+            while len(self._waiting) >= MAX_WAITING:
+                await anyio.sleep(seconds(const.EVICTION_SEARCH_INTERVAL_MS))
             try:
                 sock, _ = await loop.sock_accept(listening)
             except OSError as exc:
@@ -118,17 +135,47 @@
                 # asyncio does not do so if the wait is cancelled.
                 if listening.fileno() >= 0:
                     loop.remove_reader(listening)
-            if not self._make_room():
-                self.diagnostics.refused_connections += 1
-                sock.close()
+            self._waiting.append(sock)
+            self._admit_waiting(group)
+            self._notify_queue()
+
+    async def _run_queue(self, group: TaskGroup) -> None:
+        """Admit new connections that wait for room, or close them after a time."""
+        while True:
+            self._admit_waiting(group)
+            self._queue_changed = anyio.Event()
+            timeout_s = seconds(const.EVICTION_SEARCH_INTERVAL_MS)
+            with anyio.move_on_after(timeout_s if self._waiting else None):
+                await self._queue_changed.wait()
+
+    def _notify_queue(self) -> None:
+        if self._waiting:
+            self._queue_changed.set()
+
+    def _admit_waiting(self, group: TaskGroup) -> None:
+        """Admit the new connections for which there is room, in their order.
+
+        If none could be for the timeout, those that wait are closed.
+        """
+        while self._waiting:
+            now_ms = self._clock.now_ms()
+            if self._make_room():
+                self._full_since_ms = None
+                self._connecting += 1
+                group.start_soon(self._connect, self._waiting.popleft(), group)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._connecting += 1
-            group.start_soon(self._connect, sock, group)
+            if self._full_since_ms is None:
+                self._full_since_ms = now_ms
+            if now_ms - self._full_since_ms < ROOM_TIMEOUT_MS:
+                return
+            self.diagnostics.refused_connections += 1
+            self._waiting.popleft().close()
+        self._full_since_ms = None
 
     async def _connect(self, sock: socket.socket, group: TaskGroup) -> None:
         """Serve an accepted socket."""
         try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: CallerStream(lambda stream: self._open(stream, group)), sock
             )
@@ -178,10 +225,14 @@
         now_ms = self._clock.now_ms()
         if not self._evictable and now_ms >= self._next_search_ms:
             self._next_search_ms = now_ms + const.EVICTION_SEARCH_INTERVAL_MS
-            ranked = [(eviction_rank(c.observe_use()), c) for c in self._connections]
+            uses = [(c, c.observe_use()) for c in self._connections]
+            ranked = [(eviction_rank(use), c) for c, use in uses]
             found = [(rank, c) for rank, c in ranked if rank is not None]
             found.sort(key=lambda entry: entry[0])
             self._evictable = [c for _, c in found[-const.MAX_EVICTABLE_FOUND :]]
+            if not found:
+                for connection in connections_to_end(uses, len(self._waiting)):
+                    connection.end_after_answer()
         while self._evictable:
             connection = self._evictable.pop()
             is_open = connection in self._connections
@@ -197,3 +248,4 @@
         finally:
             self._connections.discard(connection)
             self.diagnostics.connections -= 1
+            self._notify_queue()
--- a/packages/core/src/cowsliphitch/core/overload/connections.py
+++ b/packages/core/src/cowsliphitch/core/overload/connections.py
@@ -7,9 +7,14 @@
 A connection is judged by what it has been used for.  Those that never carried an
 admitted request are closed first, the oldest one first: the request of an ordinary
 caller follows its connection at once.
+
+Load: a crowd with valid keys sends requests without a pause, so that all connections
+are in use.  Closing one would break off a request that runs, so the connections end
+after their current answers while new ones wait, those whose callers send ahead first.
 """
 
-from typing import Final
+from collections.abc import Iterable
+from typing import Final, TypeVar
 
 import attrs
 
@@ -35,6 +40,11 @@
 # timeout, but can repeat one on a new connection that was closed before it was read.
 MIN_IDLE_MS: Final = 1_000
 
+# New connections of a listener that wait for room.  If none was admitted for the
+# timeout, they are closed, so that their callers try another daemon.
+MAX_WAITING: Final = 128
+ROOM_TIMEOUT_MS: Final = 500
+
 # Time between a refused request and the next one of a connection without an admitted
 # request: after the first refusal, and at most.  Status checks come once a second.
 FIRST_REFUSAL_DELAY_MS: Final = 20
@@ -64,10 +74,28 @@
 
 @attrs.frozen
 class InUse:
-    """A request is being read or run, or its answer is being read."""
+    """A request is being read or run, or its answer is being read.
+
+    :param answers: requests that were answered before
+    :param sends_ahead: the caller has sent more than the current request
+    :param is_ending: it ends after the current answer
+    """
+
+    answers: int = 0
+    sends_ahead: bool = False
+    is_ending: bool = False
+
+
+@attrs.frozen
+class Closing:
+    """The caller has received the last answer, and has not closed its side yet."""
+
+    for_ms: int
 
 
-ConnectionUse = Unadmitted | Stalled | Idle | InUse
+T = TypeVar("T")
+
+ConnectionUse = Unadmitted | Stalled | Idle | InUse | Closing
 
 
 def eviction_rank(use: ConnectionUse) -> tuple[int, int] | None:
@@ -76,6 +104,8 @@
     :returns: ``None`` if the connection is kept, and a new one refused instead
     """
     match use:
+        case Closing(for_ms):
+            return 4, for_ms
         case Unadmitted(age_ms) if age_ms >= UNADMITTED_AGE_MS:
             return 3, age_ms
         case Stalled(for_ms) if for_ms >= MIN_STALL_MS:
@@ -87,6 +117,24 @@
     return None
 
 
+def connections_to_end(uses: Iterable[tuple[T, ConnectionUse]], count: int) -> list[T]:
+    """Return the connections that end after their current answers.
+
+    These are all whose callers send ahead, and of the others those that had the most
+    answers, as many as new connections wait.
+
+    :param uses: connections and what they are used for
+    :param count: new connections that wait for room
+    """
+    in_use = [
+        (use, c) for c, use in uses if isinstance(use, InUse) and not use.is_ending
+    ]
+    senders_ahead = [c for use, c in in_use if use.sends_ahead]
+    others = [(use.answers, c) for use, c in in_use if not use.sends_ahead]
+    others.sort(key=lambda entry: entry[0], reverse=True)
+    return senders_ahead + [c for _, c in others[: max(0, count - len(senders_ahead))]]
+
+
 def refusal_delay_ms(refusals: int) -> int:
     """Return how long the next request of a connection waits after a refusal.
 
