Keep connections whose first request waits for the event loop

What callers saw: beside a crowd, a new connection was admitted and then reset before its request was read.

Cause: a connection without an admitted request may be closed 50 ms after it was opened, on the assumption that its caller has sent nothing. While several hundred requests are handled, the event loop reads a new connection later than that.

Change: a connection whose first request has not been answered, and that has input which was not read, counts as in use. A crowd that sends nothing, or a part of a head, has no such input.

Why it works: the age of a connection is only held against a caller that the daemon waits for, not against one that waits for the daemon.

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -115,6 +115,11 @@
     Then the caller gets the end of the connection
     And the other one gets 1 answer and the end of the connection
 
+  Scenario: At the limit of connections, those whose first request has arrived are kept
+    Given an edge server whose admitted requests block the event loop for 10 ms
+    When 100 callers send a request at once at a limit of 20
+    Then each of them gets 200
+
   Scenario: A request behind unread answers is not handled once its connection was closed
     Given an edge server whose answers have 1 MB
     When a caller of 2 requests reads nothing for 1500 ms, and then makes room for another
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 from unittest import mock
 
 import anyio
+import anyio.to_thread
 from anyio.abc import SocketStream
 from behave import given, then, when
 
@@ -311,6 +313,15 @@
     context.edge = Edge(answer, CallerLimits())
 
 
+@given("an edge server whose admitted requests block the event loop for {ms:d} ms")
+def given_blocking_edge(context: Any, ms: int) -> None:
+    async def answer(req: EdgeRequest, reply: Reply) -> None:
+        time.sleep(ms / 1_000)
+        await echo(req, reply)
+
+    context.edge = Edge(answer, CallerLimits())
+
+
 @when(
     "a caller comes at a limit of {limit:d} while another has sent {count:d} requests"
 )
@@ -327,6 +338,34 @@
     context.edge.run(call)
 
 
+@when("{count:d} callers send a request at once at a limit of {limit:d}")
+def send_by_many(context: Any, count: int, limit: int) -> None:
+    context.edge.server._max_connections = limit
+
+    def ask_all() -> list[bytes]:
+        socks = [socket.socket() for _ in range(count)]
+        for sock in socks:
+            sock.settimeout(READ_TIMEOUT_S)
+            sock.connect(("127.0.0.1", context.edge.port))
+            sock.sendall(PLAIN_REQUEST)
+        return [receive_and_close(sock) for sock in socks]
+
+    async def call(stream: SocketStream) -> None:
+        await stream.aclose()
+        # In a thread, since the requests arrive while the event loop is busy.
+        context.answers = await anyio.to_thread.run_sync(ask_all)
+
+    context.edge.run(call)
+
+
+def receive_and_close(sock: socket.socket) -> bytes:
+    with sock:
+        try:
+            return sock.recv(4_096)
+        except ConnectionResetError:
+            return b""
+
+
 async def ask_once(stream: SocketStream) -> bytes:
     """Send a request; return the beginning of its answer, if any."""
     try:
@@ -353,6 +392,12 @@
     assert b"connection: close" in context.other_answer, context.other_answer
 
 
+@then("each of them gets 200")
+def assert_each_answered(context: Any) -> None:
+    starts = [answer[:13] for answer in context.answers]
+    assert set(starts) == {b"HTTP/1.1 200 "}, starts
+
+
 @given("an edge server whose answers have {mb:d} MB")
 def given_large_answers(context: Any, mb: int) -> None:
     async def answer(_req: EdgeRequest, reply: Reply) -> None:
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -118,6 +118,7 @@
         self._started = False
         self._is_admitted = False
         self._is_ending = False
+        self._has_begun = False
         self._closing_since_ms: int | None = None
         self._answers = 0
         self._refusals = 0
@@ -144,7 +145,8 @@
         sends_ahead = bool(self._protocol.trailing_data[0])
         in_use = InUse(self._answers, sends_ahead, self._is_ending)
         if not self._is_admitted:
-            if self._is_handling and not self._started:
+            is_running = self._is_handling and not self._started
+            if is_running or self._is_first_request_pending():
                 return in_use
             return Unadmitted(now_ms - self._opened_ms)
         if self._stalled_ms:
@@ -153,6 +155,11 @@
             return Idle(now_ms - self._idle_since_ms)
         return in_use
 
+    def _is_first_request_pending(self) -> bool:
+        """Return whether bytes of a first request wait for the event loop."""
+        is_first = self._is_waiting_for_head and not self._answers
+        return is_first and (not self._has_begun or self._stream.has_input)
+
     @property
     def _stalled_ms(self) -> int:
         """Return for how long the caller has read nothing, as of the last look."""
@@ -196,6 +203,7 @@
 
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
+        self._has_begun = True
         try:
             while await self._serve_request():
                 pass
--- a/packages/callers/src/cowsliphitch/callers/edge/stream.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/stream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -109,6 +110,15 @@
         queued = fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, b"\0" * 4)
         return self.unsent_bytes + int(struct.unpack("i", queued)[0])
 
+    @property
+    def has_input(self) -> bool:
+        """Return whether input has arrived that was not taken by a receiver."""
+        if self._received or self.is_lost:
+            return bool(self._received)
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def has_caller_left(self) -> bool:
         """Return whether the caller closed its side, also behind unread input."""
