Record all requests of a crash at once

What callers saw: after the crash of one engine a daemon answered nobody for six seconds, if clients had sent it prompts of many parts.

Cause: each lost request was recorded by itself, and of each, part by part. Each new part looked at all 256 records to evict one, and made a set of all parts of its request; a request of 1,200 parts evicted most of its own. Log lines named every part.

Change: the requests of a crash are recorded together. Parts that are suspect already come first; of the new ones only as many are added as records are kept, and the eviction looks at the records once. Quarantined parts are kept. A log line names at most 64 parts or digests.

Why it works: the work is a few set operations for each lost request, and at most 256 new records.

Evidence: features/core/quarantine.feature counts calls: before, one request of 1,200 parts took 825 calls a part, 20 are allowed.

--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -114,6 +114,28 @@
     When daemon 1 sees the parts "new" answered
     Then the next report of daemon 1 has the part "new"
 
+  Scenario Outline: A crash that loses long prompts takes work in proportion to their parts
+    Given 1 daemons that exchange reports
+    When an engine crashes on <prompts> requests with <parts> different parts each
+    Then the crash took at most 20 calls for each lost part
+    And no daemon keeps more than 256 records, and a heartbeat reports at most 6
+
+    Examples:
+      | prompts | parts |
+      | 10      | 1200  |
+      | 40      | 1200  |
+
+  Scenario: A quarantined part is kept when long prompts are suspect
+    Given 2 daemons that exchange reports
+    When engines crash at daemons 1, 2, 1 on requests with the parts "bad", 1000 ms apart
+    And an engine crashes on 3 requests with 1200 different parts each
+    Then each daemon refuses the parts "bad"
+
+  Scenario: A part is quarantined though the prompts with it are long
+    Given 2 daemons that exchange reports
+    When engines crash at daemons 1, 2, 1 on requests with "bad" and 200 parts of their own
+    Then each daemon refuses the parts "bad"
+
   Scenario: A quarantined part is kept when many others are suspect
     Given 2 daemons that exchange reports
     When engines crash at daemons 1, 2, 1 on requests with the parts "bad", 1000 ms apart
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import sys
 from typing import Any
 
 from behave import given, then, when
@@ -156,6 +157,41 @@
             fleet.exchange()
 
 
+@when("an engine crashes on {prompts:d} requests with {parts:d} different parts each")
+def crash_with_long_prompts(context: Any, prompts: int, parts: int) -> None:
+    fleet = context.quarantine
+    requests = [[f"{n}-{i}" for i in range(parts)] for n in range(prompts)]
+    calls = 0
+
+    def count_call(_frame: Any, kind: str, _arg: Any) -> None:
+        nonlocal calls
+        calls += kind.endswith("call")
+
+    sys.setprofile(count_call)
+    try:
+        fleet.daemons[0].record_lost_requests(1, requests, fleet.now_ms)
+    finally:
+        sys.setprofile(None)
+    context.calls_per_part = calls / (prompts * parts)
+
+
+@then("the crash took at most {count:d} calls for each lost part")
+def check_calls(context: Any, count: int) -> None:
+    assert context.calls_per_part <= count, context.calls_per_part
+
+
+@when(
+    'engines crash at daemons {numbers} on requests with "{part}" and {count:d} parts'
+    " of their own"
+)
+def crash_with_own_parts(context: Any, numbers: str, part: str, count: int) -> None:
+    fleet = context.quarantine
+    for crash, number in enumerate(split(numbers), 1):
+        parts = [part, *(f"{crash}-{i}" for i in range(count))]
+        fleet.daemons[int(number) - 1].record_crash(crash, parts, fleet.now_ms)
+        fleet.wait(1_000)
+
+
 @when("{count:d} requests with different parts are lost in crashes twice")
 def many_parts_twice(context: Any, count: int) -> None:
     fleet = context.quarantine
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -15,11 +15,15 @@
 Crashes at almost the same time count once, as an outage may end many engines that
 prefill the same part.
 
+A prompt may have a thousand parts, and a crash may lose forty such prompts.  What is
+done for a crash grows with the parts that it lost, not with their square.
+
 The same records hold requests that crash servers, by digest.  A digest is at one server
 for each copy that was sent, so each crash under it counts, unless it was answered
 before: many callers may send the same sound request, and an outage ends all servers.
 """
 
+import heapq
 import itertools
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator
@@ -50,9 +54,11 @@
 CRASH_REPORT_MS: Final = 45_000
 CRASH_RETENTION_MS: Final = 120_000
 
-# Records that a daemon keeps, crashes in a record, and parts known to be answered.
+# Records that a daemon keeps, and crashes in a record.
 MAX_RECORDS: Final = 256
 MAX_CRASHES_PER_RECORD: Final = 16
+
+# Parts and requests that are known to be answered.
 MAX_ANSWERED_PARTS: Final = 8_192
 MAX_ANSWERED_REQUESTS: Final = 1_024
 
@@ -296,20 +302,77 @@
     ) -> QuarantineChange:
         """Record a request that an engine had not begun to answer when it crashed.
 
-        Parts that were answered before are suspect only if all parts were.
-
         :param crash: identifies the crash in the fleet
         :param parts: the request's parts that other requests may share
         """
-        suspects = [p for p in parts if p not in self._answered] or list(parts)
-        crashed: list[CountedCrashes] = []
+        return self.record_lost_requests(crash, (parts,), now_ms)
+
+    def record_lost_requests(
+        self, crash: int, requests: Iterable[Collection[str]], now_ms: int
+    ) -> QuarantineChange:
+        """Record all requests that an engine had not begun to answer when it crashed.
+
+        Those that were answered before come last: the others may explain the crash.
+
+        :param crash: identifies the crash in the fleet
+        :param requests: the parts of each request that other requests may share
+        """
+        suspects: dict[str, None] = {}
+        new: dict[str, frozenset[str]] = {}
+        for parts in sorted(filter(None, requests), key=self.were_answered):
+            present = frozenset(parts)
+            found = self._suspect_parts(parts)
+            for part in found:
+                if part in self._records:
+                    suspects[part] = None
+                    self._records[part].company &= present
+            for part in new.keys() & present:
+                new[part] &= present
+            new |= {
+                part: present
+                for part in [p for p in found if p not in self._records][-MAX_RECORDS:]
+                if part not in new
+            }
         for part in suspects:
-            record = self._record_of(part, frozenset(parts))
-            record.company &= frozenset(parts)
-            record.add((crash,), now_ms, part in self._answered)
-            self._set_news(part, now_ms)
-            crashed.append(record.counted_crashes(part))
-        return attrs.evolve(self._update(now_ms), crashed=tuple(crashed))
+            self._add_crash(part, crash, now_ms)
+        for part in self._add_records(new, now_ms):
+            suspects[part] = None
+            self._add_crash(part, crash, now_ms)
+        crashed = tuple(
+            self._records[part].counted_crashes(part)
+            for part in suspects
+            if part in self._records
+        )
+        return attrs.evolve(self._update(now_ms), crashed=crashed)
+
+    def _suspect_parts(self, parts: Collection[str]) -> Collection[str]:
+        """Return the parts of a request that may have caused a crash.
+
+        Those that were answered before are suspect only if all parts were.
+        """
+        return [part for part in parts if part not in self._answered] or parts
+
+    def _add_crash(self, part: str, crash: int, now_ms: int) -> None:
+        self._records[part].add((crash,), now_ms, part in self._answered)
+        self._set_news(part, now_ms)
+
+    def _add_records(
+        self, new: dict[str, frozenset[str]], now_ms: int
+    ) -> tuple[str, ...]:
+        """Add records of parts that were not suspect; return those that have room.
+
+        Quarantined parts, and those that were suspect before and are again, are kept.
+
+        :param new: company by part
+        """
+        rank = (False, now_ms, 1)
+        kept = sum(self._rank(part) > rank for part in self._records)
+        first = max(0, len(new) - (MAX_RECORDS - kept))
+        added = dict(itertools.islice(new.items(), first, None))
+        self._make_room(len(added))
+        for part, company in added.items():
+            self._records[part] = _PartRecord(company, self._counting)
+        return tuple(added)
 
     def were_answered(self, parts: Collection[str]) -> bool:
         """Return whether requests with each of some parts were answered before."""
@@ -459,16 +522,23 @@
         """Return a part's record; a new one may evict that with the oldest crash."""
         record = self._records.get(part)
         if record is None:
-            if len(self._records) >= MAX_RECORDS:
-                oldest = min(self._records, key=lambda p: self._rank(p))
-                del self._records[oldest]
-            record = self._records[part] = _PartRecord(company, self._counting)
+            self._make_room(1)
+            record = _PartRecord(company, self._counting)
+            self._records[part] = record
         return record
 
-    def _rank(self, part: str) -> tuple[bool, int]:
+    def _make_room(self, count: int) -> None:
+        """Evict the records with the oldest crashes, so that others can be added."""
+        excess = len(self._records) + count - MAX_RECORDS
+        if excess > 0:
+            for part in heapq.nsmallest(excess, self._records, key=self._rank):
+                del self._records[part]
+
+    def _rank(self, part: str) -> tuple[bool, int, int]:
         """Return the order of eviction of a part's record."""
         record = self._records[part]
-        return part in self._quarantined, max(record.crashes.values(), default=0)
+        newest_ms = max(record.crashes.values(), default=0)
+        return part in self._quarantined, newest_ms, record.crash_count
 
     def _update(self, now_ms: int) -> QuarantineChange:
         """Clear explained crashes, drop old records and return what has changed."""
@@ -503,13 +573,17 @@
                 pass
 
     def _clear_explained_by_quarantined(self, now_ms: int) -> None:
-        quarantined = {
-            p: r for p, r in self._records.items() if r.is_quarantined(now_ms)
-        }
+        # Parts of one long prompt are quarantined by the same crashes.
+        quarantined: dict[frozenset[int], set[str]] = {}
+        for part, record in self._records.items():
+            if record.is_quarantined(now_ms):
+                crashes = frozenset(record.open_crashes)
+                quarantined.setdefault(crashes, set()).add(part)
         for record in self._records.values():
-            for name, other in quarantined.items():
-                # Of two parts that always occur together, either may be the cause.
-                if name in record.company:
-                    continue
-                if record.open_crashes < other.open_crashes:
-                    record.clear(record.open_crashes)
+            open_crashes = record.open_crashes
+            # Of two parts that always occur together, either may be the cause.
+            if any(
+                open_crashes < crashes and not parts <= record.company
+                for crashes, parts in quarantined.items()
+            ):
+                record.clear(open_crashes)
--- a/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
+++ b/packages/gateway/src/cowsliphitch/gateway/engine_quarantine.py
@@ -10,6 +10,7 @@
 request itself, which comes again with the same content, whenever it was lost.
 """
 
+import heapq
 import logging
 import zlib
 from collections import OrderedDict
@@ -48,6 +49,9 @@
 # Engines whose last crash is remembered.
 MAX_CRASHED_ENGINES = 512
 
+# Parts or digests in one line of the log.
+MAX_LOGGED = 64
+
 
 @attrs.frozen
 class _LastCrash:
@@ -224,7 +228,7 @@
                 started_ms=server.started_ms,
                 lost_requests=len(lost.exposures),
                 given_up=sum(e.given_up_ms is not None for e in lost.exposures),
-                digests=sorted({e.digest for e in lost.exposures}),
+                digests=_first(e.digest for e in lost.exposures),
             )
             key = server.id, server.started_ms
             last = self._last_crashes.get(key)
@@ -311,8 +315,8 @@
             "engine.crashed" if has_crashed else "engine.still_listens",
             server=server.id,
             lost_requests=len(requests),
-            parts=sorted({part for lost in requests for part in lost.suspect_parts}),
-            digests=sorted({lost.digest for lost in requests}),
+            parts=_first(part for lost in requests for part in lost.suspect_parts),
+            digests=_first(lost.digest for lost in requests),
         )
         if has_crashed:
             for exposure in requests:
@@ -321,18 +325,14 @@
                 self._record_crash(crash, lost)
 
     def _record_crash(self, crash: int, requests: Iterable[Exposure]) -> None:
-        """Record a crash with the requests that were at the server.
-
-        Those that were answered before come last: the others may explain the crash.
-        """
+        """Record a crash with the requests that were at the server."""
         now, requests = self._state.clock.now_ms(), tuple(requests)
         for registry, groups in (
             (self._state.prompt_parts, [lost.suspect_parts for lost in requests]),
             (self._state.suspect_requests, [(lost.digest,) for lost in requests]),
         ):
-            for parts in sorted(filter(None, groups), key=registry.were_answered):
-                change = registry.record_crash(crash, parts, now)
-                self._apply(change, "own requests")
+            change = registry.record_lost_requests(crash, groups, now)
+            self._apply(change, "own requests")
         for listener in self._crash_listeners:
             listener()
 
@@ -368,12 +368,14 @@
     def _apply(self, change: QuarantineChange, source: str) -> None:
         """Log a change of the quarantine and end the requests that it covers."""
         if change.crashed:
+            logged = change.crashed[:MAX_LOGGED]
             event(
                 _LOGGER,
                 "suspects.crashed",
-                parts=[row.part for row in change.crashed],
-                known=[row.known for row in change.crashed],
-                counted=[row.counted for row in change.crashed],
+                count=len(change.crashed),
+                parts=[row.part for row in logged],
+                known=[row.known for row in logged],
+                counted=[row.counted for row in logged],
                 source=source,
             )
         for part in change.quarantined:
@@ -385,3 +387,8 @@
         if change.quarantined:
             for listener in self._listeners:
                 listener()
+
+
+def _first(texts: Iterable[str]) -> list[str]:
+    """Return the texts that sort first, as many as are logged."""
+    return heapq.nsmallest(MAX_LOGGED, set(texts))
