Limit what a report says of the other parts of a suspect prompt

What callers saw: after a prompt of 300 parts had crashed engines, the daemons lost each other, and each let the request crash three engines of its own.

Cause: a report on a suspect part carries all parts that its requests had in common. Six such reports exceed a datagram, and a heartbeat that exceeds it is not sent, as often as it is made. With 1,200 parts each of 256 records also held such a set.

Change: a record remembers the 12 of these parts that sort first, the same ones at each daemon.

Why it works: six reports take at most half of a datagram, whatever a prompt has. Prompts of up to 12 parts are told apart as before; of longer ones those that share the suspect part and 12 others are refused together until one is answered.

--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -136,6 +136,12 @@
     When engines crash at daemons 1, 2, 1 on requests with "bad" and 200 parts of their own
     Then each daemon refuses the parts "bad"
 
+  Scenario: Reports on the parts of long prompts fit into a heartbeat
+    Given 2 daemons that exchange reports
+    When an engine crashes on 6 requests with 300 parts of 40 characters each
+    Then the suspect parts take at most 4096 of the 8192 bytes of a heartbeat
+    And daemon 2 accepts another prompt with a part of one of them
+
   Scenario: A quarantined part is kept when many others are suspect
     Given 2 daemons that exchange reports
     When engines crash at daemons 1, 2, 1 on requests with the parts "bad", 1000 ms apart
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -5,7 +5,9 @@
 import sys
 from typing import Any
 
+import attrs
 from behave import given, then, when
+from heartbeat_steps import heartbeat
 
 from cowsliphitch.core.quarantine import prompt_parts
 from cowsliphitch.core.quarantine.prompt_parts import (
@@ -14,6 +16,8 @@
     OncePerOutage,
     PromptPartRegistry,
 )
+from cowsliphitch.peers.fleet.const import MAX_DATAGRAM_BYTES
+from cowsliphitch.peers.fleet.convert import heartbeat_to_wire
 
 EXCHANGE_MS = 125
 ENGINE_COUNT = 9
@@ -175,6 +179,37 @@
     context.calls_per_part = calls / (prompts * parts)
 
 
+@when(
+    "an engine crashes on {prompts:d} requests with {parts:d} parts of {size:d}"
+    " characters each"
+)
+def crash_with_long_parts(context: Any, prompts: int, parts: int, size: int) -> None:
+    fleet = context.quarantine
+    names = itertools.count()
+    context.requests = [
+        [f"{next(names):0{size}}" for _ in range(parts)] for _ in range(prompts)
+    ]
+    for crash in (1, 2, 3):
+        fleet.daemons[0].record_lost_requests(crash, context.requests, fleet.now_ms)
+        fleet.wait(1_000)
+
+
+@then("the suspect parts take at most {count:d} of the {limit:d} bytes of a heartbeat")
+def check_report_bytes(context: Any, count: int, limit: int) -> None:
+    fleet = context.quarantine
+    reports = fleet.daemons[0].next_reports(fleet.now_ms)
+    assert len(reports) == prompt_parts.MAX_REPORTS_PER_HEARTBEAT
+    plain = heartbeat("p1", 1)
+    reported = attrs.evolve(plain, suspect_parts=reports)
+    size = len(heartbeat_to_wire(reported)) - len(heartbeat_to_wire(plain))
+    assert size <= count and limit == MAX_DATAGRAM_BYTES, size
+
+
+@then("daemon {number:d} accepts another prompt with a part of one of them")
+def check_other_prompt(context: Any, number: int) -> None:
+    assert context.quarantine.accepts(number - 1, [context.requests[-1][-1], "other"])
+
+
 @then("the crash took at most {count:d} calls for each lost part")
 def check_calls(context: Any, count: int) -> None:
     assert context.calls_per_part <= count, context.calls_per_part
--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -16,7 +16,8 @@
 prefill the same part.
 
 A prompt may have a thousand parts, and a crash may lose forty such prompts.  What is
-done for a crash grows with the parts that it lost, not with their square.
+done for a crash grows with the parts that it lost, not with their square, and a report
+to the peers has a bounded size whatever its prompt.
 
 The same records hold requests that crash servers, by digest.  A digest is at one server
 for each copy that was sent, so each crash under it counts, unless it was answered
@@ -58,6 +59,10 @@
 MAX_RECORDS: Final = 256
 MAX_CRASHES_PER_RECORD: Final = 16
 
+# Parts that are remembered of those that a suspect request had beside the suspect part.
+# Of a longer prompt all daemons remember the same ones.
+MAX_COMPANY: Final = 12
+
 # Parts and requests that are known to be answered.
 MAX_ANSWERED_PARTS: Final = 8_192
 MAX_ANSWERED_REQUESTS: Final = 1_024
@@ -103,7 +108,8 @@
     :param crashes: identifiers of the crashes that it may have caused
     :param cleared: identifiers of crashes that it did not cause
     :param crash_count: crashes at different times that are not cleared
-    :param company: parts that all suspect requests with this part have in common
+    :param company: parts that all suspect requests with this part have in common, at
+        most ``MAX_COMPANY`` of them
     :param quarantine_left_ms: remaining time of its quarantine, 0 if it has none
     """
 
@@ -141,7 +147,8 @@
 class _PartRecord:
     """Crashes while requests with one part waited for their first event.
 
-    :param company: parts that all suspect requests with this part have in common
+    :param company: parts that all suspect requests with this part have in common, at
+        most ``MAX_COMPANY`` of them
     :param counting: which crashes raise the count
     :param crashes: monotonic time at which each crash became known
     :param cleared: crashes that the part did not cause
@@ -328,8 +335,9 @@
                     self._records[part].company &= present
             for part in new.keys() & present:
                 new[part] &= present
+            company = _company(present)
             new |= {
-                part: present
+                part: company
                 for part in [p for p in found if p not in self._records][-MAX_RECORDS:]
                 if part not in new
             }
@@ -523,7 +531,7 @@
         record = self._records.get(part)
         if record is None:
             self._make_room(1)
-            record = _PartRecord(company, self._counting)
+            record = _PartRecord(_company(company), self._counting)
             self._records[part] = record
         return record
 
@@ -587,3 +595,8 @@
                 for crashes, parts in quarantined.items()
             ):
                 record.clear(open_crashes)
+
+
+def _company(parts: Collection[str]) -> frozenset[str]:
+    """Return the parts of a request that are remembered with each of its parts."""
+    return frozenset(heapq.nsmallest(MAX_COMPANY, parts))
