Decode bodies in many small chunks in turns

What callers saw: beside 115 connections to the readiness address that sent bodies in chunks of one byte, ordinary requests ended with 504, also after the crowd had left.

Cause: each connection decoded 16 chunks in each round of the event loop, so a round grew with the crowd, and a request takes many rounds. What had been received was decoded to its end after its caller had left, megabytes for each connection.

Change: after 16 chunks below 256 bytes a body waits for its turn, and one body has its turn in each round. A body whose caller has left meanwhile is given up. Bodies with a length take no turns.

Why it works: a round takes no more work than one body's 16 chunks, however many bodies come in this way.

Evidence: features/callers/edge.feature.

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -126,6 +126,17 @@
     Then 1 connection was closed as "evicted"
     And the handler received 2 requests
 
+  Scenario: Bodies in many small chunks are decoded in turns
+    Given an edge server whose limits are 2000 bytes of head and 100000 bytes of body
+    When 20 callers send a body of 2000 chunks of one byte at once
+    Then each of them gets 200
+    And at most 32 chunks were decoded in one round of the event loop
+
+  Scenario: A body in chunks whose caller has left is not decoded to its end
+    Given an edge server whose limits are 2000 bytes of head and 100000 bytes of body
+    When a caller leaves after it has sent 5000 chunks of one byte
+    Then at most 500 chunks were decoded
+
   Scenario: A listener that accepts no more connections ends the server
     Given an edge server whose limits are 2000 bytes of head and 1000 bytes of body
     When its listening socket no longer listens
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -10,7 +10,9 @@
 
 import anyio
 import anyio.to_thread
+import h11
 from anyio.abc import SocketStream
+from anyio.lowlevel import checkpoint
 from behave import given, then, when
 
 from cowsliphitch.callers.edge import const
@@ -358,6 +360,89 @@
     context.edge.run(call)
 
 
+class DecodedChunks:
+    """Counts the chunks that are decoded, in all and in a round of the event loop."""
+
+    def __init__(self) -> None:
+        self.count = self.most_in_round = self._in_round = 0
+        self._next_event = h11.Connection.next_event
+
+    def patch(self) -> Any:
+        def next_event(connection: h11.Connection) -> Any:
+            event = self._next_event(connection)
+            if isinstance(event, h11.Data):
+                self.count += 1
+                self._in_round += 1
+            return event
+
+        return mock.patch.object(h11.Connection, "next_event", next_event)
+
+    async def watch(self) -> None:
+        while True:
+            self.most_in_round = max(self.most_in_round, self._in_round)
+            self._in_round = 0
+            await checkpoint()
+
+
+def small_chunks(count: int) -> bytes:
+    head = b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+    return head + b"1\r\nx\r\n" * count
+
+
+async def watch_decoding(chunks: DecodedChunks, call: Callable[[], Any]) -> Any:
+    """Call a function in a thread and record what is decoded until 0.5 s later."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(chunks.watch)
+        result = await anyio.to_thread.run_sync(call)
+        await anyio.sleep(0.5)
+        group.cancel_scope.cancel()
+    return result
+
+
+@when("{callers:d} callers send a body of {count:d} chunks of one byte at once")
+def send_small_chunks(context: Any, callers: int, count: int) -> None:
+    def ask_all() -> list[bytes]:
+        socks = [socket.socket() for _ in range(callers)]
+        for sock in socks:
+            sock.settimeout(READ_TIMEOUT_S)
+            sock.connect(("127.0.0.1", context.edge.port))
+            sock.sendall(small_chunks(count) + b"0\r\n\r\n")
+        return [receive_and_close(sock) for sock in socks]
+
+    context.chunks = DecodedChunks()
+
+    async def call(_stream: SocketStream) -> None:
+        context.answers = await watch_decoding(context.chunks, ask_all)
+
+    with context.chunks.patch():
+        context.edge.run(call)
+
+
+@when("a caller leaves after it has sent {count:d} chunks of one byte")
+def leave_after_chunks(context: Any, count: int) -> None:
+    def send_and_leave() -> None:
+        with socket.create_connection(("127.0.0.1", context.edge.port)) as sock:
+            sock.sendall(small_chunks(count))
+
+    context.chunks = DecodedChunks()
+
+    async def call(_stream: SocketStream) -> None:
+        await watch_decoding(context.chunks, send_and_leave)
+
+    with context.chunks.patch():
+        context.edge.run(call)
+
+
+@then("at most {count:d} chunks were decoded in one round of the event loop")
+def check_chunks_in_round(context: Any, count: int) -> None:
+    assert 0 < context.chunks.most_in_round <= count, context.chunks.most_in_round
+
+
+@then("at most {count:d} chunks were decoded")
+def check_decoded_chunks(context: Any, count: int) -> None:
+    assert context.chunks.count <= count, context.chunks.count
+
+
 def receive_and_close(sock: socket.socket) -> bytes:
     with sock:
         try:
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -88,6 +88,7 @@
     :param budget: memory for the connection, its input and its unsent output
     :param is_crowded: returns whether many connections are open
     :param encode_error: returns the answer to a request that is rejected here
+    :param turns: of bodies in many small chunks, one in each round of the event loop
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         budget: BufferBudget,
         is_crowded: Callable[[], bool],
         encode_error: ErrorEncoder,
+        turns: anyio.Lock,
     ) -> None:
         """Initialize the protocol state of a newly accepted stream."""
         self._stream = stream
@@ -112,6 +114,7 @@
         self._budget = budget
         self._is_crowded = is_crowded
         self._encode_error = encode_error
+        self._turns = turns
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().header_bytes
         )
@@ -373,7 +376,8 @@
         self._is_head_method = event.method == b"HEAD"
         host = _validate_head(event, limits)
         self._count_head(event, buffer)
-        body = await self._read_body(limits, buffer)
+        is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
+        body = await self._read_body(limits, buffer, is_chunked)
         # The input is in the body now, which is counted apart.
         self._count_input()
         return EdgeRequest(
@@ -421,57 +425,92 @@
         self._receive(data)
         return self._clock.now_ms()
 
-    async def _read_body(self, limits: CallerLimits, buffer: Buffer) -> bytes:
+    async def _read_body(
+        self, limits: CallerLimits, buffer: Buffer, is_chunked: bool
+    ) -> bytes:
         if self._protocol.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._protocol.send(informational))
         with anyio.CancelScope() as scope:
             buffer.on_give_up = scope.cancel
-            body = await self._read_chunks(limits, buffer)
+            body = await self._read_chunks(limits, buffer, is_chunked)
             if not buffer.is_given_up:
                 return body
         raise _RequestRejected(503, f"no memory for a request of {buffer.size} bytes")
 
-    async def _read_chunks(self, limits: CallerLimits, buffer: Buffer) -> bytes:
+    async def _read_chunks(
+        self, limits: CallerLimits, buffer: Buffer, is_chunked: bool
+    ) -> bytes:
+        """Read a body.
+
+        :param is_chunked: it may come in many small chunks, so it takes turns
+        """
         body = bytearray()
-        chunks = 0
+        small_chunks = 0
+        is_turn_due = is_chunked
         while True:
-            try:
-                with anyio.fail_after(seconds(const.BODY_READ_TIMEOUT_MS)):
-                    event = await self._next_event(const.READ_BYTES)
-            except TimeoutError:
-                raise _RequestRejected(
-                    408, f"no body data within {const.BODY_READ_TIMEOUT_MS} ms"
-                ) from None
-            match event:
+            if is_turn_due:
+                async with self._turns:
+                    await checkpoint()
+                is_turn_due = False
+                if small_chunks and self._stream.has_caller_left:
+                    raise _CallerDisconnected
+            match self._decode_event():
                 case h11.Data(data=data):
-                    chunks += 1
-                    if chunks % const.CHUNKS_AT_ONCE == 0:
-                        await checkpoint()
                     buffer.grow(len(data))
                     body += data
                     if len(body) > limits.body_bytes:
                         raise _RequestRejected(
                             413, f"the body exceeds {limits.body_bytes} bytes"
                         )
+                    if is_chunked and len(data) < const.SMALL_CHUNK_BYTES:
+                        small_chunks += 1
+                        is_turn_due = small_chunks % const.SMALL_CHUNKS_AT_ONCE == 0
                 case h11.EndOfMessage():
                     return bytes(body)
+                case h11.NEED_DATA:
+                    await self._receive_body()
                 case _:
                     raise _CallerDisconnected
 
+    async def _receive_body(self) -> None:
+        """Receive the next bytes of a body.
+
+        :raises _RequestRejected: none arrive within the timeout
+        """
+        try:
+            with anyio.fail_after(seconds(const.BODY_READ_TIMEOUT_MS)):
+                await self._receive_more(const.READ_BYTES)
+        except TimeoutError:
+            raise _RequestRejected(
+                408, f"no body data within {const.BODY_READ_TIMEOUT_MS} ms"
+            ) from None
+
     async def _next_event(self, max_bytes: int) -> object:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise _RequestRejected(exc.error_status_hint, str(exc)) from exc
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await self._stream.receive(max_bytes)
-            except anyio.EndOfStream:
-                raise _CallerDisconnected from None
-            self._receive(data)
+        while (event := self._decode_event()) is h11.NEED_DATA:
+            await self._receive_more(max_bytes)
+        return event
+
+    def _decode_event(self) -> object:
+        """Return the next event of what has been received.
+
+        :raises _RequestRejected: the bytes are not a valid request
+        """
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise _RequestRejected(exc.error_status_hint, str(exc)) from exc
+
+    async def _receive_more(self, max_bytes: int) -> None:
+        """Receive bytes of a request that has begun.
+
+        :raises _CallerDisconnected: the caller ended its side
+        """
+        try:
+            data = await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            raise _CallerDisconnected from None
+        self._receive(data)
 
     def _receive(self, data: bytes) -> None:
         try:
--- a/packages/callers/src/cowsliphitch/callers/edge/const.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/const.py
@@ -34,9 +34,10 @@
 # Closing a socket with unread bytes resets the connection, which may lose the answer.
 LINGER_MS: Final = 1_000
 
-# Chunks of a body that are decoded before others are served: a read may hold ten
-# thousand chunks of one byte.
-CHUNKS_AT_ONCE: Final = 16
+# Small chunks of a body that are decoded before it is the turn of another body: a read
+# may hold ten thousand chunks of one byte.
+SMALL_CHUNK_BYTES: Final = 256
+SMALL_CHUNKS_AT_ONCE: Final = 16
 
 # Timeout of each read of a request's body.
 BODY_READ_TIMEOUT_MS: Final = 5_000
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -80,6 +80,7 @@
         self._waiting: deque[socket.socket] = deque()
         self._full_since_ms: int | None = None
         self._queue_changed = anyio.Event()
+        self._body_turns = anyio.Lock(fast_acquire=True)
         self.diagnostics = Diagnostics()
 
     def disable_keep_alive(self) -> None:
@@ -197,6 +198,7 @@
             self._budget,
             lambda: len(self._connections) >= self._max_connections // 2,
             self._encode_error,
+            self._body_turns,
         )
         self._connections.add(connection)
         self.diagnostics.connections += 1
