Limit what connections to the peers' address may hold

Cause: the HTTP/2 library buffers a frame up to the announced length, 16 MB, before it compares it with the limit, and answers each ping and change of settings at once. Connections had no limit.

Change: a guard between the socket and the library closes a connection that announces a frame over 16,384 bytes, sends more than 100 frames outside of calls in a second, or leaves over 64 KB unread while all together leave over 8 MB. 512 connections are open at most; each daemon opens one to each of the others.

Why it works: nothing of a long frame is kept, and the work for control frames is bounded by connections. Daemons send frames of the default length and some pings a second.

Evidence: features/callers/crowds.feature, 120 MB, 10 s.

--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -74,6 +74,19 @@
       | 600   | send requests without the usual headers and read nothing | operators |
       | 100   | send nothing                                             | operators |
 
+  Scenario Outline: A crowd at the peers' address does not fill the memory of a daemon
+    Given a daemon that has 120 MB of memory and 2000 descriptors
+    When <count> callers <behaviour> at its peers address for 10 s
+    Then an ordinary request was answered meanwhile
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | count | behaviour                             |
+      | 50    | send HTTP/2 prefaces and read nothing |
+      | 50    | send HTTP/2 pings and read nothing    |
+      | 1500  | send nothing                          |
+
   Scenario Outline: A daemon of the own interface stops beside a crowd
     Given a daemon of the own interface that has 120 MB of memory and 2000 descriptors
     When 400 callers <behaviour> at its <address> address while it is stopped
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -73,6 +73,7 @@
 
     :param pid: returns the identifier of its process, which a restart replaces
     :param requests: an ordinary request by address, which is answered 200
+    :param peers: port of the peers' address, 0 if it has none without TLS
     :ivar descriptors: most descriptors that it had open
     :ivar peak_bytes: most resident memory of a process
     :ivar statuses: answers to the ordinary requests beside the crowd, 0 for none
@@ -84,6 +85,7 @@
     requests: dict[str, bytes]
     memory_mb: int
     max_descriptors: int
+    peers: int = 0
     descriptors: int = 0
     peak_bytes: int = 0
     statuses: list[int] = attrs.Factory(list)
@@ -213,6 +215,16 @@
     },
 }
 
+HTTP_2_PREFACE: Final = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+EMPTY_SETTINGS: Final = b"\0\0\0\4\0\0\0\0\0"
+PING: Final = b"\0\0\x08\6\0\0\0\0\0" + b"12345678"
+HTTP_2_BEHAVIOURS: Final = {
+    "send HTTP/2 prefaces and read nothing": Behaviour(endless=HTTP_2_PREFACE),
+    "send HTTP/2 pings and read nothing": Behaviour(
+        first=HTTP_2_PREFACE + EMPTY_SETTINGS, endless=PING
+    ),
+}
+
 
 def behaviour_of(text: str, valid_request: bytes) -> Behaviour:
     """Return a behaviour by its name.
@@ -228,7 +240,7 @@
             first=valid_request, reads=True, repeats=True
         ),
     }
-    return (BEHAVIOURS | valid)[text]
+    return (BEHAVIOURS | HTTP_2_BEHAVIOURS | valid)[text]
 
 
 @given("a daemon that has {mb:d} MB of memory and {count:d} descriptors")
@@ -251,6 +263,7 @@
         requests,
         mb,
         count,
+        peers=daemon["peers"],
     )
 
 
@@ -282,8 +295,9 @@
 @when("{count:d} callers {behaviour} at its {name} address for {s:d} s")
 def play_crowd(context: Any, count: int, behaviour: str, name: str, s: int) -> None:
     target: Target = context.target
-    played = behaviour_of(behaviour, target.requests[name])
-    crowd = Crowd(target.ports[name], count, played)
+    port = target.peers if name == "peers" else target.ports[name]
+    name = "callers" if name == "peers" else name
+    crowd = Crowd(port, count, behaviour_of(behaviour, target.requests[name]))
     has_ended = threading.Event()
 
     def watch() -> None:
--- a/packages/peers/src/cowsliphitch/peers/fleet/const.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/const.py
@@ -24,3 +24,16 @@
 
 # Bounds one read of the socket, so that other tasks run under a flood of datagrams.
 MAX_DATAGRAMS_PER_READ: Final = 1_024
+
+# Connections to the gRPC server; each daemon opens one to each of the others.
+MAX_CONNECTIONS: Final = 512
+
+# Longest frame, the default of HTTP/2, which the server does not raise.
+MAX_FRAME_BYTES: Final = 16_384
+
+# Pings, settings and other frames that belong to no call.  Daemons send some a second.
+MAX_CONTROL_FRAMES_PER_S: Final = 100
+
+# A connection that leaves more unread is closed while all together leave too much.
+MAX_UNREAD_BYTES: Final = 65_536
+MAX_ALL_UNREAD_BYTES: Final = 8_000_000
--- a/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/rpc.py
@@ -16,6 +16,7 @@
 from ..wire import fleet_pb2 as pb
 from ..wire.fleet_grpc import FleetBase, FleetStub
 from . import const, convert
+from .guard import GuardedServer
 from .models import (
     BeginTrial,
     DocumentQuery,
@@ -113,7 +114,7 @@
 
 def make_server(handlers: PeerRequestHandlers) -> Server:
     """Create the gRPC server; the caller starts it."""
-    return Server([FleetServer(handlers)], config=_GRPC_CONFIG)
+    return GuardedServer([FleetServer(handlers)], config=_GRPC_CONFIG)
 
 
 class PeerConnections:
