Close the call handlers of refused connections to the peers' address

What callers saw: nothing yet; a daemon that refused connections at the peers' address would have grown with each.

Cause: aborts a connection over the limit, and the gRPC server keeps the handler that it made for it until that is closed.

Change: the guard closes the handler.

Evidence: features/peers/guard.feature, 100 refused connections: failed before, at most 10 handlers are kept now.

--- a/features/peers/guard.feature
+++ b/features/peers/guard.feature
@@ -19,3 +19,7 @@
   Scenario: Pings of each second count apart
     When a connection sends 60 pings of 8 bytes in each of 10 seconds
     Then they are accepted
+
+  Scenario: Connections over the limit are closed and leave nothing behind
+    When 100 connections come one after the other at a limit of 2 open ones
+    Then the server keeps at most 10 handlers of calls, and 2 connections
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -1,10 +1,16 @@
 """Steps on the limits of the connections between daemons."""
 
+import asyncio
+import contextlib
 from typing import Any, Final
+from unittest import mock
 
+import anyio
 from behave import then, when
 
-from cowsliphitch.peers.fleet.guard import FrameLimits
+from cowsliphitch.peers.fleet import const
+from cowsliphitch.peers.fleet.guard import FrameLimits, GuardedServer
+from cowsliphitch.standins.processes import free_port
 
 PREFACE: Final = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 TYPES: Final = {"calls": 0x0, "pings": 0x6}
@@ -36,3 +42,36 @@
 @then("they are {accepted}")
 def check_accepted(context: Any, accepted: str) -> None:
     assert context.is_accepted == (accepted == "accepted")
+
+
+@when(
+    "{count:d} connections come one after the other at a limit of {limit:d} open ones"
+)
+def connect_over_limit(context: Any, count: int, limit: int) -> None:
+    async def main() -> None:
+        port = free_port()
+        server = GuardedServer([])
+        await server.start("127.0.0.1", port)
+        kept = [await asyncio.open_connection("127.0.0.1", port) for _ in range(limit)]
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+            writer.close()
+        context.kept_handlers = len(server._handlers)
+        context.connections = len(server.transports)
+        for _, writer in kept:
+            writer.close()
+        server.close()
+        await server.wait_closed()
+
+    with mock.patch.object(const, "MAX_CONNECTIONS", limit):
+        anyio.run(main)
+
+
+@then(
+    "the server keeps at most {handlers:d} handlers of calls, and {count:d} connections"
+)
+def check_kept(context: Any, handlers: int, count: int) -> None:
+    assert context.kept_handlers <= handlers, context.kept_handlers
+    assert context.connections == count, context.connections
--- a/packages/peers/src/cowsliphitch/peers/fleet/guard.py
+++ b/packages/peers/src/cowsliphitch/peers/fleet/guard.py
@@ -97,6 +97,8 @@
         """Accept the connection, unless there are too many."""
         if len(self._server.transports) >= const.MAX_CONNECTIONS:
             cast(asyncio.Transport, transport).abort()
+            # The server keeps the handlers of calls until they are closed.
+            self._protocol.handler.close()
             return
         self._transport = cast(asyncio.Transport, transport)
         self._server.transports.add(self._transport)
