--- a/features/callers/crowds.feature
+++ b/features/callers/crowds.feature
@@ -112,3 +112,17 @@
       | 1    |
       | 2    |
       | 3    |
+
+  # Other seeds: behave -D seed_offset=N -n "with valid keys overlap" features/callers/crowds.feature
+  Scenario Outline: Crowds with valid keys overlap with others, by seed
+    Given a daemon that has 120 MB of memory and 2000 descriptors
+    When crowds of seed <seed>, also with valid keys, overlap for 15 s
+    Then an ordinary request was answered meanwhile
+    And each stopped daemon exited with 0
+    And the daemon is alive and used at most its memory and its descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -226,21 +226,18 @@
 }
 
 
-def behaviour_of(text: str, valid_request: bytes) -> Behaviour:
-    """Return a behaviour by its name.
+def valid_behaviours(request: bytes) -> dict[str, Behaviour]:
+    """Return the behaviours of callers whose requests are answered 200.
 
-    :param valid_request: an ordinary request of the address, which is answered 200
+    :param request: such a request
     """
-    valid = {
-        "send valid requests and read nothing": Behaviour(endless=valid_request),
-        "send valid requests and read little": Behaviour(
-            endless=valid_request, reads=True
-        ),
+    return {
+        "send valid requests and read nothing": Behaviour(endless=request),
+        "send valid requests and read little": Behaviour(endless=request, reads=True),
         "send a valid request after each answer": Behaviour(
-            first=valid_request, reads=True, repeats=True
+            first=request, reads=True, repeats=True
         ),
     }
-    return (BEHAVIOURS | HTTP_2_BEHAVIOURS | valid)[text]
 
 
 @given("a daemon that has {mb:d} MB of memory and {count:d} descriptors")
@@ -297,7 +294,8 @@
     target: Target = context.target
     port = target.peers if name == "peers" else target.ports[name]
     name = "callers" if name == "peers" else name
-    crowd = Crowd(port, count, behaviour_of(behaviour, target.requests[name]))
+    valid = valid_behaviours(target.requests[name])
+    crowd = Crowd(port, count, (BEHAVIOURS | HTTP_2_BEHAVIOURS | valid)[behaviour])
     has_ended = threading.Event()
 
     def watch() -> None:
@@ -325,7 +323,22 @@
 
 @when("crowds of seed {seed:d} overlap for {s:d} s while the daemon restarts")
 def soak(context: Any, seed: int, s: int) -> None:
-    """Play random crowds, restart the daemon by SIGTERM, and ask it every second."""
+    play_overlapping_crowds(context, seed, s, more={})
+
+
+@when("crowds of seed {seed:d}, also with valid keys, overlap for {s:d} s")
+def soak_with_valid_keys(context: Any, seed: int, s: int) -> None:
+    valid = valid_behaviours(context.target.requests["callers"])
+    play_overlapping_crowds(context, seed, s, valid)
+
+
+def play_overlapping_crowds(
+    context: Any, seed: int, s: int, more: dict[str, Behaviour]
+) -> None:
+    """Play random crowds, restart the daemon by SIGTERM, and ask it every second.
+
+    :param more: behaviours beside the usual ones, at the callers' address
+    """
     target: Target = context.target
     seed += int(context.config.userdata.get("seed_offset", "0"))
     rng = random.Random(seed)
@@ -349,8 +362,9 @@
     threads = [threading.Thread(target=watch, daemon=True)]
     for _ in range(rng.randint(3, 5)):
         name = rng.choice(sorted(target.ports))
-        behaviour = rng.choice(sorted(BEHAVIOURS))
-        crowd = Crowd(target.ports[name], rng.randint(50, 200), BEHAVIOURS[behaviour])
+        behaviours = BEHAVIOURS | (more if name == "callers" else {})
+        behaviour = rng.choice(sorted(behaviours))
+        crowd = Crowd(target.ports[name], rng.randint(50, 200), behaviours[behaviour])
         crowds.append(crowd)
         from_s = rng.uniform(0, s / 2)
         arguments = (crowd, from_s, rng.uniform(s / 4, s - from_s))
