--- a/features/core/quarantine.feature
+++ b/features/core/quarantine.feature
@@ -124,6 +124,7 @@
       | prompts | parts |
       | 10      | 1200  |
       | 40      | 1200  |
+      | 40      | 3     |
 
   Scenario: A quarantined part is kept when long prompts are suspect
     Given 2 daemons that exchange reports
