Do less fixed work for each suspect part of a crash

Cause: each update of the registry computed the open crashes of every record up to four times, built the list of the crashes to keep though none was old, and compared all records with quarantined ones though there was none.

Change: a record keeps its open crashes and the time of its oldest one, so that an update looks further only at records that have something to forget. Crashes that an answered part did not cause, and those that a quarantined part explains, are searched only if there is such a part.

Why it works: the skipped steps had no effect on such records. A record that was quarantined, or whose count reaches that of a quarantine, takes the same path as before.

--- a/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
+++ b/packages/core/src/cowsliphitch/core/quarantine/prompt_parts.py
@@ -152,6 +152,8 @@
     :param counting: which crashes raise the count
     :param crashes: monotonic time at which each crash became known
     :param cleared: crashes that the part did not cause
+    :param open_crashes: crashes that the part may have caused
+    :param oldest_ms: monotonic time at which its oldest crash became known
     :param last_counted_ms: monotonic time of the last crash that was counted
     :param quarantined_until_ms: monotonic time at which its quarantine ends
     """
@@ -160,23 +162,24 @@
     counting: CrashCounting
     crashes: dict[int, int] = attrs.Factory(dict)
     cleared: set[int] = attrs.Factory(set)
+    open_crashes: set[int] = attrs.Factory(set)
+    oldest_ms: int = 0
     crash_count: int = 0
     last_counted_ms: int | None = None
     quarantined_until_ms: int = 0
 
-    @property
-    def open_crashes(self) -> set[int]:
-        """Return the crashes that the part may have caused."""
-        return self.crashes.keys() - self.cleared
-
     def add(self, crashes: Collection[int], now_ms: int, was_answered: bool) -> None:
         """Add crashes, count them, and begin the quarantine after enough of them.
 
         :param was_answered: a request with the part was answered before
         """
         new = set(crashes) - self.crashes.keys()
+        if not self.crashes:
+            self.oldest_ms = now_ms
         self.crashes |= dict.fromkeys(new, now_ms)
-        if not new - self.cleared:
+        opened = new - self.cleared
+        self.open_crashes |= opened
+        if not opened:
             return
         match self.counting:
             case EachCrash() if not was_answered:
@@ -230,6 +233,7 @@
     def clear(self, crashes: Collection[int]) -> None:
         """Record that the part did not cause some of the crashes."""
         self.cleared |= set(crashes)
+        self.open_crashes -= self.cleared
         self.crash_count = min(self.crash_count, len(self.open_crashes))
         if self.crash_count < CRASHES_TO_QUARANTINE:
             self.quarantined_until_ms = 0
@@ -244,13 +248,20 @@
 
     def forget_old_crashes(self, now_ms: int) -> None:
         """Drop crashes past their retention, and the oldest beyond the limit."""
+        is_old = now_ms - self.oldest_ms >= CRASH_RETENTION_MS
+        is_full = len(self.crashes) > MAX_CRASHES_PER_RECORD
+        is_counted = self.crash_count >= CRASHES_TO_QUARANTINE
+        if not (is_old or is_full or is_counted or self.quarantined_until_ms):
+            return
         kept = [
             (crash, known_ms)
             for crash, known_ms in self.crashes.items()
             if now_ms - known_ms < CRASH_RETENTION_MS
         ]
         self.crashes = dict(kept[-MAX_CRASHES_PER_RECORD:])
+        self.oldest_ms = min(self.crashes.values(), default=now_ms)
         self.cleared &= self.crashes.keys()
+        self.open_crashes &= self.crashes.keys()
         if self.crash_count and not self.is_quarantined(now_ms):
             self.crash_count = min(
                 self.crash_count, CRASHES_TO_QUARANTINE - 1, len(self.open_crashes)
@@ -567,10 +578,13 @@
 
     def _clear_explained_crashes(self, now_ms: int) -> None:
         """Clear suspects of crashes that another part explains better."""
-        unanswered = {p: r for p, r in self._records.items() if p not in self._answered}
-        by_unanswered = set().union(*(r.open_crashes for r in unanswered.values()))
-        for part, record in self._records.items():
-            if part in self._answered:
+        answered = [r for p, r in self._records.items() if p in self._answered]
+        if answered:
+            unanswered = (
+                r for p, r in self._records.items() if p not in self._answered
+            )
+            by_unanswered = set().union(*(r.open_crashes for r in unanswered))
+            for record in answered:
                 record.clear(record.crashes.keys() & by_unanswered)
         match self._counting:
             case OncePerOutage():
@@ -587,6 +601,8 @@
             if record.is_quarantined(now_ms):
                 crashes = frozenset(record.open_crashes)
                 quarantined.setdefault(crashes, set()).add(part)
+        if not quarantined:
+            return
         for record in self._records.values():
             open_crashes = record.open_crashes
             # Of two parts that always occur together, either may be the cause.
