Do not handle requests whose callers have left

By the log, the servers refused it as full, and requests of the crowd ended with outcome "left".

Cause: a caller that has left was noticed only once its request was running. Connections that waited in the listener's queue were admitted although their callers had closed them, others ended after their answers to make room for them, and their requests were sent to servers before they were cancelled.

Change: a connection that waits for room is closed if its caller has left, and a request is handled only if its caller is still there once it has been read.

Why it works: the kernel knows of the close before the input is read, so what a crowd leaves behind takes no place at a server and no connection of others.

Evidence: two scenarios of features/callers/edge.feature ("...have left...") fail on the code before, 21 requests of which 20 had no caller were handled; both pass now, as the other 36 do.

--- a/features/callers/edge.feature
+++ b/features/callers/edge.feature
@@ -115,6 +115,18 @@
     Then the caller gets the end of the connection
     And the other one gets 1 answer and the end of the connection
 
+  Scenario: At the limit of connections, one in use stays if those that wait have left
+    Given an edge server whose admitted requests take 300 ms
+    When 20 callers send a request and leave at once at a limit of 1, beside another
+    Then the handler received 1 requests
+    And the other one gets 1 answer, and its connection stays open
+
+  Scenario: Requests whose callers have left before they were read are not handled
+    Given an edge server whose admitted requests take 300 ms
+    When 20 callers send a request and leave at once at a limit of 100, beside another
+    Then the handler received 1 requests
+    And the other one gets 1 answer, and its connection stays open
+
   Scenario: At the limit of connections, those whose first request has arrived are kept
     Given an edge server whose admitted requests block the event loop for 10 ms
     When 100 callers send a request at once at a limit of 20
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -1,6 +1,7 @@
 """Steps on callers' connections, over real sockets on the loopback address."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -340,6 +341,35 @@
     context.edge.run(call)
 
 
+@when(
+    "{count:d} callers send a request and leave at once at a limit of {limit:d}, beside"
+    " another"
+)
+def send_and_leave_by_many(context: Any, count: int, limit: int) -> None:
+    context.edge.server._max_connections = limit
+
+    async def call(other: SocketStream) -> None:
+        await other.send(PLAIN_REQUEST)
+        await anyio.sleep(0.1)
+        # Without a pause, so that the server notices none of them before all have left.
+        for _ in range(count):
+            with socket.create_connection(("127.0.0.1", context.edge.port)) as sock:
+                sock.sendall(PLAIN_REQUEST)
+        context.other_answer = await read_until(other, b"/0", 1)
+        with anyio.move_on_after(0.1) as scope, contextlib.suppress(anyio.EndOfStream):
+            await other.receive()
+        context.stays_open = scope.cancelled_caught
+
+    context.edge.run(call)
+
+
+@then("the other one gets {count:d} answer, and its connection stays open")
+def assert_other_stays(context: Any, count: int) -> None:
+    assert context.other_answer.count(b"HTTP/1.1 200 ") == count, context.other_answer
+    assert b"connection: close" not in context.other_answer, context.other_answer
+    assert context.stays_open
+
+
 @when("{count:d} callers send a request at once at a limit of {limit:d}")
 def send_by_many(context: Any, count: int, limit: int) -> None:
     context.edge.server._max_connections = limit
--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -380,6 +380,8 @@
         body = await self._read_body(limits, buffer, is_chunked)
         # The input is in the body now, which is counted apart.
         self._count_input()
+        if self._stream.has_caller_left:
+            raise _CallerDisconnected
         return EdgeRequest(
             method=event.method,
             target=event.target,
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -32,7 +32,7 @@
 from . import const
 from .connection import CallerConnection
 from .models import Diagnostics, ErrorEncoder, Handler, encode_bare_error
-from .stream import CallerStream
+from .stream import CallerStream, has_left
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -156,9 +156,13 @@
     def _admit_waiting(self, group: TaskGroup) -> None:
         """Admit the new connections for which there is room, in their order.
 
-        If none could be for the timeout, those that wait are closed.
+        If none could be for the timeout, those that wait are closed.  Those whose
+        callers have left are closed before others make room for them.
         """
         while self._waiting:
+            if has_left(self._waiting[0]):
+                self._waiting.popleft().close()
+                continue
             now_ms = self._clock.now_ms()
             if self._make_room():
                 self._full_since_ms = None
--- a/packages/callers/src/cowsliphitch/callers/edge/stream.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/stream.py
@@ -30,6 +30,12 @@
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
+def has_left(sock: socket.socket) -> bool:
+    """Return whether the other side of a connection has closed it."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return info[0] != _TCP_ESTABLISHED
+
+
 class CallerStream(asyncio.BufferedProtocol):
     """Stream over an accepted socket.
 
@@ -124,8 +130,7 @@
         """Return whether the caller closed its side, also behind unread input."""
         if self.is_lost:
             return True
-        info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return info[0] != _TCP_ESTABLISHED
+        return has_left(self._socket)
 
     async def receive(self, max_bytes: int) -> bytes:
         """Return the next bytes.
