Do not wait for refused requests of a crowd when a daemon stops

What callers saw: a daemon of the own interface did not exit beside 400 callers whose requests are refused (features/callers/crowds.feature, "A daemon of the own interface stops beside a crowd -- @1.2").

Cause: the drain waited until no request at all was being handled. The crowd opens new connections all the time, so there is always one, until the drain limit of 60 s.

Change: once new requests are refused, the drain waits for those that were handled before.

Why it works: no request that comes later is admitted, so none of them is in flight.

--- a/packages/callers/src/cowsliphitch/callers/edge/connection.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/connection.py
@@ -126,7 +126,7 @@
         self._answers = 0
         self._refusals = 0
         self._is_waiting_for_head = True
-        self._is_handling = False
+        self._handled_since_ms: int | None = None
         self._is_head_method = False
         self._opened_ms = self._idle_since_ms = clock.now_ms()
         self._acknowledged_bytes = 0
@@ -148,7 +148,7 @@
         sends_ahead = bool(self._protocol.trailing_data[0])
         in_use = InUse(self._answers, sends_ahead, self._is_ending)
         if not self._is_admitted:
-            is_running = self._is_handling and not self._started
+            is_running = self._handled_since_ms is not None and not self._started
             if is_running or self._is_first_request_pending():
                 return in_use
             return Unadmitted(now_ms - self._opened_ms)
@@ -204,6 +204,14 @@
         """Return whether the head of the current answer has been sent."""
         return self._started
 
+    @property
+    def handled_since_ms(self) -> int | None:
+        """Return the monotonic time at which its request began to be handled.
+
+        :returns: ``None`` if no request is handled
+        """
+        return self._handled_since_ms
+
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
         self._has_begun = True
@@ -270,10 +278,10 @@
             buffer.pin()
             self._diagnostics.requests += 1
             self._started = False
-            self._is_handling = True
+            self._handled_since_ms = self._clock.now_ms()
             await self._handle(req)
         finally:
-            self._is_handling = False
+            self._handled_since_ms = None
             buffer.close()
         if self._is_ending or self._protocol.our_state is not h11.DONE:
             return await self._close_gracefully()
--- a/packages/callers/src/cowsliphitch/callers/edge/server.py
+++ b/packages/callers/src/cowsliphitch/callers/edge/server.py
@@ -87,6 +87,11 @@
         """Close each connection after its next answer, so that the daemon can stop."""
         self._keep_alive_disabled = True
 
+    def handled_before(self, time_ms: int) -> int:
+        """Return how many requests have been handled since before a monotonic time."""
+        times_ms = (connection.handled_since_ms for connection in self._connections)
+        return sum(since is not None and since <= time_ms for since in times_ms)
+
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
--- a/packages/daemon/src/cowsliphitch/daemon/app.py
+++ b/packages/daemon/src/cowsliphitch/daemon/app.py
@@ -291,7 +291,8 @@
         The daemon reports that it is not ready and announces to its peers that it is
         leaving.  It still accepts requests for ``drain_delay``, while balancers
         notice.  After that it waits up to ``drain_limit`` for the requests in flight
-        and for the outcomes of orders to be written.
+        and for the outcomes of orders to be written, but not for later requests,
+        which are refused: a crowd may send them without a pause.
         """
         _LOGGER.info("Daemon %s is draining", self._cfg.name)
         self._gateway.is_draining = True
@@ -300,19 +301,18 @@
         await self._peer_coordinator.announce_leave()
         await anyio.sleep(seconds(self._cfg.drain_delay))
         self._gateway.is_closed = True
-        deadline_ms = self._clock.now_ms() + self._cfg.drain_limit
+        closed_ms = self._clock.now_ms()
+        deadline_ms = closed_ms + self._cfg.drain_limit
         while self._gateway.in_flight and self._clock.now_ms() < deadline_ms:
             await anyio.sleep(seconds(DRAIN_POLL_INTERVAL_MS))
         if not await self._order_coordinator.drain(deadline_ms):
             _LOGGER.error("Some order outcomes were not written within the drain limit")
-        while self._active_requests and self._clock.now_ms() < deadline_ms:
+        edges = self._edges.values()
+        while any(edge.handled_before(closed_ms) for edge in edges):
+            if self._clock.now_ms() >= deadline_ms:
+                break
             await anyio.sleep(seconds(DRAIN_POLL_INTERVAL_MS))
 
-    @property
-    def _active_requests(self) -> int:
-        """Return how many requests have no complete answer yet."""
-        return sum(edge.diagnostics.active for edge in self._edges.values())
-
     async def _close_clients(self) -> None:
         self._peer_channels.close()
         await self._upstream_client.close()
