--- /dev/null
+++ b/features/daemon/api_keys.feature
@@ -0,0 +1,26 @@
+Feature: API keys of the version in force
+
+  Guards against a change of the teams that opens routes to callers without a valid key:
+  an empty list of teams that is taken for an absent one.
+
+  Scenario: An empty list of teams accepts no key until a version has a team again
+    Given a site with two daemons whose streams may be resumed
+    When the operator writes a version with the teams []
+    Then within 2000 ms both daemons answer 401 to the former key, another key, an empty key and no key
+    When a daemon restarts
+    Then within 2000 ms both daemons answer 401 to the former key, another key, an empty key and no key
+    When the operator writes a version with the teams [{"name": "red", "api_keys": ["key-red"]}]
+    Then within 2000 ms both daemons answer 200 to the former key
+    And within 2000 ms both daemons answer 401 to another key, an empty key and no key
+
+  Scenario: Without a list of teams, requests need no key
+    Given a site with two daemons whose streams may be resumed
+    When the operator writes a version without teams
+    Then within 2000 ms both daemons answer 200 to the former key, another key, an empty key and no key
+
+  Scenario: A request that was admitted before the teams were removed is answered
+    Given a site with two daemons
+    And plain servers that take 1000 ms to answer
+    When the teams become [] while a lookup waits for its answer
+    Then within 2000 ms both daemons answer 401 to the former key, another key, an empty key and no key
+    And the lookup is answered 200
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,7 +11,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -151,10 +151,11 @@
     def call(
         self,
         path: str,
-        headers: dict[str, str] | None = None,
+        headers: Mapping[str, str | None] | None = None,
         daemon: int = 0,
         body: str = "",
     ) -> httpx.Response:
+        """Send a request; a header of ``None`` is left out."""
         number = next(self.request_numbers)
         defaults = {
             "host": "a.example",
@@ -163,9 +164,10 @@
             "cowsliphitch-deadline-ms": "3000",
         }
         url = f"http://127.0.0.1:{self.daemons[daemon]['callers']}{path}"
-        return httpx.post(
-            url, headers=defaults | (headers or {}), content=body, timeout=8.0
-        )
+        merged = {
+            k: v for k, v in (defaults | (headers or {})).items() if v is not None
+        }
+        return httpx.post(url, headers=merged, content=body, timeout=8.0)
 
     def executed(self) -> list[str]:
         return [
