Match no request without a key to an empty key of a team

Callers saw: after a version that lists an empty API key of a team, requests without a key, and with an empty one, ran as requests of that team.

Cause: the handler looked up a missing key as an empty text, which the table of keys can hold.

Why it works: Deployment.team_of gives no team to a missing or empty key, whatever the table holds. The version stays accepted, since a refusal would keep the keys in force that it takes away; deployment check names keys that clients may not be able to send.

--- a/features/core/deployment_check.feature
+++ b/features/core/deployment_check.feature
@@ -34,6 +34,9 @@
       | tenants.2                  | {"api_keys": []}                | warning  | teams[2].keys                | has no key         |
       | tenants.1.name             | "one"                           | warning  | teams[1].name                | teams[0]           |
       | tenants.1.api_keys         | ["first-key"]                   | error    | teams[1].keys[0]             | 'firs…'            |
+      | tenants.1.api_keys         | [""]                            | error    | teams[1].keys[0]             | not empty          |
+      | tenants.1.api_keys         | ["k", " k"]                     | error    | teams[1].keys[1]             | without spaces     |
+      | tenants.1.api_keys         | ["cl\u00e9"]                    | error    | teams[1].keys[0]             | printable ASCII    |
       | limits.max_body_bytes      | 32000001                        | error    | limits.body                  | 32000000 bytes     |
 
   Scenario Outline: A stage needs a service with a stage pool
--- a/features/daemon/api_keys.feature
+++ b/features/daemon/api_keys.feature
@@ -1,7 +1,8 @@
 Feature: API keys of the version in force
 
   Guards against a change of the teams that opens routes to callers without a valid key:
-  an empty list of teams that is taken for an absent one.
+  an empty list of teams that is taken for an absent one, an empty key that requests
+  without a key match.
 
   Scenario: An empty list of teams accepts no key until a version has a team again
     Given a site with two daemons whose streams may be resumed
@@ -18,6 +19,12 @@
     When the operator writes a version without teams
     Then within 2000 ms both daemons answer 200 to the former key, another key, an empty key and no key
 
+  Scenario: An empty key of a team lets in no request without a key
+    Given a site with two daemons whose streams may be resumed
+    When the operator writes a version with the teams [{"name": "red", "api_keys": ["", "key-new"]}]
+    Then within 2000 ms both daemons answer 200 to the new key
+    And within 2000 ms both daemons answer 401 to the former key, another key, an empty key and no key
+
   Scenario: A request that was admitted before the teams were removed is answered
     Given a site with two daemons
     And plain servers that take 1000 ms to answer
--- a/features/steps/api_key_steps.py
+++ b/features/steps/api_key_steps.py
@@ -13,6 +13,7 @@
 
 API_KEYS: Final[dict[str, str | None]] = {
     "the former key": "key-red",
+    "the new key": "key-new",
     "another key": "key-of-nobody",
     "an empty key": "",
     "no key": None,
--- a/packages/core/src/cowsliphitch/core/deployment/check.py
+++ b/packages/core/src/cowsliphitch/core/deployment/check.py
@@ -238,6 +238,13 @@
         if not keys:
             yield _warning(f"teams[{number}].keys", f"team {_quoted(name)} has no key")
         for index, key in enumerate(keys):
+            if not _is_header_value(key):
+                yield _error(
+                    f"teams[{number}].keys[{index}]",
+                    f"requests with the key {_quoted(mask_key(key))} may be refused: a "
+                    "key must be printable ASCII, not empty, and without spaces around "
+                    "it",
+                )
             holder = holder_by_key.setdefault(key, number)
             if holder != number:
                 yield _error(
@@ -247,6 +254,12 @@
                 )
 
 
+def _is_header_value(key: object) -> bool:
+    """Return whether any client can send a key unchanged in a header."""
+    text = str(key)
+    return text.isascii() and text.isprintable() and text == text.strip() != ""
+
+
 def _check_body_limit(deployment: Deployment, limits: CheckLimits) -> Iterator[Finding]:
     budget = budget_bytes(limits.memory_mb)
     if deployment.limits.body_bytes > budget:
--- a/packages/core/src/cowsliphitch/core/deployment/models.py
+++ b/packages/core/src/cowsliphitch/core/deployment/models.py
@@ -214,6 +214,15 @@
         matches = (r for r in self.routes.get(host, ()) if path.startswith(r.prefix))
         return next(matches, None)
 
+    def team_of(self, api_key: str | None) -> Team | None:
+        """Return the team that holds an API key, ``None`` if no team does.
+
+        An empty key is no key: no team holds it, also if a team lists it.
+
+        :param api_key: the request's key, ``None`` without one
+        """
+        return self.team_by_key.get(api_key) if api_key else None
+
     def stage_group(self, route: Route) -> str:
         """Return the name of the pool group that a route uses.
 
--- a/packages/gateway/src/cowsliphitch/gateway/handler.py
+++ b/packages/gateway/src/cowsliphitch/gateway/handler.py
@@ -266,7 +266,7 @@
         """Return the team of a request's key, ``None`` if it may run without one."""
         if not deployment.requires_key:
             return None
-        team = deployment.team_by_key.get(request.api_key or "")
+        team = deployment.team_of(request.api_key)
         if team is None and not route.public:
             return not_run(Reason.UNAUTHENTICATED, "the key belongs to no team")
         return team
