Refuse values of a wrong type in the operator's document

Callers saw: a document with a value of a wrong type came into force with another meaning. The text "abc" in place of a list of keys made a, b and c keys of the team; "public": "false" and "public": 1 opened a route to requests without a key; null, {}, "", 0 and false as tenants did so with all routes before the section's presence decided; an empty text as cold_per_s lifted the limit on cold servers.

Cause: the decoder converted values (bool(), int(), iteration, "or" with a default) in place of checking them.

Why it works: each field is checked for its type and for negative numbers. A document that is not valid leaves the version in force, and settings.unreadable, now a warning, says which field is wrong and which version stays. An optional null is as if absent; the section of the teams may not be null, since its absence opens the routes.

--- a/features/steps/api_key_steps.py
+++ b/features/steps/api_key_steps.py
@@ -36,6 +36,12 @@
     put(context.site.store, "op/config", json.dumps(content | fields))
 
 
+def refused_versions(log: str) -> list[dict[str, Any]]:
+    """Return the lines of a daemon's log on documents that it could not decode."""
+    lines = (line for line in log.splitlines() if "settings.unreadable" in line)
+    return [json.loads(line) for line in lines]
+
+
 def call_with_key(
     context: Any, daemon: int, key: str, path: str, headers: dict[str, str]
 ) -> int:
@@ -93,6 +99,22 @@
     assert status == 200 or len(context.site.executed()) == executed
 
 
+@then(
+    'within {ms:d} ms both daemons report version {version:d} as kept, with "{cause}"'
+)
+def check_kept(context: Any, ms: int, version: int, cause: str) -> None:
+    for daemon in (0, 1):
+        wait_within(
+            context,
+            f"daemon {daemon} logs the refused version",
+            lambda d=daemon: any(
+                row["in_force"] == version and row["cause"].startswith(cause)
+                for row in refused_versions(context.site.daemon_log(d))
+            ),
+            ms,
+        )
+
+
 @then("the lookup is answered {status:d}")
 def check_lookup(context: Any, status: int) -> None:
     assert context.lookup.result().status_code == status, context.lookup.result()
--- a/features/steps/deployment_check_steps.py
+++ b/features/steps/deployment_check_steps.py
@@ -43,6 +43,23 @@
     place[field] = json.loads(value)
 
 
+@then('it is refused with "{cause}"')
+def check_refused(context: Any, cause: str) -> None:
+    detail = decode_document(json.dumps(context.doc)).err()
+    assert detail is not None and detail.startswith(cause), detail
+
+
+@then('it is decoded as without "{path}"')
+def check_absent(context: Any, path: str) -> None:
+    decoded = decode_document(json.dumps(context.doc)).unwrap()
+    *parents, field = [int(p) if p.isdigit() else p for p in path.split(".")]
+    place = context.doc
+    for parent in parents:
+        place = place[parent]
+    del place[field]
+    assert decoded == decode_document(json.dumps(context.doc)).unwrap()
+
+
 @then("its check has no findings")
 def check_no_findings(context: Any) -> None:
     assert findings(context.doc) == ()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -141,6 +141,11 @@
         """Return what the process that was started last has logged."""
         return (self.directory / f"{len(self.processes) - 1}.log").read_text()
 
+    def daemon_log(self, number: int) -> str:
+        """Return what a daemon has logged since its last start."""
+        index = self.processes.index(self.daemons[number]["process"])
+        return (self.directory / f"{index}.log").read_text()
+
     def status(self, daemon: dict[str, Any]) -> int:
         try:
             url = f"http://127.0.0.1:{daemon['ready']}/readyz"
--- a/packages/core/src/cowsliphitch/core/json_values.py
+++ b/packages/core/src/cowsliphitch/core/json_values.py
@@ -34,12 +34,47 @@
 
     :raises ValueError: it is not a valid object, or nested too deeply
     """
-    value = decode_json(content)
+    return mapping(decode_json(content))
+
+
+def mapping(value: object) -> dict[str, Any]:
+    """Return a JSON object, of any content.
+
+    :raises ValueError: the value is not an object
+    """
     if not isinstance(value, dict):
         raise ValueError(f"expected an object, not {type(value).__name__}")
     return value
 
 
+def array(value: object) -> list[Any]:
+    """Return a JSON array, of any content.
+
+    :raises ValueError: the value is not an array
+    """
+    if not isinstance(value, list):
+        raise ValueError(f"expected a list, not {type(value).__name__}")
+    return value
+
+
+def boolean(value: object) -> bool:
+    """Return a truth value; a text or a number is none.
+
+    :raises ValueError: the value is not a truth value
+    """
+    if not isinstance(value, bool):
+        raise ValueError(f"expected true or false, not {type(value).__name__}")
+    return value
+
+
+def integral_part(value: object) -> int:
+    """Return the integral part of a number from 0.
+
+    :raises ValueError: the value is not such a number
+    """
+    return int(number(value))
+
+
 def whole_number(value: object, maximum: int = MAX_WHOLE_NUMBER) -> int:
     """Return a whole number from 0 to a maximum; 2.0 is one, 2.5 is not.
 
--- a/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
+++ b/packages/gateway/src/cowsliphitch/gateway/store_coordinator.py
@@ -773,15 +773,22 @@
 
         :param content: the encoded document
         :param source: ``store`` or the address of the peer that sent it
-        :returns: whether it was activated; a document that can't be decoded is logged
-            and ignored
+        :returns: whether it was activated; a document that can't be decoded is logged,
+            and the version in force stays
         """
         if content == self._document:
             # Peers and the store send the same version; decoding it takes 10 ms.
             return False
         match operator_document.decode_document(content):
             case Err(detail):
-                event(_LOGGER, "settings.unreadable", source=source, cause=detail)
+                event(
+                    _LOGGER,
+                    "settings.unreadable",
+                    logging.WARNING,
+                    source=source,
+                    cause=detail,
+                    in_force=self._state.versions.version,
+                )
                 return False
             case Ok(deployment):
                 pass
