--- a/features/platform/entries.feature
+++ b/features/platform/entries.feature
@@ -26,6 +26,10 @@
       | cold_left_ms of -5              |
       | cold_left_ms of 10**40          |
       | cold_left_ms of "soon"          |
+      | cold_left_ms of null            |
+      | cold_left_ms of false           |
+      | cold_left_ms of an empty text   |
+      | cold_left_ms of an empty list   |
       | a number of 5000 digits         |
       | port 99999                      |
       | port 0                          |
