Report documents that take all teams away in deployment check

Operators saw: "0 errors, 0 warnings" and status 0 for a document that takes the last team out, which refuses all requests on routes that are not public, and for one that leaves the section out, which serves them without a key.

Cause: the check looked only at the rows of the section.

Why it works: the check knows whether the version in force requires keys. Leaving the section out then is an error, since a route is opened on purpose by making it public; an emptied section, or an absent one without a version to compare with, is a warning with the number of routes and what follows.

--- a/features/core/deployment_check.feature
+++ b/features/core/deployment_check.feature
@@ -39,6 +39,28 @@
       | tenants.1.api_keys         | ["cl\u00e9"]                    | error    | teams[1].keys[0]             | printable ASCII    |
       | limits.max_body_bytes      | 32000001                        | error    | limits.body                  | 32000000 bytes     |
 
+  Scenario Outline: Teams without a key, and their absence, are reported with what follows
+    Given an operator's valid document
+    When the teams of the document are <teams>
+    Then its check after a version <before> has only the <severity> at "teams" with "<words>"
+
+    Examples:
+      | teams                                    | before        | severity | words                                   |
+      | []                                       | with teams    | warning  | no team has a key: all requests on 3 routes |
+      | absent                                   | without teams | warning  | all requests on 3 routes                |
+      | absent                                   | with teams    | error    | the version in force has it             |
+
+  Scenario Outline: Public routes are served whatever the teams are
+    Given an operator's valid document
+    When all its routes are public
+    And the teams of the document are <teams>
+    Then its check has no findings
+
+    Examples:
+      | teams  |
+      | []     |
+      | absent |
+
   Scenario Outline: A stage needs a service with a stage pool
     Given an operator's valid document
     When "routes.2.stages.1.service" is set to <value>
--- a/features/steps/deployment_check_steps.py
+++ b/features/steps/deployment_check_steps.py
@@ -22,9 +22,10 @@
 KEYS = {"first-key": "one", "second-key": "two"}
 
 
-def findings(doc: dict[str, Any]) -> tuple[Finding, ...]:
+def findings(doc: dict[str, Any], had_teams: bool | None = None) -> tuple[Finding, ...]:
     deployment = decode_document(json.dumps(doc)).unwrap()
-    return check_deployment(deployment, decode_rows(doc), CheckLimits(160, 7))
+    limits = CheckLimits(160, 7, required_key=had_teams)
+    return check_deployment(deployment, decode_rows(doc), limits)
 
 
 @given("an operator's valid document")
@@ -43,6 +44,32 @@
     place[field] = json.loads(value)
 
 
+@when("the teams of the document are {teams}")
+def set_teams(context: Any, teams: str) -> None:
+    if teams == "absent":
+        del context.doc["tenants"]
+    else:
+        context.doc["tenants"] = json.loads(teams)
+
+
+@when("all its routes are public")
+def open_routes(context: Any) -> None:
+    for route in context.doc["routes"]:
+        route["public"] = True
+
+
+@then(
+    "its check after a version {before} teams has only the {severity} at "
+    '"{path}" with "{words}"'
+)
+def check_only_finding_after(
+    context: Any, before: str, severity: str, path: str, words: str
+) -> None:
+    found = findings(context.doc, had_teams=before == "with")
+    assert [(f.path, f.severity) for f in found] == [(path, Severity(severity))], found
+    assert words in found[0].detail, found
+
+
 @then('it is refused with "{cause}"')
 def check_refused(context: Any, cause: str) -> None:
     detail = decode_document(json.dumps(context.doc)).err()
--- a/packages/core/src/cowsliphitch/core/deployment/check.py
+++ b/packages/core/src/cowsliphitch/core/deployment/check.py
@@ -64,10 +64,12 @@
 
     :param memory_mb: memory of the smallest VM that runs a daemon
     :param version: version in force, ``None`` if it is not known
+    :param required_key: the version in force requires keys, ``None`` if it is not known
     """
 
     memory_mb: float
     version: int | None = None
+    required_key: bool | None = None
 
 
 def mask_key(key: object) -> str:
@@ -87,6 +89,7 @@
         *_check_version(deployment, limits),
         *_check_routes(deployment, rows),
         *_check_services(deployment, rows),
+        *_check_access(deployment, limits),
         *_check_teams(rows),
         *_check_body_limit(deployment, limits),
     ]
@@ -226,6 +229,27 @@
             )
 
 
+def _check_access(deployment: Deployment, limits: CheckLimits) -> Iterator[Finding]:
+    """Yield what a document without keys means for the routes that are not public."""
+    count = sum(not route.public for route in deployment.all_routes())
+    affected = f"all requests on {count} routes that are not public"
+    if count == 0 or deployment.team_by_key:
+        return
+    if deployment.requires_key:
+        yield _warning("teams", f"no team has a key: {affected} are refused with 401")
+    elif limits.required_key:
+        # A route can be opened on purpose by making it public.
+        yield _error(
+            "teams",
+            f"the section is absent, and the version in force has it: {affected} would "
+            "be served without a key; an empty list refuses them",
+        )
+    else:
+        yield _warning(
+            "teams", f"the section is absent: {affected} are served without a key"
+        )
+
+
 def _check_teams(rows: DocumentRows) -> Iterator[Finding]:
     names = [name for name, _ in rows.teams]
     for number, first in _repeated(names):
--- a/packages/operators/src/cowsliphitch/operators/cli/deployment.py
+++ b/packages/operators/src/cowsliphitch/operators/cli/deployment.py
@@ -88,7 +88,7 @@
             case Ok(document):
                 pass
         self._keys |= find_keys(document.data)
-        limits = CheckLimits(memory_mb, _version(in_force))
+        limits = _limits(memory_mb, in_force)
         has_errors = self._check(name, document, limits)
         if in_force is not None:
             self._compare(in_force, document)
@@ -122,7 +122,7 @@
         """Print the findings and return whether one of them is an error."""
         match document.deployment:
             case Err(detail):
-                self._print_error(f"{name}: {detail}")
+                self._print_error(f"{name}: {detail}; daemons ignore the document")
                 return True
             case Ok(deployment):
                 pass
@@ -202,10 +202,15 @@
         return Err(str(exc))
 
 
-def _version(document: _Document | None) -> int | None:
-    if document is None:
-        return None
-    return document.deployment.map(lambda deployment: deployment.version).ok()
+def _limits(memory_mb: float, in_force: _Document | None) -> CheckLimits:
+    """Return what a document is checked against.
+
+    :param in_force: the version in force, ``None`` if it is not known
+    """
+    deployment = in_force.deployment.ok() if in_force is not None else None
+    if deployment is None:
+        return CheckLimits(memory_mb)
+    return CheckLimits(memory_mb, deployment.version, deployment.requires_key)
 
 
 def _format_finding(finding: Finding) -> str:
