--- a/features/gateway/faulty_answers.feature
+++ b/features/gateway/faulty_answers.feature
@@ -1,7 +1,7 @@
 Feature: Answers of servers that are not complete or not valid
 
   Guards against a server's answer that breaks off, or that has a status which HTTP does
-  not know, and reaches the caller as a complete answer.
+  not know or an empty seal, and reaches the caller as a complete answer.
 
   Scenario Outline: A faulty answer is not passed on as complete
     Given a site whose only server of "<service>" <fault>
@@ -24,3 +24,5 @@
       | desk    | answers with status 600       | a lookup     | 4000000 |
       | engine  | answers with status 600       | a generation | 0       |
       | encode  | answers with status 600       | a generation | 0       |
+      | desk    | answers with an empty seal    | an order     | 0       |
+      | desk    | answers with an empty seal    | a lookup     | 0       |
--- a/features/steps/faulty_answer_steps.py
+++ b/features/steps/faulty_answer_steps.py
@@ -17,6 +17,7 @@
 MB: Final = 1_000_000
 READ_PAUSE_S: Final = 0.1
 SEAL: Final = b"Cowsliphitch-Response-Seal: seal\r\n"
+EMPTY_SEAL: Final = b"Cowsliphitch-Response-Seal: \r\n"
 PART: Final = b'{"items": [{"handle": "x/1"}]}id: 1\ndata: event\n\n'
 PATHS: Final = {
     "an order": "/order/1",
@@ -49,8 +50,10 @@
             if self._fault.startswith("reads all"):
                 self._read_all(sock)
             status = self._fault.rpartition("status ")[2].encode()
-            if self._fault.startswith("answers with status"):
-                sock.sendall(b"HTTP/1.1 %s X\r\n" % status + SEAL)
+            if self._fault.startswith("answers with"):
+                empty = self._fault == "answers with an empty seal"
+                sock.sendall(b"HTTP/1.1 %s X\r\n" % (b"200" if empty else status))
+                sock.sendall(EMPTY_SEAL if empty else SEAL)
                 sock.sendall(b"Content-Length: 2\r\n\r\nok")
                 self._read_all(sock)
                 return
--- a/packages/core/src/cowsliphitch/core/requests/models.py
+++ b/packages/core/src/cowsliphitch/core/requests/models.py
@@ -144,7 +144,7 @@
     """The status and headers of a server's answer, decoded.
 
     :param not_run: the server states that it did not run the request
-    :param has_seal: the server's seal, its proof of the answer, is present
+    :param has_seal: the server's seal, its proof of the answer, is there and not empty
     :param wrong_server: the address now belongs to another server
     :param results_lost: a stage result that the request reads no longer exists
     :param load: the server's load, ``None`` if it is not reported
