Name the row that is no object, and check teams whose keys are null

Operators saw: a route that is no object was reported under the name of the route before it, and deployment check ended with a traceback for "api_keys": null. Both came with the check of types in (by reading: before it, null was refused).

Evidence: the two new rows, in operator_document.feature and deployment_check.feature, pass with this change; they were not run without it.

--- a/features/core/deployment_check.feature
+++ b/features/core/deployment_check.feature
@@ -32,6 +32,7 @@
       | services.0.cold_start_s    | 3.0                             | warning  | services[0].cold_start       | 3000 ms            |
       | tenants.2                  | {"name": "third"}               | warning  | teams[2].keys                | 'third'            |
       | tenants.2                  | {"api_keys": []}                | warning  | teams[2].keys                | has no key         |
+      | tenants.2                  | {"name": "third", "api_keys": null} | warning | teams[2].keys             | 'third'            |
       | tenants.1.name             | "one"                           | warning  | teams[1].name                | teams[0]           |
       | tenants.1.api_keys         | ["first-key"]                   | error    | teams[1].keys[0]             | 'firs…'            |
       | tenants.1.api_keys         | [""]                            | error    | teams[1].keys[0]             | not empty          |
--- a/features/platform/operator_document.feature
+++ b/features/platform/operator_document.feature
@@ -29,6 +29,7 @@
       | tenants.1.api_keys         | ["abc", 7]   | tenants.1: api_keys: expected a text, not int    |
       | tenants.1.api_keys         | [null]       | tenants.1: api_keys: expected a text, not NoneType |
       | routes                     | {}           | routes: expected a list, not dict                |
+      | routes.1                   | []           | routes.1: expected an object, not list           |
       | routes.1.public            | "false"      | routes.lookup: public: expected true or false, not str |
       | routes.1.public            | 1            | routes.lookup: public: expected true or false, not int |
       | routes.1.resumable         | "no"         | routes.lookup: resumable: expected true or false, not str |
