--- a/features/gateway/readers.feature
+++ b/features/gateway/readers.feature
@@ -82,6 +82,23 @@
     Then after 500 ms all daemons have the operator's document
     And only the reader has read it from the store
 
+  Scenario: Followers apply the document after one with a value of a wrong type
+    Given the store has a document of 600 routes
+    When they run for 2000 ms
+    And the operator writes version 2 with the teams null
+    And they run for 300 ms
+    And the operator writes version 3 with 1 other routes
+    Then after 500 ms all daemons have the operator's document
+    And only the reader has read it from the store
+
+  Scenario: Followers get an empty list of teams from the reader
+    Given the store has a document of 600 routes
+    When they run for 2000 ms
+    And the operator writes version 2 with the teams []
+    Then after 500 ms all daemons have the operator's document
+    And only the reader has read it from the store
+    And no daemon accepts a key, or a request without one
+
   Scenario: A follower that lost the news of a document fetches it from the reader
     Given the store has a document of 600 routes
     And the reader sends a message every 10 ms
--- a/features/steps/reader_steps.py
+++ b/features/steps/reader_steps.py
@@ -405,9 +405,10 @@
     return json.dumps(content)
 
 
-def write_document(domain: Domain, version: int, changed: int) -> None:
+def write_document(domain: Domain, version: int, changed: int, **fields: Any) -> None:
     store = domain.store
-    store.document = large_document(version, changed)
+    content = json.loads(large_document(version, changed))
+    store.document = json.dumps(content | fields)
     store.add(Entry(KEY, store.document, store.next_revision))
 
 
@@ -436,6 +437,22 @@
     add_action(context, act)
 
 
+@when("the operator writes version {version:d} with the teams {teams}")
+def operator_writes_teams(context: Any, version: int, teams: str) -> None:
+    def act() -> None:
+        context.domain.store.documents_read.clear()
+        write_document(context.domain, version, 0, tenants=json.loads(teams))
+
+    add_action(context, act)
+
+
+@then("no daemon accepts a key, or a request without one")
+def no_key_accepted(context: Any) -> None:
+    for daemon in context.domain.daemons:
+        deployment = daemon.state.deployment
+        assert deployment.requires_key and not deployment.team_by_key, deployment
+
+
 @when("the next news of a document are lost")
 def lose_documents(context: Any) -> None:
     add_action(context, lambda: setattr(context.domain, "loses_documents", True))
